--- /dev/null
+++ b/src/gypsumfield/__init__.py
@@ -0,0 +1,1 @@
+"""Serves generations of unknown length on crowded engines."""
--- /dev/null
+++ b/src/gypsumfield/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs, one module each."""
--- /dev/null
+++ b/src/gypsumfield/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets, clocks or randomness of their own."""
--- /dev/null
+++ b/src/gypsumfield/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, model engines and plain services."""
