Add the stand-ins for platform, engine and plain service

Cause: the thin path and every later proof need the other side of each interface, small but honest. Change: in-process servers on gevent.pywsgi and falcon for the platform (long poll, partial answers, stale and down), the engine (server-sent events, resume, cancel, load with lag, cache events late and with gaps, orders with or without fencing) and a ledger that counts each run; the engine's decode model is a pure module that a bench can drive in virtual time; faults are armed by step of the request path; gypsumfield-standin serves one stand-in a process.

--- /dev/null
+++ b/src/gypsumfield/standins/engine.py
@@ -0,0 +1,491 @@
+"""Stand-in for a model engine, on the routes of `gypsumfield.engine_api`.
+
+The decode model runs in real time. A generation whose reader goes away runs
+on, so that it can be resumed; only a cancel stops it. Routes of its own:
+
+- ``GET /standin/runs`` answers `EngineRuns`.
+- ``PUT /standin/faults`` (`gypsumfield.standins.faults.FaultOrder`).
+"""
+
+import uuid
+from collections.abc import Iterator
+from typing import Literal
+
+import falcon
+import gevent
+import msgspec
+from gevent.event import Event
+
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.clock import system_clock
+from gypsumfield.engine_api import EngineError
+from gypsumfield.engine_api import EngineRefusal
+from gypsumfield.engine_api import FinishReason
+from gypsumfield.engine_api import Inventory
+from gypsumfield.engine_api import Order
+from gypsumfield.engine_api import OrderOutcome
+from gypsumfield.engine_api import REQUEST_ID_HEADER
+from gypsumfield.engine_api import StartGeneration
+from gypsumfield.engine_api import TokenEvent
+from gypsumfield.standins.engine_model import EngineModel
+from gypsumfield.standins.engine_model import EngineModelSettings
+from gypsumfield.standins.engine_model import Submission
+from gypsumfield.standins.engine_model import token_text
+from gypsumfield.standins.faults import FaultHitCount
+from gypsumfield.standins.faults import FaultOrder
+from gypsumfield.standins.server import make_app
+from gypsumfield.standins.server import read_body
+from gypsumfield.standins.server import respond
+from gypsumfield.standins.server import StandinServer
+
+_STATUS_BY_CODE = {
+    "engine_cold": 503,
+    "engine_full": 429,
+    "prompt_too_long": 400,
+    "duplicate_generation": 400,
+    "unknown_model": 400,
+    "bad_request": 400,
+}
+_RETRY_AFTER_MS = 500.0
+_PAUSE_CHECK_MS = 10.0
+
+
+class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an engine stand-in.
+
+    Attributes:
+        listen_address: IP to listen on.
+        listen_port: Port to listen on; 0 lets the system choose.
+        models: Version by name of the models it holds at the start.
+        adapters: Adapters it holds at the start.
+        role: What it serves as at the start.
+        are_orders_fenced: Whether it refuses old fencing numbers.
+        engine: Size and speed.
+    """
+
+    listen_address: str = "127.0.0.1"
+    listen_port: int = 0
+    models: dict[str, str] = msgspec.field(default_factory=lambda: {"assistant": "1"})
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+    are_orders_fenced: bool = True
+    engine: EngineModelSettings = EngineModelSettings()
+
+
+class EngineRun(msgspec.Struct):
+    """What became of one generation id.
+
+    Attributes:
+        request_id: Request id of its first start.
+        start_count: How often it was really started; refusals do not count.
+        generated_tokens: Tokens it made.
+        state: How it stands.
+    """
+
+    request_id: str
+    start_count: int = 1
+    generated_tokens: int = 0
+    state: Literal["running", "finished", "cancelled", "lost"] = "running"
+
+
+class EngineRuns(msgspec.Struct, frozen=True):
+    """Answer of ``GET /standin/runs``.
+
+    Attributes:
+        generations: Runs by generation id, over all boots.
+        header_names: Lower-case names of the headers it ever saw.
+        boot_id: The current boot.
+        orders: Orders it accepted, oldest first.
+        refused_count: Generations it refused.
+    """
+
+    generations: dict[str, EngineRun]
+    header_names: list[str]
+    boot_id: str
+    orders: list[Order]
+    refused_count: int
+
+
+class _Generation:
+    """Events of one generation and the readers that wait for more."""
+
+    def __init__(self, generation_id: str, run: EngineRun) -> None:
+        self.generation_id = generation_id
+        self.run = run
+        self.token_count = 0
+        self.finish_reason: FinishReason | None = None
+        self.is_lost = False
+        self._changed = Event()
+
+    def add_token(self, finish_reason: FinishReason | None) -> None:
+        self.token_count += 1
+        self.run.generated_tokens += 1
+        if finish_reason is not None:
+            self.finish(finish_reason)
+        self.wake()
+
+    def finish(self, reason: FinishReason) -> None:
+        self.finish_reason = reason
+        self.run.state = "cancelled" if reason == "cancelled" else "finished"
+        self.wake()
+
+    def lose(self) -> None:
+        if self.finish_reason is None:
+            self.run.state = "lost"
+        self.is_lost = True
+        self.wake()
+
+    def wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+    def events(self, after_sequence: int) -> Iterator[TokenEvent]:
+        """Yield the events after a sequence number, waiting for new ones."""
+        sequence = after_sequence + 1
+        while True:
+            while sequence <= self.token_count:
+                yield TokenEvent(self.generation_id, sequence, token_text(sequence))
+                sequence += 1
+            if self.finish_reason is not None:
+                break
+            if self.is_lost:
+                raise BrokenPipeError("the engine restarted")
+            self._changed.wait()
+        if sequence == self.token_count + 1:
+            yield TokenEvent(
+                self.generation_id, sequence, finish_reason=self.finish_reason
+            )
+
+
+class EngineStandin:
+    """One engine on one port."""
+
+    def __init__(
+        self, settings: EngineSettings | None = None, clock: Clock | None = None
+    ) -> None:
+        self.settings = settings or EngineSettings()
+        self.clock = clock or system_clock()
+        self.faults = FaultOrder()
+        self.header_names: set[str] = set()
+        self.runs: dict[str, EngineRun] = {}
+        self.orders: list[Order] = []
+        self.refused_count = 0
+        self._boot()
+        app = make_app()
+        app.add_route("/v1/generations", _Start(self))
+        app.add_route("/v1/generations/{generation_id}", _Continue(self))
+        app.add_route("/v1/load", _Load(self))
+        app.add_route("/v1/cache-events", _CacheEvents(self))
+        app.add_route("/v1/orders", _Orders(self))
+        app.add_route("/v1/inventory", _Inventory(self))
+        app.add_route("/healthz", _Health())
+        app.add_route("/standin/runs", _Runs(self))
+        app.add_route("/standin/faults", _Faults(self))
+        self.server = StandinServer(
+            app,
+            self.settings.listen_address,
+            self.settings.listen_port,
+            on_fatal=self.restart,
+        )
+        self._decoder: gevent.Greenlet | None = None
+
+    def _boot(self) -> None:
+        boot_id = uuid.uuid4().hex
+        now_ms = self.clock.monotonic_ms()
+        self.model = EngineModel(self.settings.engine, now_ms, boot_id)
+        self.generations: dict[str, _Generation] = {}
+        self.models = dict(self.settings.models)
+        self.adapters = list(self.settings.adapters)
+        self.role = self.settings.role
+        self.are_orders_fenced = self.settings.are_orders_fenced
+        self.highest_fencing_number = 0
+        self._work = Event()
+
+    @property
+    def url(self) -> str:
+        """Base URL; valid once started."""
+        return self.server.url
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT``; valid once started."""
+        return self.server.address
+
+    def start(self) -> str:
+        """Serve and return the base URL."""
+        self._decoder = gevent.spawn(self._decode_forever)
+        return self.server.start()
+
+    def stop(self) -> None:
+        """Stop serving and decoding."""
+        self.server.stop()
+        if self._decoder is not None:
+            self._decoder.kill()
+
+    def restart(self) -> None:
+        """Lose every generation and order, and come back with a new boot id."""
+        lost = list(self.generations.values())
+        self._work.set()
+        self._boot()
+        for generation in lost:
+            generation.lose()
+
+    def apply_faults(self, faults: FaultOrder) -> None:
+        """Replace the armed faults."""
+        self.faults = faults
+        if faults.is_restart:
+            self.restart()
+        if faults.cold_ms > 0:
+            self.model.turn_cold(self.clock.monotonic_ms(), faults.cold_ms)
+        if faults.are_orders_fenced is not None:
+            self.are_orders_fenced = faults.are_orders_fenced
+        self.server.arm(faults.faults)
+
+    def submit(self, start: StartGeneration, request_id: str) -> str | None:
+        """Start a generation, or return the code of its refusal."""
+        refusal = self._submit(start)
+        if refusal is not None:
+            self.refused_count += 1
+            return refusal
+        run = self.runs.setdefault(
+            start.generation_id, EngineRun(request_id, start_count=0)
+        )
+        run.start_count += 1
+        run.state = "running"
+        self.generations[start.generation_id] = _Generation(start.generation_id, run)
+        self._work.set()
+        return None
+
+    def _submit(self, start: StartGeneration) -> str | None:
+        if start.model not in self.models:
+            return "unknown_model"
+        if start.max_tokens < 1:
+            return "bad_request"
+        boot_id = self.model.boot_id
+        refusal = self.model.submit(
+            Submission(
+                start.generation_id, start.prompt, start.max_tokens, start.priority
+            ),
+            self.clock.monotonic_ms(),
+        )
+        if self.model.boot_id != boot_id:
+            # The load was more than the cold engine bore, and it fell over.
+            self.restart()
+        return refusal
+
+    def cancel(self, generation_id: str) -> bool:
+        """Stop a generation; return whether it is known."""
+        generation = self.generations.get(generation_id)
+        if generation is None:
+            return False
+        if self.model.cancel(generation_id):
+            generation.finish("cancelled")
+        return True
+
+    def events(self, generation_id: str, after_sequence: int) -> Iterator[bytes]:
+        """Yield server-sent events of a generation, with the armed mischief."""
+        for event in self.generations[generation_id].events(after_sequence):
+            if event.finish_reason is None and self.faults.gap_event_count > 0:
+                self._use_up("gap_event_count")
+                continue
+            yield _encode_event(event)
+            if self.faults.duplicate_event_count > 0:
+                self._use_up("duplicate_event_count")
+                yield _encode_event(event)
+
+    def _use_up(self, field: str) -> None:
+        remaining = getattr(self.faults, field) - 1
+        self.faults = msgspec.structs.replace(self.faults, **{field: remaining})
+
+    def answered_request_id(self, request_id: str) -> str:
+        """Return the request id to answer with; a fault may cross it."""
+        if self.faults.crossed_answer_count > 0:
+            self._use_up("crossed_answer_count")
+            return f"crossed-{request_id}"
+        return request_id
+
+    def take_order(self, order: Order) -> OrderOutcome:
+        """Follow an order, unless its fencing number is old and checked."""
+        is_old = order.fencing_number < self.highest_fencing_number
+        if self.are_orders_fenced and is_old:
+            return OrderOutcome(False, self.highest_fencing_number)
+        self.highest_fencing_number = max(
+            self.highest_fencing_number, order.fencing_number
+        )
+        self.orders.append(order)
+        if order.kind == "load_model":
+            self.models[order.name] = order.version
+        elif order.kind == "unload_model":
+            self.models.pop(order.name, None)
+        elif order.kind == "load_adapter" and order.name not in self.adapters:
+            self.adapters.append(order.name)
+        elif order.kind == "set_role":
+            self.role = order.name
+        return OrderOutcome(True, self.highest_fencing_number)
+
+    def _decode_forever(self) -> None:
+        while True:
+            model = self.model
+            if model.is_idle:
+                self._work.clear()
+                self._work.wait()
+                continue
+            if self.faults.is_decoding_paused:
+                gevent.sleep(_PAUSE_CHECK_MS / MS_PER_S)
+                continue
+            result = model.step(self.clock.monotonic_ms())
+            gevent.sleep(result.duration_ms / MS_PER_S)
+            if model is not self.model:
+                continue
+            for token in result.tokens:
+                generation = self.generations[token.generation_id]
+                # A cancel during the step comes before its token.
+                if generation.finish_reason is None:
+                    generation.add_token(token.finish_reason)
+
+
+def _encode_event(event: TokenEvent) -> bytes:
+    data = msgspec.json.encode(event)
+    return b"id: %d\ndata: %s\n\n" % (event.sequence, data)
+
+
+def _refuse(resp: falcon.Response, code: str, message: str) -> None:
+    status = _STATUS_BY_CODE[code]
+    retry_after_ms = None if status == 400 else _RETRY_AFTER_MS
+    error = EngineError(code, message, retry_after_ms=retry_after_ms)
+    respond(resp, EngineRefusal(error), status)
+
+
+class _Start:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        engine = self._engine
+        engine.header_names.update(name.lower() for name in req.headers)
+        request_id = req.get_header(REQUEST_ID_HEADER) or ""
+        if engine.faults.late_answer_ms > 0:
+            gevent.sleep(engine.faults.late_answer_ms / MS_PER_S)
+        try:
+            start = msgspec.json.decode(req.bounded_stream.read(), type=StartGeneration)
+        except msgspec.MsgspecError as error:
+            _refuse(resp, "bad_request", str(error))
+            return
+        refusal = engine.submit(start, request_id)
+        if refusal is not None:
+            _refuse(resp, refusal, f"generation {start.generation_id}: {refusal}")
+            return
+        _stream(engine, req, resp, start.generation_id, 0)
+
+
+class _Continue:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(
+        self, req: falcon.Request, resp: falcon.Response, generation_id: str
+    ) -> None:
+        self._engine.header_names.update(name.lower() for name in req.headers)
+        if generation_id not in self._engine.generations:
+            resp.status = falcon.HTTP_404
+            return
+        after_sequence = req.get_param_as_int("after", min_value=0) or 0
+        _stream(self._engine, req, resp, generation_id, after_sequence)
+
+    def on_delete(
+        self, _req: falcon.Request, resp: falcon.Response, generation_id: str
+    ) -> None:
+        is_known = self._engine.cancel(generation_id)
+        resp.status = falcon.HTTP_204 if is_known else falcon.HTTP_404
+
+
+def _stream(
+    engine: EngineStandin,
+    req: falcon.Request,
+    resp: falcon.Response,
+    generation_id: str,
+    after_sequence: int,
+) -> None:
+    request_id = req.get_header(REQUEST_ID_HEADER) or ""
+    resp.set_header(REQUEST_ID_HEADER, engine.answered_request_id(request_id))
+    resp.content_type = "text/event-stream"
+    resp.stream = engine.events(generation_id, after_sequence)
+
+
+class _Load:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        engine = self._engine
+        respond(resp, engine.model.load_report(engine.clock.monotonic_ms()))
+
+
+class _CacheEvents:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        after_sequence = req.get_param_as_int("after", min_value=0) or 0
+        now_ms = self._engine.clock.monotonic_ms()
+        respond(resp, self._engine.model.cache_events(after_sequence, now_ms))
+
+
+class _Orders:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        outcome = self._engine.take_order(read_body(req, Order))
+        respond(resp, outcome, 200 if outcome.is_accepted else 409)
+
+
+class _Inventory:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        engine = self._engine
+        inventory = Inventory(
+            boot_id=engine.model.boot_id,
+            role=engine.role,
+            models=engine.models,
+            adapters=tuple(engine.adapters),
+        )
+        respond(resp, inventory)
+
+
+class _Health:
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        resp.text = "ok"
+
+
+class _Runs:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        engine = self._engine
+        runs = EngineRuns(
+            generations=engine.runs,
+            header_names=sorted(engine.header_names),
+            boot_id=engine.model.boot_id,
+            orders=engine.orders,
+            refused_count=engine.refused_count,
+        )
+        respond(resp, runs)
+
+
+class _Faults:
+    def __init__(self, engine: EngineStandin) -> None:
+        self._engine = engine
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        respond(resp, FaultHitCount(self._engine.server.faults.hits))
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
+        faults: FaultOrder = read_body(req, FaultOrder)
+        # After a listener fault this connection may be the last that passes.
+        respond(resp, faults)
+        gevent.spawn(self._engine.apply_faults, faults)
--- /dev/null
+++ b/src/gypsumfield/standins/plain.py
@@ -0,0 +1,240 @@
+"""Stand-in for a plain service: a ledger of sales with notes and prices.
+
+- ``POST /sales`` (`Sale`) records a sale each time it runs: not idempotent.
+- ``GET /balances/{cart}`` is idempotent.
+- ``PUT`` and ``DELETE /notes/{name}`` append to the note's history each time
+  they run, so that a repeated call shows.
+- ``GET /prices`` is open to all.
+- ``GET /standin/runs`` answers `PlainRuns`; ``PUT /standin/faults`` takes a
+  `gypsumfield.standins.faults.FaultOrder`.
+"""
+
+from collections import Counter
+from typing import Any
+
+import falcon
+import gevent
+import msgspec
+
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.engine_api import REQUEST_ID_HEADER
+from gypsumfield.standins.faults import FaultHitCount
+from gypsumfield.standins.faults import FaultOrder
+from gypsumfield.standins.server import make_app
+from gypsumfield.standins.server import read_body
+from gypsumfield.standins.server import respond
+from gypsumfield.standins.server import StandinServer
+
+_PRICES_CENTS = {"coconut": 150, "coconut_water": 200}
+
+
+class PlainSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a plain service stand-in.
+
+    Attributes:
+        listen_address: IP to listen on.
+        listen_port: Port to listen on; 0 lets the system choose.
+    """
+
+    listen_address: str = "127.0.0.1"
+    listen_port: int = 0
+
+
+class Sale(msgspec.Struct, frozen=True):
+    """Body of ``POST /sales``."""
+
+    cart: str
+    amount: float
+
+
+class SaleAnswer(msgspec.Struct, frozen=True):
+    """Answer to a sale."""
+
+    sale_id: int
+    balance: float
+
+
+class Balance(msgspec.Struct, frozen=True):
+    """Answer of ``GET /balances/{cart}``."""
+
+    cart: str
+    balance: float
+
+
+class NoteAnswer(msgspec.Struct, frozen=True):
+    """Answer to a change of a note.
+
+    Attributes:
+        name: Name of the note.
+        change_count: How often it was changed.
+    """
+
+    name: str
+    change_count: int
+
+
+class Prices(msgspec.Struct, frozen=True):
+    """Answer of ``GET /prices``."""
+
+    prices_cents: dict[str, int]
+
+
+class PlainRuns(msgspec.Struct, frozen=True):
+    """Answer of ``GET /standin/runs``.
+
+    Attributes:
+        runs: How often each route ran, by ``METHOD /route``.
+        request_ids: Request id of each run, oldest first.
+        header_names: Lower-case names of the headers it ever saw.
+    """
+
+    runs: dict[str, int]
+    request_ids: list[str]
+    header_names: list[str]
+
+
+class PlainStandin:
+    """One plain service on one port."""
+
+    def __init__(self, settings: PlainSettings | None = None) -> None:
+        settings = settings or PlainSettings()
+        self.faults = FaultOrder()
+        self.sales: list[Sale] = []
+        self.balances: Counter[str] = Counter()
+        self.note_changes: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.request_ids: list[str] = []
+        self.header_names: set[str] = set()
+        app = make_app()
+        app.add_route("/sales", _Sales(self))
+        app.add_route("/balances/{cart}", _Balances(self))
+        app.add_route("/notes/{name}", _Notes(self))
+        app.add_route("/prices", _Prices(self))
+        app.add_route("/healthz", _Health())
+        app.add_route("/standin/runs", _Runs(self))
+        app.add_route("/standin/faults", _Faults(self))
+        self.server = StandinServer(app, settings.listen_address, settings.listen_port)
+
+    @property
+    def url(self) -> str:
+        """Base URL; valid once started."""
+        return self.server.url
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT``; valid once started."""
+        return self.server.address
+
+    def start(self) -> str:
+        """Serve and return the base URL."""
+        return self.server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self.server.stop()
+
+    def apply_faults(self, faults: FaultOrder) -> None:
+        """Replace the armed faults."""
+        self.faults = faults
+        self.server.arm(faults.faults)
+
+    def record(self, route: str, req: falcon.Request, resp: falcon.Response) -> None:
+        """Count one run and answer with its request id, unless crossed."""
+        request_id = req.get_header(REQUEST_ID_HEADER) or ""
+        self.runs[route] += 1
+        self.request_ids.append(request_id)
+        self.header_names.update(name.lower() for name in req.headers)
+        if self.faults.crossed_answer_count > 0:
+            remaining = self.faults.crossed_answer_count - 1
+            self.faults = msgspec.structs.replace(
+                self.faults, crossed_answer_count=remaining
+            )
+            resp.set_header(REQUEST_ID_HEADER, f"crossed-{request_id}")
+        if self.faults.late_answer_ms > 0:
+            gevent.sleep(self.faults.late_answer_ms / MS_PER_S)
+
+
+class _Sales:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        sale: Sale = read_body(req, Sale)
+        ledger = self._ledger
+        ledger.sales.append(sale)
+        ledger.balances[sale.cart] += sale.amount  # type: ignore[assignment]
+        answer = SaleAnswer(len(ledger.sales), ledger.balances[sale.cart])
+        ledger.record("POST /sales", req, resp)
+        respond(resp, answer, 201)
+
+
+class _Balances:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, cart: str) -> None:
+        self._ledger.record("GET /balances/{cart}", req, resp)
+        respond(resp, Balance(cart, self._ledger.balances[cart]))
+
+
+class _Notes:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
+        read_body(req, Any)
+        self._change("PUT", req, resp, name)
+
+    def on_delete(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
+        self._change("DELETE", req, resp, name)
+
+    def _change(
+        self, method: str, req: falcon.Request, resp: falcon.Response, name: str
+    ) -> None:
+        ledger = self._ledger
+        ledger.note_changes[name] += 1
+        answer = NoteAnswer(name, ledger.note_changes[name])
+        ledger.record(f"{method} /notes/{{name}}", req, resp)
+        respond(resp, answer)
+
+
+class _Prices:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        self._ledger.record("GET /prices", req, resp)
+        respond(resp, Prices(_PRICES_CENTS))
+
+
+class _Health:
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        resp.text = "ok"
+
+
+class _Runs:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        ledger = self._ledger
+        runs = PlainRuns(
+            runs=dict(ledger.runs),
+            request_ids=ledger.request_ids,
+            header_names=sorted(ledger.header_names),
+        )
+        respond(resp, runs)
+
+
+class _Faults:
+    def __init__(self, ledger: PlainStandin) -> None:
+        self._ledger = ledger
+
+    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
+        respond(resp, FaultHitCount(self._ledger.server.faults.hits))
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
+        faults: FaultOrder = read_body(req, FaultOrder)
+        # After a listener fault this connection may be the last that passes.
+        respond(resp, faults)
+        gevent.spawn(self._ledger.apply_faults, faults)
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,208 @@
+import json
+
+import gevent
+import pytest
+
+from gypsumfield.standins.engine import EngineStandin
+from gypsumfield.standins.faults import FaultOrder
+from gypsumfield.standins.plain import PlainStandin
+from gypsumfield.standins.platform import PlatformSettings
+from gypsumfield.standins.platform import PlatformStandin
+from httpcalls import call
+from httpcalls import open_call
+
+
+@pytest.fixture
+def platform():
+    standin = PlatformStandin(PlatformSettings(values_limit=2))
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def engine():
+    standin = EngineStandin()
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def ledger():
+    standin = PlainStandin()
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+def start_body(name: str, tokens: int, **more: object) -> dict[str, object]:
+    body = {
+        "generation_id": name,
+        "model": "assistant",
+        "prompt": f"hi [tokens={tokens}]",
+        "max_tokens": 1_000,
+    }
+    return body | more
+
+
+def read_events(answer) -> list[dict[str, object]]:
+    lines = answer.body.decode().splitlines()
+    return [json.loads(line[5:]) for line in lines if line.startswith("data:")]
+
+
+def test_partial_answers_say_how_far_they_reach(platform):
+    for number in range(5):
+        put = call("PUT", f"{platform.url}/standin/values/profiles/p{number}", {})
+    assert put.json == {"revision": 5}
+    revision, seen = 0, {}
+    while revision < 5:
+        url = f"{platform.url}/v1/values?after_revision={revision}"
+        answer = call("GET", url).json
+        assert len(answer["values"]) <= 2
+        revision = answer["revision"]
+        seen |= answer["values"]
+    assert sorted(seen) == [f"profiles/p{number}" for number in range(5)]
+    assert call("GET", f"{platform.url}/standin/calls").json == {
+        "calls": {"GET /v1/values": 3}
+    }
+
+
+def test_a_watch_waits_for_a_change_and_sees_removals(platform):
+    url = f"{platform.url}/v1/values?after_revision=1&wait_ms=15000"
+    platform.state.put_value("profiles/a", {})
+    waiting = gevent.spawn(call, "GET", url)
+    gevent.sleep(0.05)
+    assert not waiting.ready()
+    platform.state.put_value("profiles/a", None)
+    assert waiting.get().json == {"revision": 2, "values": {"profiles/a": None}}
+
+
+def test_malformed_values_are_refused(platform):
+    url = f"{platform.url}/standin/values/profiles/a"
+    assert call("PUT", url, b"{nope").status == 400
+    assert platform.state.revision == 0
+
+
+def test_stale_and_down(platform):
+    members = f"{platform.url}/v1/members"
+    faults = f"{platform.url}/standin/faults"
+    assert call("PUT", faults, {"mode": "stale"}).status == 200
+    hosts = [
+        {
+            "host_id": "e",
+            "role": "entry",
+            "availability_zone": "z",
+            "address": "127.0.0.1:1",
+        }
+    ]
+    put = call("PUT", f"{platform.url}/standin/members", {"hosts": hosts})
+    assert put.json == {"version": 1}
+    assert call("GET", members).json == {"version": 0, "hosts": []}
+    call("PUT", faults, {"mode": "down"})
+    with pytest.raises(Exception):  # noqa: B017 - any kind of failed connection
+        call("GET", members)
+    call("PUT", faults, {"mode": "up"})
+    assert call("GET", members).json["hosts"][0]["host_id"] == "e"
+
+
+def test_a_generation_streams_and_resumes_and_echoes(engine):
+    url = f"{engine.url}/v1/generations"
+    answer = call("POST", url, start_body("g", 4), {"X-Request-Id": "r1"})
+    assert answer.headers["x-request-id"] == "r1"
+    events = read_events(answer)
+    assert [event["sequence"] for event in events] == [1, 2, 3, 4, 5]
+    assert "".join(event.get("text", "") for event in events) == "w1 w2 w3 w4 "
+    assert events[-1]["finish_reason"] == "stop"
+    assert read_events(call("GET", f"{url}/g?after=3")) == events[3:]
+    assert call("GET", f"{url}/other?after=3").status == 404
+    assert call("POST", url, start_body("g", 4)).json["error"]["run"] == "not-run"
+    runs = call("GET", f"{engine.url}/standin/runs").json
+    assert runs["generations"]["g"] == {
+        "request_id": "r1",
+        "start_count": 1,
+        "generated_tokens": 4,
+        "state": "finished",
+    }
+
+
+def test_a_reader_that_leaves_stops_nothing_and_a_cancel_does(engine):
+    url = f"{engine.url}/v1/generations"
+    body = json.dumps(start_body("g", 900)).encode()
+    with open_call("POST", url, body) as response:
+        assert response.read(10)
+    gevent.sleep(0.05)
+    assert engine.runs["g"].state == "running"
+    assert call("DELETE", f"{url}/g").status == 204
+    assert call("DELETE", f"{url}/g").status == 204
+    assert engine.runs["g"].state == "cancelled"
+    assert engine.model.is_idle
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [
+        (start_body("g", 1, model="other"), 400, "unknown_model"),
+        (start_body("g", 1, prompt="x" * 90_000), 400, "prompt_too_long"),
+        (b"{", 400, "bad_request"),
+    ],
+)
+def test_refusals_say_not_run(engine, body, status, code):
+    answer = call("POST", f"{engine.url}/v1/generations", body)
+    assert (answer.status, answer.json["error"]["code"]) == (status, code)
+    assert answer.json["error"]["run"] == "not-run"
+    assert engine.runs == {}
+
+
+def test_orders_are_fenced_unless_told_otherwise(engine):
+    url = f"{engine.url}/v1/orders"
+    order = {"kind": "load_model", "name": "tags", "version": "2", "fencing_number": 7}
+    old = order | {"version": "1", "fencing_number": 3}
+    assert call("POST", url, order).status == 200
+    assert call("POST", url, old).status == 409
+    engine.apply_faults(FaultOrder(are_orders_fenced=False))
+    assert call("POST", url, old).status == 200
+    inventory = call("GET", f"{engine.url}/v1/inventory").json
+    assert inventory["models"] == {"assistant": "1", "tags": "1"}
+
+
+def test_a_restart_loses_generations_and_changes_the_boot_id(engine):
+    before = call("GET", f"{engine.url}/v1/load").json["boot_id"]
+    call("POST", f"{engine.url}/v1/generations", start_body("g", 1))
+    call("PUT", f"{engine.url}/standin/faults", {"is_restart": True})
+    assert call("GET", f"{engine.url}/v1/load").json["boot_id"] != before
+    assert call("GET", f"{engine.url}/v1/generations/g?after=0").status == 404
+
+
+def test_duplicates_and_gaps_can_be_armed(engine):
+    engine.apply_faults(FaultOrder(duplicate_event_count=1))
+    answer = call("POST", f"{engine.url}/v1/generations", start_body("a", 3))
+    assert [event["sequence"] for event in read_events(answer)] == [1, 1, 2, 3, 4]
+    engine.apply_faults(FaultOrder(gap_event_count=1))
+    answer = call("POST", f"{engine.url}/v1/generations", start_body("b", 3))
+    assert [event["sequence"] for event in read_events(answer)] == [2, 3, 4]
+
+
+def test_the_ledger_counts_each_run(ledger):
+    sale = {"cart": "c1", "amount": 2.5}
+    for number in (1, 2):
+        answer = call(
+            "POST", f"{ledger.url}/sales", sale, {"X-Request-Id": f"r{number}"}
+        )
+        assert answer.status == 201
+        assert answer.json == {"sale_id": number, "balance": 2.5 * number}
+    assert call("GET", f"{ledger.url}/balances/c1").json["balance"] == 5.0
+    assert call("PUT", f"{ledger.url}/notes/n", {"text": "x"}).json["change_count"] == 1
+    assert call("DELETE", f"{ledger.url}/notes/n").json["change_count"] == 2
+    assert call("GET", f"{ledger.url}/prices").status == 200
+    assert call("POST", f"{ledger.url}/sales", {"cart": 1}).status == 400
+    runs = call("GET", f"{ledger.url}/standin/runs").json
+    assert runs["runs"] == {
+        "POST /sales": 2,
+        "GET /balances/{cart}": 1,
+        "PUT /notes/{name}": 1,
+        "DELETE /notes/{name}": 1,
+        "GET /prices": 1,
+    }
+    assert runs["request_ids"][:2] == ["r1", "r2"]
+    assert "x-request-id" in runs["header_names"]
