--- /dev/null
+++ b/src/gypsumfield/adapters/metrics.py
@@ -0,0 +1,294 @@
+"""Metrics of one entry host as Prometheus text.
+
+Times are kept in HdrHistograms, one for each kind of time and profile. No
+label takes its values from callers or client accounts, so memory is bounded.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry
+from prometheus_client import generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import HistogramMetricFamily
+from prometheus_client.core import Metric
+
+from gypsumfield import events
+from gypsumfield.ports import EmitEvent
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+HIGHEST_TIME_US = 3_600_000_000
+SIGNIFICANT_FIGURES = 2
+US_PER_MS = 1_000
+BUCKET_BOUNDS_MS = (
+    *(1, 2, 5, 10, 20, 35, 47, 70, 100, 200, 350, 500, 780),
+    *(1_000, 2_000, 5_000, 10_000, 30_000, 60_000, 600_000),
+)
+QUANTILES = (0.5, 0.95, 0.99)
+LABEL_VALUE_LIMIT = 64
+OTHER_LABEL = "other"
+SERVER_ERROR_STATUS = 500
+
+
+class MetricSpec(NamedTuple):
+    """Name, label names and meaning of one metric."""
+
+    name: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
+TIMES = (
+    MetricSpec("stall_ms", ("profile",), "Silence of a stream beyond its profile"),
+    MetricSpec("first_token_ms", ("profile",), "Time from arrival to the first token"),
+    MetricSpec("between_tokens_ms", ("profile",), "Time between two tokens"),
+    MetricSpec("queue_wait_ms", ("profile",), "Wait for a backend server"),
+)
+
+COUNTERS = (
+    MetricSpec("requests_admitted", ("service",), "Requests that passed all checks"),
+    MetricSpec("requests_completed", ("service",), "Whole answers delivered"),
+    MetricSpec("requests_failed", ("code", "verdict"), "Answers that broke off"),
+    MetricSpec("tokens_delivered", ("service",), "Tokens of whole answers"),
+    MetricSpec("refusals", ("code", "verdict"), "Requests refused"),
+    MetricSpec(
+        "refusals_within_rate",
+        ("code",),
+        "Requests refused for other reasons than their own account or input",
+    ),
+    MetricSpec("retries", ("service",), "Attempts after the first"),
+    MetricSpec("attempts_failed", ("stage", "verdict"), "Attempts that failed"),
+    MetricSpec("streams_resumed", ("service",), "Streams resumed at the engine"),
+    MetricSpec("preemptions", ("service",), "Preemptions that engines reported"),
+    MetricSpec("callers_gone", (), "Callers that left before the end"),
+    MetricSpec("backends_turned_cold", (), "Times a backend server turned cold"),
+    MetricSpec("owner_changes", (), "Changes of a backend server's owner"),
+    MetricSpec("shares_moved_tokens", (), "Rate tokens moved between entry hosts"),
+    MetricSpec("platform_failures", (), "Calls that the platform did not answer"),
+    MetricSpec("configuration_rejections", (), "Published values that do not fit"),
+    MetricSpec("host_pauses", (), "Times the process found itself paused"),
+)
+
+
+class HostState(NamedTuple):
+    """State of one entry host at the moment of a scrape.
+
+    Attributes:
+        configuration_revision: Revision in force.
+        configuration_age_ms: Time since a source last confirmed it.
+        rejected_value_count: Published values refused now.
+        member_count: Entry hosts known, this one included.
+        owned_backend_count: Backend servers this host owns.
+        in_flight_count: Requests being served.
+        queue_length: Requests waiting.
+        shares_held_count: Accounts this host holds a share of.
+        shares_held_tokens: Rate tokens in these shares.
+        slots_held_count: Slots this host holds at backend servers.
+        slots_granted_count: Slots this host has granted as owner.
+    """
+
+    configuration_revision: int = 0
+    configuration_age_ms: float = 0.0
+    rejected_value_count: int = 0
+    member_count: int = 0
+    owned_backend_count: int = 0
+    in_flight_count: int = 0
+    queue_length: int = 0
+    shares_held_count: int = 0
+    shares_held_tokens: float = 0.0
+    slots_held_count: int = 0
+    slots_granted_count: int = 0
+
+
+METRIC_PREFIX = "gypsumfield_"
+
+
+class _TimeSeries:
+    """One HdrHistogram with the exact sum of what it holds."""
+
+    def __init__(self) -> None:
+        self.sum_ms = 0.0
+        self.histogram = HdrHistogram(1, HIGHEST_TIME_US, SIGNIFICANT_FIGURES)
+
+    def record(self, duration_ms: float) -> None:
+        duration_us = int(max(0.0, duration_ms) * US_PER_MS)
+        self.histogram.record_value(min(duration_us, HIGHEST_TIME_US))
+        self.sum_ms += max(0.0, duration_ms)
+
+    def quantile_ms(self, quantile: float) -> float:
+        percentile = quantile * 100.0
+        return float(self.histogram.get_value_at_percentile(percentile)) / US_PER_MS
+
+    def cumulative_buckets(self) -> list[tuple[str, float]]:
+        """Return Prometheus buckets: upper bound and count up to it."""
+        counts = [0] * (len(BUCKET_BOUNDS_MS) + 1)
+        position = 0
+        for item in self.histogram.get_recorded_iterator():
+            value_ms = item.value_iterated_to / US_PER_MS
+            while (
+                position < len(BUCKET_BOUNDS_MS)
+                and value_ms > BUCKET_BOUNDS_MS[position]
+            ):
+                position += 1
+            counts[position] += item.count_added_in_this_iter_step
+        bounds = [*(f"{float(bound)}" for bound in BUCKET_BOUNDS_MS), "+Inf"]
+        buckets = []
+        total = 0
+        for bound, count in zip(bounds, counts, strict=True):
+            total += count
+            buckets.append((bound, float(total)))
+        return buckets
+
+
+class Metrics:
+    """Counts and times of one entry host.
+
+    Args:
+        profile_of_service: Name of the profile a service runs under; empty
+            when it is not known.
+        read_state: Reads the host's present state, once a scrape.
+    """
+
+    def __init__(
+        self,
+        profile_of_service: Callable[[str], str],
+        read_state: Callable[[], HostState] = HostState,
+    ) -> None:
+        self.read_state = read_state
+        self._profile_of_service = profile_of_service
+        self._times: dict[str, dict[str, _TimeSeries]] = {
+            spec.name: defaultdict(_TimeSeries) for spec in TIMES
+        }
+        self._counts: dict[str, dict[tuple[str, ...], float]] = {
+            spec.name: defaultdict(float) for spec in COUNTERS
+        }
+        self._label_values: dict[str, set[str]] = defaultdict(set)
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry.register(self)
+
+    def record_between_tokens(self, profile: str, duration_ms: float) -> None:
+        """Record the time between two tokens of one stream."""
+        self._record("between_tokens_ms", profile, duration_ms)
+
+    def record_queue_wait(self, profile: str, duration_ms: float) -> None:
+        """Record how long a request waited for a backend server."""
+        self._record("queue_wait_ms", profile, duration_ms)
+
+    def observe_event(self, event: events.Event) -> None:
+        """Count what ``event`` tells; events without a metric are ignored."""
+        match event:
+            case events.RequestAdmitted(service=service):
+                self._count("requests_admitted", service=service)
+            case events.RequestCompleted(service=service, token_count=token_count):
+                self._count("requests_completed", service=service)
+                self._count("tokens_delivered", token_count, service=service)
+            case events.RequestFailed(code=code, verdict=verdict):
+                self._count("requests_failed", code=code, verdict=verdict)
+            case events.RequestRefused():
+                self._count_refusal(event)
+            case events.RequestRetried(service=service):
+                self._count("retries", service=service)
+            case events.AttemptFailed(stage=stage, verdict=verdict):
+                self._count("attempts_failed", stage=stage, verdict=verdict)
+            case events.FirstToken(service=service, elapsed_ms=elapsed_ms):
+                self._record("first_token_ms", self._profile(service), elapsed_ms)
+            case events.StreamStalled(service=service, silent_ms=silent_ms):
+                self._record("stall_ms", self._profile(service), silent_ms)
+            case events.StreamResumed(service=service):
+                self._count("streams_resumed", service=service)
+            case events.EnginePreempted(service=service, preemption_count=count):
+                self._count("preemptions", count, service=service)
+            case _:
+                self._observe_control_event(event)
+
+    def _observe_control_event(self, event: events.Event) -> None:
+        match event:
+            case events.CallerGone():
+                self._count("callers_gone")
+            case events.BackendTurnedCold():
+                self._count("backends_turned_cold")
+            case events.OwnerChanged():
+                self._count("owner_changes")
+            case events.ShareMoved(token_count=token_count):
+                self._count("shares_moved_tokens", token_count)
+            case events.PlatformUnreachable():
+                self._count("platform_failures")
+            case events.ConfigurationRejected():
+                self._count("configuration_rejections")
+            case events.HostPaused():
+                self._count("host_pauses")
+            case _:
+                pass
+
+    def render(self) -> bytes:
+        """Return all metrics as Prometheus text."""
+        return generate_latest(self._registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metric families, as Prometheus' registry asks."""
+        for spec in TIMES:
+            yield from self._time_families(spec)
+        for spec in COUNTERS:
+            family = CounterMetricFamily(
+                METRIC_PREFIX + spec.name, spec.meaning, labels=spec.labels
+            )
+            for labels, count in sorted(self._counts[spec.name].items()):
+                family.add_metric(labels, count)
+            yield family
+        for name, value in self.read_state()._asdict().items():
+            yield GaugeMetricFamily(METRIC_PREFIX + name, name, value=float(value))
+
+    def _time_families(self, spec: MetricSpec) -> Iterator[Metric]:
+        name = METRIC_PREFIX + spec.name
+        histogram = HistogramMetricFamily(name, spec.meaning, labels=spec.labels)
+        quantiles = GaugeMetricFamily(
+            f"{name}_quantile", spec.meaning, labels=(*spec.labels, "quantile")
+        )
+        for profile, series in sorted(self._times[spec.name].items()):
+            buckets = series.cumulative_buckets()
+            histogram.add_metric([profile], buckets, sum_value=series.sum_ms)
+            for quantile in QUANTILES:
+                value = series.quantile_ms(quantile)
+                quantiles.add_metric([profile, str(quantile)], value)
+        yield histogram
+        yield quantiles
+
+    def _count_refusal(self, event: events.RequestRefused) -> None:
+        self._count("refusals", code=event.code, verdict=event.verdict)
+        if event.status >= SERVER_ERROR_STATUS:
+            self._count("refusals_within_rate", code=event.code)
+
+    def _count(self, name: str, amount: float = 1.0, **labels: str) -> None:
+        values = tuple(self._bounded(key, value) for key, value in labels.items())
+        self._counts[name][values] += amount
+
+    def _record(self, name: str, profile: str, duration_ms: float) -> None:
+        self._times[name][self._bounded("profile", profile)].record(duration_ms)
+
+    def _profile(self, service: str) -> str:
+        return self._profile_of_service(service)
+
+    def _bounded(self, label: str, value: str) -> str:
+        """Return ``value``, or a common one when the label has too many."""
+        known = self._label_values[label]
+        if value in known:
+            return value
+        if len(known) >= LABEL_VALUE_LIMIT:
+            return OTHER_LABEL
+        known.add(value)
+        return value
+
+
+def emit_to_all(*emits: EmitEvent) -> EmitEvent:
+    """Return a function that passes each event to all ``emits`` in order."""
+
+    def emit(event: events.Event) -> None:
+        for emit_one in emits:
+            emit_one(event)
+
+    return emit
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -8,7 +8,9 @@
 import msgspec
 
 
-class Event(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Event(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag_field="event"
+):
     """Base of all events.
 
     Attributes:
@@ -17,6 +19,8 @@
         service: Service of the request.
         backend_server: Host id of the backend server.
         availability_zone: Zone it concerns, where not the host's own.
+
+    ``IS_HOT`` marks a type that may be sampled. Refusals and faults are not.
     """
 
     IS_HOT: ClassVar[bool] = False
