--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -212,6 +212,11 @@
         """``IP:PORT``; valid once started."""
         return self.server.address
 
+    @property
+    def boot_id(self) -> str:
+        """Name of the current boot."""
+        return self.model.boot_id
+
     def start(self) -> str:
         """Serve and return the base URL."""
         self._decoder = gevent.spawn(self._decode_forever)
--- a/src/gypsumfield/standins/plain.py
+++ b/src/gypsumfield/standins/plain.py
@@ -9,6 +9,7 @@
   `gypsumfield.standins.faults.FaultOrder`.
 """
 
+import uuid
 from collections import Counter
 from typing import Any
 
@@ -98,6 +99,7 @@
 
     def __init__(self, settings: PlainSettings | None = None) -> None:
         settings = settings or PlainSettings()
+        self.boot_id = uuid.uuid4().hex
         self.faults = FaultOrder()
         self.sales: list[Sale] = []
         self.balances: Counter[str] = Counter()
--- a/src/gypsumfield/standins/server.py
+++ b/src/gypsumfield/standins/server.py
@@ -109,6 +109,8 @@
         self._end_connect_fault()
         if self._server is None:
             self._listen()
+        else:
+            self._server.start_accepting()
         fault = self.faults.peek("before-connect")
         if fault is not None:
             self._begin_connect_fault(fault)
@@ -148,18 +150,21 @@
         self._timer = gevent.spawn_later(fault.duration_ms / MS_PER_S, self.arm, ())
         if fault.kind == "crash":
             self._stop_listening()
-            return
-        if self._server is not None:
+        elif fault.kind == "stall" and self._server is not None:
+            # The kernel goes on completing connections that nobody accepts.
+            self._server.stop_accepting()
+        elif self._server is not None:
             # Open connections stay; the fault gate holds what comes on them.
             self._server.close()
             self._server = None
-        # Connections complete in the kernel during a stall and nobody accepts
-        # them; a full backlog drops even the first packet, as a partition does.
+            self._fill_backlog()
+
+    def _fill_backlog(self) -> None:
+        """Listen with a full backlog, which drops even the first packet."""
         listener = self._bind()
-        is_partition = fault.kind == "partition"
-        listener.listen(0 if is_partition else _BACKLOG)
+        listener.listen(0)
         self._blocked.append(listener)
-        for _ in range(_FULL_BACKLOG_CONNECTIONS if is_partition else 0):
+        for _ in range(_FULL_BACKLOG_CONNECTIONS):
             filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             filler.setblocking(False)
             filler.connect_ex((self._host, self._port))
