--- /dev/null
+++ b/src/gypsumfield/local_fleet.py
@@ -0,0 +1,191 @@
+"""A whole small fleet in one process: stand-ins and entry hosts."""
+
+from typing import NamedTuple
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+from gypsumfield.adapters.logs import open_event_log
+from gypsumfield.clock import Clock
+from gypsumfield.composition import build_entry_host
+from gypsumfield.composition import EntryHost
+from gypsumfield.exceptions import GypsumfieldError
+from gypsumfield.platform_api import Member
+from gypsumfield.ports import discard_event
+from gypsumfield.ports import EmitEvent
+from gypsumfield.settings import EntrySettings
+from gypsumfield.standins.fleet import FleetPlan
+from gypsumfield.standins.fleet import StandinFleet
+from gypsumfield.standins.sample import sample_accounts
+from gypsumfield.standins.sample import SampleAccount
+from gypsumfield.standins.sample import SERVICE_KINDS
+
+READY_TIMEOUT_MS = 20_000.0
+READY_CHECK_INTERVAL_MS = 20.0
+SILENT_LOG = ""
+
+
+class LocalPlan(NamedTuple):
+    """What the local program is asked for.
+
+    Attributes:
+        entry_host_count: Entry hosts, spread over the zones in turn.
+        stand_ins: Size of the fleet behind them.
+        first_entry_port: Port of the first entry host, the others follow; 0
+            lets the system choose.
+        log_path: File for JSON lines of all entry hosts; ``-`` is standard
+            error and an empty text is no log.
+        drain_notice_ms: How long a draining host still accepts.
+    """
+
+    entry_host_count: int = 4
+    stand_ins: FleetPlan = FleetPlan()
+    first_entry_port: int = 0
+    log_path: str = SILENT_LOG
+    drain_notice_ms: float = 200.0
+
+
+class EntryHostEntry(msgspec.Struct, frozen=True):
+    """One entry host in the ready line."""
+
+    host_id: str
+    availability_zone: str
+    url: str
+
+
+class BackendServerEntry(msgspec.Struct, frozen=True):
+    """One backend server in the ready line."""
+
+    host_id: str
+    availability_zone: str
+    url: str
+    service: str
+
+
+class LocalReadyLine(msgspec.Struct, frozen=True):
+    """Line that the local program prints once every entry host serves."""
+
+    ready: bool
+    platform: str
+    entry_hosts: list[EntryHostEntry]
+    backend_servers: list[BackendServerEntry]
+    client_accounts: dict[str, SampleAccount]
+    services: dict[str, str]
+
+
+class _StartedHost(NamedTuple):
+    settings: EntrySettings
+    host: EntryHost
+    url: str
+
+
+class LocalFleet:
+    """Stand-ins and entry hosts, started and drained as a whole."""
+
+    def __init__(self, plan: LocalPlan, clock: Clock) -> None:
+        self._plan = plan
+        self._clock = clock
+        self.stand_ins = StandinFleet(plan.stand_ins)
+        self._hosts: list[_StartedHost] = []
+
+    def start(self) -> LocalReadyLine:
+        """Start all parts and return once every entry host serves.
+
+        Raises:
+            GypsumfieldError: An entry host did not become ready in time.
+        """
+        self.stand_ins.start()
+        for number in range(self._plan.entry_host_count):
+            self._hosts.append(self._start_host(number))
+        self.stand_ins.set_entry_members(map(_as_member, self._hosts))
+        for started in self._hosts:
+            self._wait_until_ready(started)
+        return self._ready_line()
+
+    @property
+    def entry_hosts(self) -> list[EntryHost]:
+        """The entry hosts, to be drained before `stop`."""
+        return [started.host for started in self._hosts]
+
+    def stop(self) -> None:
+        """Stop the stand-ins."""
+        self.stand_ins.stop()
+
+    def _start_host(self, number: int) -> _StartedHost:
+        plan = self._plan
+        zones = self.stand_ins.zones
+        zone = zones[number % len(zones)]
+        settings = EntrySettings(
+            host_id=f"entry-{zone}-{number // len(zones) + 1}",
+            availability_zone=zone,
+            platform_url=self.stand_ins.platform.url,
+            listen_port=plan.first_entry_port + number if plan.first_entry_port else 0,
+            log_path=plan.log_path,
+            drain_notice_ms=plan.drain_notice_ms,
+            seed=plan.stand_ins.seed * 1_000 + number,
+        )
+        host = build_entry_host(settings, self._clock, self._open_log(settings))
+        return _StartedHost(settings, host, host.start())
+
+    def _open_log(self, settings: EntrySettings) -> EmitEvent:
+        if not settings.log_path:
+            return discard_event
+        return open_event_log(
+            settings.host_id,
+            settings.availability_zone,
+            settings.log_path,
+            self._clock,
+        )
+
+    def _wait_until_ready(self, started: _StartedHost) -> None:
+        deadline_ms = self._clock.monotonic_ms() + READY_TIMEOUT_MS
+        while not self._is_ready(started):
+            if self._clock.monotonic_ms() > deadline_ms:
+                raise GypsumfieldError(f"{started.settings.host_id} is not ready")
+            self._clock.sleep_ms(READY_CHECK_INTERVAL_MS)
+
+    def _is_ready(self, started: _StartedHost) -> bool:
+        """Return whether a host is ready and knows of all the others."""
+        client = HTTPClient.from_url(started.url)
+        try:
+            if client.get("/readyz").status_code != 200:
+                return False
+            page = msgspec.json.decode(client.get("/statusz").read())
+        finally:
+            client.close()
+        members = set(page["members"])
+        return all(other.settings.host_id in members for other in self._hosts)
+
+    def _ready_line(self) -> LocalReadyLine:
+        return LocalReadyLine(
+            ready=True,
+            platform=self.stand_ins.platform.url,
+            entry_hosts=[
+                EntryHostEntry(
+                    started.settings.host_id,
+                    started.settings.availability_zone,
+                    started.url,
+                )
+                for started in self._hosts
+            ],
+            backend_servers=[
+                BackendServerEntry(
+                    backend.host_id,
+                    backend.availability_zone,
+                    backend.standin.url,
+                    backend.service,
+                )
+                for backend in self.stand_ins.backends
+            ],
+            client_accounts=sample_accounts(self._plan.stand_ins.seed),
+            services=SERVICE_KINDS,
+        )
+
+
+def _as_member(started: _StartedHost) -> Member:
+    return Member(
+        host_id=started.settings.host_id,
+        role="entry",
+        availability_zone=started.settings.availability_zone,
+        address=started.url.removeprefix("http://"),
+    )
--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -60,6 +60,8 @@
         models: Version by name of the models it holds at the start.
         adapters: Adapters it holds at the start.
         role: What it serves as at the start.
+        is_text_marked: Whether each token names its generation, so that a
+            reader sees when tokens of two generations are mixed.
         are_orders_fenced: Whether it refuses old fencing numbers.
         engine: Size and speed.
     """
@@ -69,6 +71,7 @@
     models: dict[str, str] = msgspec.field(default_factory=lambda: {"assistant": "1"})
     adapters: tuple[str, ...] = ()
     role: str = "serve"
+    is_text_marked: bool = False
     are_orders_fenced: bool = True
     engine: EngineModelSettings = EngineModelSettings()
 
@@ -110,8 +113,9 @@
 class _Generation:
     """Events of one generation and the readers that wait for more."""
 
-    def __init__(self, generation_id: str, run: EngineRun) -> None:
+    def __init__(self, generation_id: str, run: EngineRun, mark: str) -> None:
         self.generation_id = generation_id
+        self._mark = mark
         self.run = run
         self.token_count = 0
         self.finish_reason: FinishReason | None = None
@@ -145,7 +149,8 @@
         sequence = after_sequence + 1
         while True:
             while sequence <= self.token_count:
-                yield TokenEvent(self.generation_id, sequence, token_text(sequence))
+                text = self._mark + token_text(sequence)
+                yield TokenEvent(self.generation_id, sequence, text)
                 sequence += 1
             if self.finish_reason is not None:
                 break
@@ -258,7 +263,10 @@
         )
         run.start_count += 1
         run.state = "running"
-        self.generations[start.generation_id] = _Generation(start.generation_id, run)
+        mark = f"{start.generation_id}:" if self.settings.is_text_marked else ""
+        self.generations[start.generation_id] = _Generation(
+            start.generation_id, run, mark
+        )
         self._work.set()
         return None
 
--- a/src/gypsumfield/standins/faults.py
+++ b/src/gypsumfield/standins/faults.py
@@ -4,6 +4,7 @@
 neither side hear the other although neither is told.
 """
 
+from collections.abc import Callable
 from typing import Literal
 
 import msgspec
@@ -84,12 +85,18 @@
 
 
 class FaultBoard:
-    """Armed faults of one stand-in and how often each took effect."""
+    """Armed faults of one stand-in.
+
+    Attributes:
+        hits: How often each took effect, by ``KIND STEP``.
+        on_hit: Called whenever one takes effect.
+    """
 
     def __init__(self) -> None:
         self._armed: list[tuple[Fault, int]] = []
         self._released = Event()
         self.hits: dict[str, int] = {}
+        self.on_hit: Callable[[], None] = lambda: None
 
     def arm(self, faults: tuple[Fault, ...]) -> None:
         """Replace the armed faults and end those that still hold requests."""
@@ -121,6 +128,7 @@
                 self._armed[position] = (fault, remaining - 1)
             name = f"{fault.kind} {fault.step}"
             self.hits[name] = self.hits.get(name, 0) + 1
+            self.on_hit()
             return fault
         return None
 
--- /dev/null
+++ b/tests/test_local.py
@@ -0,0 +1,109 @@
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from small_fleet import expected_text
+from small_fleet import stream_events
+from small_fleet import stream_text
+
+from httpcalls import call
+from httpcalls import open_call
+from processes import program
+
+
+@pytest.fixture(scope="module")
+def local():
+    with program("gypsumfield-local", "--seed", "3") as running:
+        yield running
+
+
+def authorization(ready) -> dict[str, str]:
+    key = ready["client_accounts"]["quinonez_vendors"]["key"]
+    return {"Authorization": f"Bearer {key}"}
+
+
+def test_the_ready_line_has_exactly_the_promised_fields(local):
+    ready = local.ready
+    assert set(ready) == {
+        "ready",
+        "platform",
+        "entry_hosts",
+        "backend_servers",
+        "client_accounts",
+        "services",
+    }
+    assert ready["ready"] is True
+    assert ready["services"] == {"assistant": "model", "ledger": "plain"}
+    zones = {"guayaquil", "manta", "salinas", "esmeraldas"}
+    entries, backends = ready["entry_hosts"], ready["backend_servers"]
+    assert {tuple(sorted(one)) for one in entries} == {
+        ("availability_zone", "host_id", "url")
+    }
+    assert {tuple(sorted(one)) for one in backends} == {
+        ("availability_zone", "host_id", "service", "url")
+    }
+    assert len(entries) == 4
+    assert {one["availability_zone"] for one in entries} == zones
+    for zone in zones:
+        engines = [
+            one
+            for one in backends
+            if one["availability_zone"] == zone and one["service"] == "assistant"
+        ]
+        assert len(engines) >= 2
+    assert any(one["service"] == "ledger" for one in backends)
+    for account in ready["client_accounts"].values():
+        assert set(account) == {"key", "rate_per_s", "burst"}
+
+
+def test_a_stream_and_a_sale_pass_through_every_entry_host(local):
+    headers = authorization(local.ready)
+    body = {"model": "assistant", "prompt": "tide? [tokens=6]", "stream": True}
+    for entry in local.ready["entry_hosts"]:
+        url = entry["url"]
+        events = stream_events(
+            call("POST", f"{url}/v1/completions", body, headers).body
+        )
+        assert stream_text(events) == expected_text(6)
+        assert events[-1].data == "[DONE]"
+        sale = {"cart": entry["host_id"], "amount": 2.5}
+        answer = call("POST", f"{url}/services/ledger/sales", sale, headers)
+        assert (answer.status, answer.json["balance"]) == (201, 2.5)
+
+
+def test_the_operators_hand_works_through_the_platform(local):
+    ready = local.ready
+    put = call("PUT", f"{ready['platform']}/standin/values/profiles/x", {"priority": 3})
+    assert put.json["revision"] > 0
+    assert call("GET", f"{ready['platform']}/v1/members").json["version"] > 0
+
+
+def test_sizes_are_options_and_a_term_signal_cuts_no_answer():
+    arguments = ("--entry-hosts", "2", "--availability-zones", "1")
+    with program("gypsumfield-local", *arguments) as local:
+        assert len(local.ready["entry_hosts"]) == 2
+        assert (
+            len({one["availability_zone"] for one in local.ready["entry_hosts"]}) == 1
+        )
+        body = {"model": "assistant", "prompt": "long [tokens=100]", "stream": True}
+        url = f"{local.ready['entry_hosts'][0]['url']}/v1/completions"
+        data = json.dumps(body).encode()
+        with open_call("POST", url, data, authorization(local.ready)) as response:
+            local.signal(signal.SIGTERM)
+            events = stream_events(response.read())
+        assert stream_text(events) == expected_text(100)
+        assert events[-1].data == "[DONE]"
+        assert local.wait() == 0
+
+
+def test_a_bad_option_names_itself():
+    path = Path(sys.executable).parent / "gypsumfield-local"
+    done = subprocess.run(
+        [str(path), "--entry-hosts", "none"], capture_output=True, text=True, timeout=30
+    )
+    assert done.returncode == 2
+    assert "--entry-hosts" in done.stderr
+    assert "expected 1 to 64" in done.stderr
