--- /dev/null
+++ b/src/gypsumfield/adapters/peers.py
@@ -0,0 +1,244 @@
+"""Control sockets between entry hosts, over ZeroMQ.
+
+One ROUTER socket receives; one DEALER socket per peer sends. Off loopback both
+use CURVE, and the sender's key must be the one that is known for its host id.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from ipaddress import ip_address
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+import zmq.green as zmq
+from zmq.utils import z85
+
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.exceptions import SettingsError
+
+QUEUE_LIMIT = 256
+SOCKET_QUEUE_LIMIT = 64
+FLUSH_INTERVAL_MS = 20.0
+MESSAGE_LIMIT_BYTES = 64 * 1_048_576
+BACKLOG_CONNECTIONS = 512
+_ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+_USER_ID = "User-Id"
+
+
+class PeerCredentials(NamedTuple):
+    """CURVE key pair of a control socket (Z85); both empty on loopback."""
+
+    public_key: str = ""
+    secret_key: str = ""
+
+
+class _Peer:
+    """Connection to one peer, with the messages that wait for it."""
+
+    def __init__(self, address: str, public_key: str) -> None:
+        self.address = address
+        self.public_key = public_key
+        self.socket: Any = None
+        self.waiting: deque[bytes] = deque(maxlen=QUEUE_LIMIT)
+
+
+class PeerTransport:
+    """Sends frames to peers and receives theirs; never blocks a sender.
+
+    Attributes:
+        address: ``IP:PORT`` on which it receives.
+        dropped_count: Frames dropped because a queue was full or the host
+            unknown.
+    """
+
+    def __init__(
+        self, listen_address: str, listen_port: int, credentials: PeerCredentials
+    ) -> None:
+        """Bind the receiving socket.
+
+        Raises:
+            SettingsError: The address is not on loopback and there are no
+                keys, only one of the two keys is set, or it cannot be bound.
+        """
+        _check_credentials(listen_address, credentials)
+        self._credentials = credentials
+        self._context = zmq.Context()
+        self._peers: dict[str, _Peer] = {}
+        self._greenlets: list[gevent.Greenlet] = []
+        self.dropped_count = 0
+        if credentials.public_key:
+            self._greenlets.append(gevent.spawn(self._authenticate))
+            gevent.sleep(0)
+        self._router = self._new_socket(zmq.ROUTER)
+        if credentials.public_key:
+            self._router.curve_server = True
+        try:
+            self._router.bind(f"tcp://{listen_address}:{listen_port or '*'}")
+        except zmq.ZMQError as error:
+            raise SettingsError(
+                f"control socket {listen_address}:{listen_port}: {error}"
+            ) from error
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.address = endpoint.removeprefix("tcp://")
+
+    def start(self, receive: Callable[[bytes, str], None]) -> None:
+        """Start to receive.
+
+        Args:
+            receive: Called with each frame and the sender's public key, which
+                is empty without CURVE.
+        """
+        self._greenlets.append(gevent.spawn(self._receive_all, receive))
+        self._greenlets.append(gevent.spawn(self._flush_all))
+
+    def set_peer(self, host_id: str, address: str, public_key: str = "") -> bool:
+        """Make a host known, or change its address.
+
+        Returns:
+            Whether it can be reached safely: a peer off loopback without a key
+            stays unknown.
+        """
+        is_secure = bool(public_key and self._credentials.public_key)
+        if not address or not (is_secure or _is_loopback(address)):
+            return False
+        known = self._peers.get(host_id)
+        if known and (known.address, known.public_key) == (address, public_key):
+            return True
+        self.forget_peer(host_id)
+        self._peers[host_id] = _Peer(address, public_key)
+        return True
+
+    def forget_peer(self, host_id: str) -> None:
+        """Close the connection to a host and drop what waits for it."""
+        peer = self._peers.pop(host_id, None)
+        if peer and peer.socket is not None:
+            peer.socket.close(linger=0)
+
+    def disconnect_peer(self, host_id: str) -> None:
+        """Close an idle connection; the next frame opens it again."""
+        peer = self._peers.get(host_id)
+        if peer and peer.socket is not None and not peer.waiting:
+            peer.socket.close(linger=0)
+            peer.socket = None
+
+    def is_key_of(self, host_id: str, public_key: str) -> bool:
+        """Return whether a frame of ``host_id`` may come with ``public_key``."""
+        if not self._credentials.public_key:
+            return True
+        peer = self._peers.get(host_id)
+        return peer is not None and bool(public_key) and peer.public_key == public_key
+
+    def send(self, host_id: str, frame: bytes) -> bool:
+        """Queue a frame; the oldest waiting one is dropped when it is full.
+
+        Returns:
+            Whether the host is known.
+        """
+        peer = self._peers.get(host_id)
+        if peer is None:
+            self.dropped_count += 1
+            return False
+        if len(peer.waiting) == QUEUE_LIMIT:
+            self.dropped_count += 1
+        peer.waiting.append(frame)
+        self._flush(peer)
+        return True
+
+    def stop(self) -> None:
+        """Close all sockets; what has not left is dropped."""
+        gevent.killall(self._greenlets)
+        for host_id in list(self._peers):
+            self.forget_peer(host_id)
+        self._router.close(linger=0)
+        self._context.destroy(linger=0)
+
+    def _new_socket(self, kind: int) -> Any:
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = SOCKET_QUEUE_LIMIT
+        socket.rcvhwm = QUEUE_LIMIT
+        socket.maxmsgsize = MESSAGE_LIMIT_BYTES
+        socket.backlog = BACKLOG_CONNECTIONS
+        if self._credentials.public_key:
+            socket.curve_publickey = self._credentials.public_key.encode()
+            socket.curve_secretkey = self._credentials.secret_key.encode()
+        return socket
+
+    def _connect(self, peer: _Peer) -> None:
+        socket = self._new_socket(zmq.DEALER)
+        # Frames wait here, where the oldest can be dropped, and not in the
+        # queue of a connection that may never come up.
+        socket.immediate = 1
+        if self._credentials.public_key and peer.public_key:
+            socket.curve_serverkey = peer.public_key.encode()
+        socket.connect(f"tcp://{peer.address}")
+        peer.socket = socket
+
+    def _flush(self, peer: _Peer) -> None:
+        if peer.socket is None:
+            self._connect(peer)
+        while peer.waiting:
+            try:
+                peer.socket.send(peer.waiting[0], zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            peer.waiting.popleft()
+
+    def _flush_all(self) -> None:
+        while True:
+            gevent.sleep(FLUSH_INTERVAL_MS / MS_PER_S)
+            for peer in list(self._peers.values()):
+                if peer.waiting:
+                    self._flush(peer)
+
+    def _receive_all(self, receive: Callable[[bytes, str], None]) -> None:
+        while True:
+            frames = self._router.recv_multipart(copy=False)
+            receive(frames[-1].bytes, _user_id(frames[-1]))
+
+    def _authenticate(self) -> None:
+        socket = self._context.socket(zmq.REP)
+        socket.linger = 0
+        socket.bind(_ZAP_ENDPOINT)
+        try:
+            while True:
+                self._answer_authentication(socket)
+        finally:
+            socket.close(linger=0)
+
+    def _answer_authentication(self, socket: Any) -> None:
+        """Answer one request of the ZeroMQ authentication protocol (RFC 27)."""
+        version, request_id, _, _, _, mechanism, *credentials = socket.recv_multipart()
+        key = ""
+        if mechanism == b"CURVE" and credentials:
+            key = z85.encode(credentials[0]).decode()
+        is_known = any(peer.public_key == key for peer in self._peers.values())
+        status = (b"200", b"OK") if key and is_known else (b"400", b"unknown key")
+        socket.send_multipart([version, request_id, *status, key.encode(), b""])
+
+
+def _user_id(frame: Any) -> str:
+    try:
+        return str(frame.get(_USER_ID))
+    except zmq.ZMQError:
+        return ""
+
+
+def _is_loopback(address: str) -> bool:
+    try:
+        return ip_address(address.rpartition(":")[0] or address).is_loopback
+    except ValueError:
+        return False
+
+
+def _check_credentials(listen_address: str, credentials: PeerCredentials) -> None:
+    if bool(credentials.public_key) != bool(credentials.secret_key):
+        raise SettingsError(
+            "control_public_key and control_secret_key must both be set or both empty"
+        )
+    if not credentials.public_key and not _is_loopback(listen_address):
+        raise SettingsError(
+            f"control_address {listen_address} is not on loopback: "
+            "control_public_key and control_secret_key must be set"
+        )
--- /dev/null
+++ b/src/gypsumfield/control_loop.py
@@ -0,0 +1,266 @@
+"""Loop that carries control messages and periodic work of one entry host."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+from typing import TypeVar
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from gypsumfield import events
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.messages import ControlMessage
+from gypsumfield.messages import decode_body
+from gypsumfield.messages import decode_envelope
+from gypsumfield.messages import encode_message
+from gypsumfield.messages import Envelope
+from gypsumfield.ports import EmitEvent
+
+PAUSE_CHECK_INTERVAL_MS = 100.0
+
+MessageT = TypeVar("MessageT", bound=ControlMessage)
+Handler = Callable[[str, Any], ControlMessage | None]
+Tick = Callable[[float], None]
+
+
+class PeerUnavailable(NamedTuple):
+    """Why a request to a peer has no answer."""
+
+    host_id: str
+    reason: str
+
+
+class ControlTraffic(NamedTuple):
+    """What a control loop has carried since its start."""
+
+    sent_count: int
+    sent_bytes: int
+    received_count: int
+    received_bytes: int
+    refused_count: int
+
+
+class Transport(Protocol):
+    """What the loop needs of `gypsumfield.adapters.peers.PeerTransport`."""
+
+    def start(self, receive: Callable[[bytes, str], None]) -> None:
+        """Call ``receive`` with each frame and its sender's public key."""
+
+    def send(self, host_id: str, frame: bytes) -> bool:
+        """Queue a frame without blocking; False for an unknown host."""
+
+    def is_key_of(self, host_id: str, public_key: str) -> bool:
+        """Return whether a frame of the host may come with the key."""
+
+    def stop(self) -> None:
+        """Close all sockets."""
+
+
+class ControlLoop:
+    """Sends typed messages, runs handlers and ticks, and notices pauses.
+
+    Handlers run one after the other in the order of arrival and must not
+    block; a message that a handler returns is sent as the answer. A handler
+    that fails is logged and the loop goes on.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        boot_id: str,
+        transport: Transport,
+        clock: Clock,
+        emit: EmitEvent,
+        lease_ms: float,
+    ) -> None:
+        """Make a loop that does not run yet.
+
+        Args:
+            host_id: Name of this host.
+            boot_id: Boot of this process.
+            transport: Carries the frames.
+            clock: Pauses are judged on its monotonic time.
+            emit: Takes events.
+            lease_ms: Shortest lease in use; a longer pause is reported.
+        """
+        self.host_id = host_id
+        self.boot_id = boot_id
+        self._transport = transport
+        self._clock = clock
+        self._emit = emit
+        self._lease_ms = lease_ms
+        self._handlers: dict[type[ControlMessage], Handler] = {}
+        self._ticks: list[tuple[float, Tick]] = []
+        self._pause_handlers: list[Tick] = []
+        self._greenlets: list[gevent.Greenlet] = []
+        self._waiting: dict[int, AsyncResult] = {}
+        self._boot_ids: dict[str, str] = {}
+        self._last_message_id = 0
+        self._last_awake_ms = clock.monotonic_ms()
+        self._traffic = ControlTraffic(0, 0, 0, 0, 0)
+
+    @property
+    def traffic(self) -> ControlTraffic:
+        """Messages and bytes carried since the start."""
+        return self._traffic
+
+    def register(self, message_type: type[MessageT], handler: Handler) -> None:
+        """Let ``handler(sender_host_id, message)`` take one type of message."""
+        self._handlers[message_type] = handler
+
+    def add_tick(self, interval_ms: float, function: Tick) -> None:
+        """Call ``function(now_ms)`` every ``interval_ms`` while running."""
+        self._ticks.append((interval_ms, function))
+        if self._greenlets:
+            self._greenlets.append(gevent.spawn(self._run_tick, interval_ms, function))
+
+    def on_pause(self, handler: Tick) -> None:
+        """Call ``handler(pause_ms)`` once this process wakes after a pause."""
+        self._pause_handlers.append(handler)
+
+    def boot_id_of(self, host_id: str) -> str:
+        """Return the boot of a host's latest message, or an empty text."""
+        return self._boot_ids.get(host_id, "")
+
+    def start(self) -> None:
+        """Start to receive and to tick."""
+        self._last_awake_ms = self._clock.monotonic_ms()
+        self._transport.start(self._receive)
+        ticks = [(PAUSE_CHECK_INTERVAL_MS, self._ignore_tick), *self._ticks]
+        self._greenlets = [gevent.spawn(self._run_tick, *tick) for tick in ticks]
+
+    def stop(self) -> None:
+        """Stop all ticks and close the sockets."""
+        greenlets, self._greenlets = self._greenlets, []
+        gevent.killall(greenlets)
+        self._transport.stop()
+        for waiting in list(self._waiting.values()):
+            waiting.set(Failure(PeerUnavailable("", "this host stops")))
+
+    def check_pause(self) -> float:
+        """Return how long this process was paused just now, 0 if it was not.
+
+        Call it right before an action that rests on an earlier decision.
+        """
+        now_ms = self._clock.monotonic_ms()
+        elapsed_ms = now_ms - self._last_awake_ms
+        self._last_awake_ms = now_ms
+        if elapsed_ms <= self._lease_ms:
+            return 0.0
+        self._emit(events.HostPaused(pause_ms=elapsed_ms))
+        for handler in self._pause_handlers:
+            self._guard(handler, elapsed_ms)
+        return elapsed_ms
+
+    def send(self, host_id: str, message: ControlMessage) -> bool:
+        """Send a message; True says that the host is known, not that it came."""
+        return self._send(host_id, message, reply_to=0) > 0
+
+    def request(
+        self,
+        host_id: str,
+        message: ControlMessage,
+        reply_type: type[MessageT],
+        timeout_ms: float,
+    ) -> Result[MessageT, PeerUnavailable]:
+        """Send a message and wait for the answer to it.
+
+        Returns:
+            The answer, or why there is none: unknown host, timeout, or an
+            answer of another type.
+        """
+        message_id = self._send(host_id, message, reply_to=0)
+        if message_id == 0:
+            return Failure(PeerUnavailable(host_id, "host is unknown"))
+        waiting = self._waiting[message_id] = AsyncResult()
+        try:
+            answer = waiting.get(timeout=timeout_ms / MS_PER_S)
+        except gevent.Timeout:
+            return Failure(
+                PeerUnavailable(host_id, f"no answer within {timeout_ms:g} ms")
+            )
+        finally:
+            del self._waiting[message_id]
+        if isinstance(answer, reply_type):
+            return Success(answer)
+        if isinstance(answer, Failure):
+            return answer
+        kind = type(answer).__name__
+        return Failure(PeerUnavailable(host_id, f"unexpected answer {kind}"))
+
+    def _send(self, host_id: str, message: ControlMessage, reply_to: int) -> int:
+        self.check_pause()
+        self._last_message_id += 1
+        message_id = self._last_message_id
+        frame = encode_message(
+            self.host_id, self.boot_id, message_id, reply_to, message
+        )
+        if not self._transport.send(host_id, frame):
+            return 0
+        self._traffic = self._traffic._replace(
+            sent_count=self._traffic.sent_count + 1,
+            sent_bytes=self._traffic.sent_bytes + len(frame),
+        )
+        return message_id
+
+    def _receive(self, frame: bytes, public_key: str) -> None:
+        self.check_pause()
+        self._traffic = self._traffic._replace(
+            received_count=self._traffic.received_count + 1,
+            received_bytes=self._traffic.received_bytes + len(frame),
+        )
+        try:
+            envelope = decode_envelope(frame)
+            message = decode_body(envelope)
+        except msgspec.MsgspecError as error:
+            self._refuse(f"undecodable frame: {error}")
+            return
+        if not self._transport.is_key_of(envelope.sender, public_key):
+            self._refuse(f"{envelope.sender}: the key is not the one of this host")
+            return
+        self._boot_ids[envelope.sender] = envelope.boot_id
+        self._dispatch(envelope, message)
+
+    def _dispatch(self, envelope: Envelope, message: ControlMessage) -> None:
+        if envelope.reply_to:
+            waiting = self._waiting.get(envelope.reply_to)
+            if waiting is not None:
+                waiting.set(message)
+                return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return
+        answer = self._guard(handler, envelope.sender, message)
+        if answer is not None:
+            self._send(envelope.sender, answer, reply_to=envelope.message_id)
+
+    def _refuse(self, reason: str) -> None:
+        refused_count = self._traffic.refused_count + 1
+        self._traffic = self._traffic._replace(refused_count=refused_count)
+        self._emit(events.ControlMessageRefused(reason=reason))
+
+    def _guard(self, function: Callable[..., Any], *arguments: Any) -> Any:
+        try:
+            return function(*arguments)
+        except Exception as error:
+            name = getattr(function, "__qualname__", repr(function))
+            reason = f"{type(error).__name__}: {error}"
+            self._emit(events.ControlHandlerFailed(handler=name, reason=reason))
+            return None
+
+    def _run_tick(self, interval_ms: float, function: Tick) -> None:
+        while True:
+            gevent.sleep(interval_ms / MS_PER_S)
+            self.check_pause()
+            self._guard(function, self._clock.monotonic_ms())
+
+    @staticmethod
+    def _ignore_tick(_now_ms: float) -> None:
+        """Keep the pause check running on a host without other ticks."""
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -227,3 +227,20 @@
     message_id: str
     sender: str
     kind: str
+
+
+class ControlMessageRefused(
+    Event, frozen=True, kw_only=True, tag="control_message_refused"
+):
+    """A frame on the control socket was dropped unread."""
+
+    reason: str
+
+
+class ControlHandlerFailed(
+    Event, frozen=True, kw_only=True, tag="control_handler_failed"
+):
+    """A handler or tick of the control loop raised an error."""
+
+    handler: str
+    reason: str
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,43 @@
+import msgspec
+import pytest
+
+from gypsumfield.messages import decode_body
+from gypsumfield.messages import decode_envelope
+from gypsumfield.messages import encode_message
+from gypsumfield.messages import Heartbeat
+from gypsumfield.messages import MemberNews
+from gypsumfield.messages import ValuesDigest
+
+
+def test_message_survives_the_wire():
+    news = MemberNews("entry-1", "b1", "manta", 3, "live", "127.0.0.1:7000")
+    sent = Heartbeat(self_news=news, configuration_revision=9, news=(news,))
+    envelope = decode_envelope(encode_message("entry-1", "b1", 5, 2, sent))
+    assert (envelope.sender, envelope.message_id, envelope.reply_to) == (
+        "entry-1",
+        5,
+        2,
+    )
+    assert decode_body(envelope) == sent
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ([5, 2, "members", 8, "field of a newer program"], ("members", 8)),
+        ([5, 1, "members"], ("members", 0)),
+    ],
+)
+def test_other_versions_of_a_message_are_understood(fields, expected):
+    body = msgspec.Raw(msgspec.msgpack.encode(fields))
+    envelope = decode_envelope(msgspec.msgpack.encode(["a", "b", 1, 0, body, "more"]))
+    message = decode_body(envelope)
+    assert isinstance(message, ValuesDigest)
+    assert (message.channel, message.revision) == expected
+
+
+@pytest.mark.parametrize("body", [[99, 1], "text", [5, 1, "members", "nine"]])
+def test_unknown_or_broken_body_is_an_error(body):
+    raw = msgspec.msgpack.encode(["a", "b", 1, 0, body])
+    with pytest.raises(msgspec.MsgspecError):
+        decode_body(decode_envelope(raw))
