Bound the chance of overrun over the whole run

Cause: the bound held at each step, a run passes it at several steps; and what is learned from one sample of 3,000 answers errs by some percent of the batch.

--- a/src/gypsumfield/decisions/admission.py
+++ b/src/gypsumfield/decisions/admission.py
@@ -25,7 +25,7 @@
 _SMALLEST_PROBABILITY = 1e-9
 # The bound is for a whole run and each step may break it; over the steps near
 # the peak the chances add up to about this multiple of a single one.
-_PEAK_WIDTH_FACTOR = 2.5
+_PEAK_WIDTH_FACTOR = 4.0
 
 
 class _Member(NamedTuple):
