Serve a request end to end: keys, attempts, relay, resume, plain calls, drain

Cause: the stand-ins spoke to nobody; no entry host existed. Change: strict caller server, key checks, attempts with verdicts and a retry budget, sequence-checked relay with resume and cancel, sealed resume cursors, plain calls that are sent at most once, platform watch, drain, gypsumfield-entry and gypsumfield-check. Ruled out: the HTTP library's own request call, which sends PUT and DELETE twice on a connection that the peer closed; the exchange here sends once and reports its stage.

--- /dev/null
+++ b/src/gypsumfield/adapters/backends.py
@@ -0,0 +1,335 @@
+"""Single-send HTTP exchanges with backend servers.
+
+The request call of the HTTP library sends again by itself when a reused
+connection turns out closed. An exchange here sends its request at most once;
+every failure carries the stage it reached, and repeating is decided elsewhere.
+"""
+
+import select
+from collections import deque
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+import gevent.socket
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPSocketResponse
+
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.engine_api import REQUEST_ID_HEADER
+from gypsumfield.exceptions import BackendError
+from gypsumfield.verdicts import RunVerdict
+from gypsumfield.verdicts import Stage
+from gypsumfield.verdicts import verdict_of_stage
+
+READ_SIZE_BYTES = 65_536
+IDLE_CONNECTIONS_PER_SERVER = 8
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
+class AbortHandle:
+    """Lets another greenlet end the exchange that a greenlet waits on."""
+
+    def __init__(self) -> None:
+        self.reason = ""
+        self._sock: Any = None
+
+    def attach(self, sock: Any) -> None:
+        """Name the socket that `abort` shuts down; None detaches."""
+        self._sock = sock
+        if sock is not None and self.reason:
+            _shut_down(sock)
+
+    def abort(self, reason: str) -> None:
+        """End the exchange in progress and all later ones."""
+        self.reason = self.reason or reason
+        if self._sock is not None:
+            _shut_down(self._sock)
+
+
+class OutgoingRequest(NamedTuple):
+    """One request to a backend server.
+
+    Attributes:
+        address: ``IP:PORT``.
+        method: HTTP method.
+        target: Path and query, quoted.
+        headers: Headers to send; the request id is added.
+        body: Whole body.
+        request_id: Id that the answer must echo.
+    """
+
+    address: str
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+    request_id: str
+
+
+class ExchangeTimeouts(NamedTuple):
+    """Bounds of one exchange, in ms: connect, first byte, between bytes."""
+
+    connect_ms: float
+    answer_ms: float
+    silence_ms: float
+
+
+class _Response(HTTPSocketResponse):
+    """Response whose connection waits for the check of the echoed request id."""
+
+    _sock: Any
+    idle_sock: Any = None
+
+    def release(self) -> None:
+        sock = self._sock
+        self._sock = None
+        if sock is None:
+            return
+        if self.should_close():
+            sock.close()
+        else:
+            self.idle_sock = sock
+
+    def read_available(self) -> bytes:
+        """Return what has arrived, waiting for at least one byte; empty at the end."""
+        while not self._body_buffer and not self.message_complete:
+            self.feed(self._sock.recv(READ_SIZE_BYTES))
+        chunk = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return chunk
+
+
+class BackendPool:
+    """Idle connections by address, only ever used for repeatable requests."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[Any]] = {}
+
+    def take(self, address: str) -> Any:
+        """Return a connection that is not known to be closed, or None."""
+        idle = self._idle.get(address)
+        while idle:
+            sock = idle.pop()
+            if _is_quiet(sock):
+                return sock
+            sock.close()
+        return None
+
+    def give_back(self, address: str, sock: Any) -> None:
+        """Keep a connection whose answer was read to the end."""
+        idle = self._idle.setdefault(address, deque())
+        if len(idle) >= IDLE_CONNECTIONS_PER_SERVER:
+            idle.popleft().close()
+        idle.append(sock)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                idle.pop().close()
+
+
+class Exchange:
+    """One request and its answer; the request is sent at most once.
+
+    Attributes:
+        stage: How far the exchange got.
+    """
+
+    def __init__(
+        self,
+        request: OutgoingRequest,
+        timeouts: ExchangeTimeouts,
+        abort: AbortHandle,
+        pool: BackendPool | None = None,
+    ) -> None:
+        self.stage = Stage.BEFORE_CONNECT
+        self._request = request
+        self._timeouts = timeouts
+        self._abort = abort
+        self._pool = pool
+        self._response: _Response | None = None
+        self._sock: Any = None
+
+    def open(self, check_before_send: Callable[[], str]) -> int:
+        """Connect, send and read the answer's headers.
+
+        Args:
+            check_before_send: Called on the open connection, right before the
+                first byte is sent; a text it returns is why not to send.
+
+        Returns:
+            The status code.
+
+        Raises:
+            BackendError: With the verdict of the stage that was reached.
+        """
+        try:
+            self._sock = self._connect()
+            self.stage = Stage.CONNECTED
+            self._abort.attach(self._sock)
+            hindrance = check_before_send()
+            if hindrance:
+                raise self._error(hindrance, "not_sent")
+            self._send()
+            self._read_headers()
+        except (OSError, HTTPParseError) as error:
+            self.close()
+            raise self._error(_describe(error), "backend_failed") from error
+        except BaseException:
+            self.close()
+            raise
+        return self.status
+
+    @property
+    def status(self) -> int:
+        """Status code of the answer."""
+        return int(self._opened().get_code())
+
+    def header_items(self) -> list[tuple[str, str]]:
+        """Return the answer's headers in order."""
+        return list(self._opened().items())
+
+    def read_chunk(self) -> bytes:
+        """Return body bytes as they come; empty at the answer's proper end.
+
+        Raises:
+            BackendError: The connection failed, was silent for too long or
+                closed before the end of the answer.
+        """
+        response = self._opened()
+        try:
+            chunk = response.read_available()
+        except TimeoutError as error:
+            raise self._error("silent", "backend_stalled") from error
+        except (OSError, HTTPParseError, AttributeError) as error:
+            raise self._error(_describe(error), "answer_truncated") from error
+        if not chunk:
+            self.stage = Stage.ANSWERED
+        return chunk
+
+    def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            BackendError: As `read_chunk`, or the body is above the limit, or
+                nothing marks the body's end, so that a cut would go unseen.
+        """
+        if not self._has_end_marker():
+            raise self._error("the answer has no end marker", "answer_truncated")
+        body = bytearray()
+        while chunk := self.read_chunk():
+            body += chunk
+            if len(body) > limit_bytes:
+                raise self._error(
+                    f"the answer is above {limit_bytes} bytes", "answer_too_large"
+                )
+        return bytes(body)
+
+    def finish(self) -> None:
+        """Keep the connection if its answer was read to the end, else close it."""
+        self._abort.attach(None)
+        response = self._response
+        if response is None or response.idle_sock is None or self._pool is None:
+            self.close()
+            return
+        sock = response.idle_sock
+        response.idle_sock = None
+        self._sock = None
+        self._pool.give_back(self._request.address, sock)
+
+    def close(self) -> None:
+        """Close the connection, whatever was read."""
+        self._abort.attach(None)
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    def _connect(self) -> Any:
+        pooled = self._pool.take(self._request.address) if self._pool else None
+        if pooled is not None:
+            return pooled
+        ip, _, port = self._request.address.rpartition(":")
+        return gevent.socket.create_connection(
+            (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
+        )
+
+    def _send(self) -> None:
+        data = _encode_request(self._request)
+        self._sock.settimeout(self._timeouts.answer_ms / MS_PER_S)
+        self.stage = Stage.SENDING
+        self._sock.sendall(data)
+        self.stage = Stage.SENT
+
+    def _read_headers(self) -> None:
+        self._response = _Response(self._sock, method=self._request.method)
+        self.stage = Stage.ANSWERING
+        self._sock.settimeout(self._timeouts.silence_ms / MS_PER_S)
+        echoed = self._response.get(REQUEST_ID_HEADER)
+        if echoed != self._request.request_id:
+            raise self._error("the answer is to another request", "answer_crossed")
+
+    def _has_end_marker(self) -> bool:
+        response = self._opened()
+        return (
+            "content-length" in response
+            or "transfer-encoding" in response
+            or self._request.method == "HEAD"
+            or self.status in STATUSES_WITHOUT_BODY
+        )
+
+    def _opened(self) -> _Response:
+        if self._response is None:
+            raise self._error("no answer was read", "backend_failed")
+        return self._response
+
+    def _error(self, reason: str, code: str) -> BackendError:
+        if self._abort.reason:
+            code = "aborted"
+            reason = self._abort.reason
+        return BackendError(
+            f"backend server failed at stage {self.stage.value}: {reason}",
+            verdict_of_stage(self.stage),
+            code,
+        )
+
+
+def refused_by_backend(
+    message: str, code: str, retry_after_ms: float | None
+) -> BackendError:
+    """Return the error for a refusal in which the server says it did not run."""
+    return BackendError(message, RunVerdict.NOT_RUN, code, retry_after_ms)
+
+
+def _encode_request(request: OutgoingRequest) -> bytes:
+    ip, _, port = request.address.rpartition(":")
+    headers = {**request.headers, REQUEST_ID_HEADER: request.request_id}
+    # Only the library's serializer is used: it checks method, target and
+    # headers for bytes that could be taken for a second request.
+    client = HTTPClient(ip, port=int(port))
+    head = client._build_request(
+        request.method, request.target, body=request.body, headers=headers
+    )
+    return bytes(head.encode("latin-1")) + request.body
+
+
+def _is_quiet(sock: Any) -> bool:
+    # An idle connection that is readable was closed or holds stray bytes.
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return not poller.poll(0)
+
+
+def _shut_down(sock: Any) -> None:
+    try:
+        sock.shutdown(gevent.socket.SHUT_RDWR)
+    except OSError:
+        # The peer was faster; the waiting greenlet wakes up all the same.
+        return
+
+
+def _describe(error: BaseException) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -0,0 +1,241 @@
+"""HTTP server towards callers: strict reading of requests, counted work."""
+
+import socket
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from io import BytesIO
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import WSGIServer
+
+from gypsumfield.adapters.backends import AbortHandle
+
+HEADER_BLOCK_LIMIT_BYTES = 32_768
+HEADER_COUNT_LIMIT = 100
+CALLER_SILENCE_LIMIT_S = 60.0
+CALLER_SOCKET_KEY = "gypsumfield.socket"
+RAW_PATH_KEY = "gypsumfield.raw_path"
+PEEK_SIZE_BYTES = 1
+
+_TOKEN_CHARACTERS = frozenset(
+    b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+)
+
+WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class BadRequestError(ValueError):
+    """A request's head is malformed or could be read in two ways."""
+
+
+class CallerHandler(WSGIHandler):  # type: ignore[misc]
+    """Refuses request heads that two programs could read differently."""
+
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Read the header block within its limits and parse it."""
+        block = _read_header_block(args[0])
+        _check_header_block(block)
+        return super().MessageClass(BytesIO(block), 0)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the request; HTTP/0.9 and unknown versions are refused."""
+        words = raw_requestline.split()
+        if len(words) != 3 or words[2] not in ("HTTP/1.0", "HTTP/1.1"):
+            raise BadRequestError("the request line is malformed")
+        return bool(super().read_request(raw_requestline))
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the caller's socket and the undecoded path."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[CALLER_SOCKET_KEY] = self.socket
+        environ[RAW_PATH_KEY] = self.path
+        if self.server.gate.is_draining:
+            self.close_connection = True
+        return environ
+
+    def finalize_headers(self) -> None:
+        """Tell the caller when this is the connection's last answer."""
+        if self.server.gate.is_draining:
+            self.response_headers.append((b"Connection", b"close"))
+            self.close_connection = True
+        super().finalize_headers()
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        reason = str(ex) if isinstance(ex, BadRequestError) else "malformed request"
+        status = "431 Request Header Fields Too Large"
+        if "too large" not in reason:
+            status = "400 Bad Request"
+        return status, _raw_error(status, reason)
+
+
+class WorkGate:
+    """Counts requests in progress and knows whether the host drains.
+
+    Attributes:
+        is_draining: Whether connections close after their answer.
+        in_flight_count: Requests whose answer has not ended.
+        served_count: Requests whose answer has ended.
+    """
+
+    def __init__(self, application: WsgiApplication) -> None:
+        self.is_draining = False
+        self.in_flight_count = 0
+        self.served_count = 0
+        self._application = application
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Run the application and count until its answer is closed."""
+        self.in_flight_count += 1
+        try:
+            answer = self._application(environ, start_response)
+        except BaseException:
+            self._end()
+            raise
+        return _CountedAnswer(answer, self._end)
+
+    def _end(self) -> None:
+        self.in_flight_count -= 1
+        self.served_count += 1
+
+
+class _CountedAnswer:
+    def __init__(self, answer: Iterable[bytes], end: Callable[[], None]) -> None:
+        self._answer = answer
+        self._end = end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._answer)
+
+    def close(self) -> None:
+        """Close the application's answer and count the request as ended."""
+        try:
+            close = getattr(self._answer, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self._end()
+
+
+class CallerServer(WSGIServer):  # type: ignore[misc]
+    """Server for callers on one address.
+
+    Attributes:
+        gate: Counter of the requests in progress.
+    """
+
+    def __init__(self, address: tuple[str, int], gate: WorkGate) -> None:
+        self.gate = gate
+        super().__init__(
+            address, gate, handler_class=CallerHandler, log=None, error_log=None
+        )
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection, with a bound on a silent caller."""
+        sock.settimeout(CALLER_SILENCE_LIMIT_S)
+        super().handle(sock, address)
+
+
+class CallerWatch:
+    """Aborts a request's exchanges as soon as its caller closes the connection.
+
+    Attributes:
+        is_gone: Whether the caller has left.
+    """
+
+    def __init__(self, sock: Any, abort: AbortHandle) -> None:
+        self.is_gone = False
+        self._sock = sock
+        self._abort = abort
+        self._greenlet = gevent.spawn(self._wait)
+
+    def stop(self) -> None:
+        """End the watch; the connection may carry further requests."""
+        self._greenlet.kill(block=False)
+
+    def _wait(self) -> None:
+        watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        try:
+            gevent.get_hub().wait(watcher)
+        finally:
+            watcher.close()
+        if _is_closed_by_peer(self._sock):
+            self.is_gone = True
+            self._abort.abort("the caller has left")
+
+
+def _is_closed_by_peer(sock: Any) -> bool:
+    try:
+        return not sock.recv(PEEK_SIZE_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
+def _read_header_block(stream: Any) -> bytes:
+    block = bytearray()
+    while True:
+        line = stream.readline(HEADER_BLOCK_LIMIT_BYTES + 1)
+        block += line
+        if len(block) > HEADER_BLOCK_LIMIT_BYTES:
+            raise BadRequestError("the header block is too large")
+        if line in (b"\r\n", b"\n"):
+            return bytes(block)
+        if not line:
+            raise BadRequestError("the header block is incomplete")
+
+
+def _check_header_block(block: bytes) -> None:
+    lines = block.split(b"\n")[:-2]
+    if len(lines) > HEADER_COUNT_LIMIT:
+        raise BadRequestError("the header block is too large")
+    lengths = 0
+    encodings = []
+    for line in lines:
+        name, value = _split_header(line)
+        if name == b"content-length":
+            lengths += 1
+            _check_content_length(value)
+        elif name == b"transfer-encoding":
+            encodings.append(value.lower())
+    if lengths > 1 or (lengths and encodings):
+        raise BadRequestError("the body's length is stated twice")
+    if encodings not in ([], [b"chunked"]):
+        raise BadRequestError("the transfer encoding is not supported")
+
+
+def _split_header(line: bytes) -> tuple[bytes, bytes]:
+    line = line.removesuffix(b"\r")
+    name, colon, value = line.partition(b":")
+    if not colon or not name or not _TOKEN_CHARACTERS.issuperset(name):
+        raise BadRequestError("a header line is malformed")
+    if any(byte < 0x20 and byte != 0x09 for byte in value):
+        raise BadRequestError("a header value holds control characters")
+    return name.lower(), value.strip(b" \t")
+
+
+def _check_content_length(value: bytes) -> None:
+    if not value.isdigit():
+        raise BadRequestError("the content length is no number")
+
+
+def _raw_error(status: str, reason: str) -> bytes:
+    body = msgspec.json.encode(
+        {
+            "error": {
+                "code": "bad_request",
+                "message": reason,
+                "run": "not-run",
+                "request_id": "",
+            }
+        }
+    )
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/src/gypsumfield/adapters/callers.py
@@ -0,0 +1,400 @@
+"""HTTP routes towards callers."""
+
+import uuid
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+
+import falcon
+import msgspec
+
+from gypsumfield.access import bearer_key
+from gypsumfield.adapters.backends import AbortHandle
+from gypsumfield.adapters.caller_server import CALLER_SOCKET_KEY
+from gypsumfield.adapters.caller_server import CallerWatch
+from gypsumfield.adapters.caller_server import RAW_PATH_KEY
+from gypsumfield.caller_api import chat_prompt
+from gypsumfield.caller_api import ChatBody
+from gypsumfield.caller_api import CompletionBody
+from gypsumfield.caller_api import DONE_EVENT
+from gypsumfield.caller_api import error_body
+from gypsumfield.caller_api import error_event
+from gypsumfield.caller_api import event_encoder
+from gypsumfield.caller_api import retry_after_seconds
+from gypsumfield.caller_api import whole_answer
+from gypsumfield.exceptions import CallerGoneError
+from gypsumfield.exceptions import Refusal
+from gypsumfield.exceptions import RefusedError
+from gypsumfield.generations import Delivery
+from gypsumfield.serving import GenerationAsk
+from gypsumfield.serving import PlainAsk
+from gypsumfield.serving import Serving
+from gypsumfield.verdicts import RunVerdict
+
+READ_SIZE_BYTES = 65_536
+REQUEST_ID_HEADER = "X-Request-Id"
+PLAIN_PREFIX = r"/services/(?P<service>[^/]+)(?P<path>/.*)?$"
+
+
+class HostPages(NamedTuple):
+    """Pages on the state of the host.
+
+    Attributes:
+        health: Returns whether the balancer should send requests here.
+        readiness: Returns why the host does not serve, or an empty text.
+        metrics: Returns the Prometheus text.
+        status: Returns the status page as JSON.
+    """
+
+    health: Callable[[], bool]
+    readiness: Callable[[], str]
+    metrics: Callable[[], bytes]
+    status: Callable[[], bytes]
+
+
+def build_application(
+    serving: Serving, pages: HostPages, body_limit_bytes: int
+) -> Callable[..., Any]:
+    """Return the WSGI application of one entry host."""
+    app = falcon.App()
+    app.req_options.strip_url_path_trailing_slash = False
+    app.add_route("/v1/completions", _Completions(serving, body_limit_bytes, False))
+    app.add_route("/v1/chat/completions", _Completions(serving, body_limit_bytes, True))
+    app.add_route("/v1/generations/resume", _Resume(serving))
+    app.add_route("/healthz", _Health(pages))
+    app.add_route("/readyz", _Ready(pages))
+    app.add_route("/metrics", _Metrics(pages))
+    app.add_route("/statusz", _Status(pages))
+    app.add_sink(_plain_sink(serving, body_limit_bytes), prefix=PLAIN_PREFIX)
+    app.add_error_handler(RefusedError, _refusal_handler(serving))
+    app.add_error_handler(CallerGoneError, _answer_nobody)
+    app.add_error_handler(falcon.HTTPError, _answer_http_error)
+    app.add_error_handler(Exception, _fault_handler(serving))
+    return app
+
+
+class _CallerStream:
+    """Server-sent events of one generation; closing it frees all it holds."""
+
+    def __init__(
+        self,
+        first: Delivery,
+        rest: Iterator[Delivery],
+        encode: Callable[[Delivery], bytes],
+        watch: CallerWatch,
+        request_id: str,
+        on_failed: Callable[[Refusal], None],
+    ) -> None:
+        self._rest = rest
+        self._watch = watch
+        self._events = self._encode_all(first, encode, request_id, on_failed)
+
+    def __iter__(self) -> Any:
+        return self._events
+
+    def close(self) -> None:
+        """Stop the generation if it still runs."""
+        self._watch.stop()
+        self._events.close()
+        self._rest.close()  # type: ignore[attr-defined]
+
+    def _encode_all(
+        self,
+        first: Delivery,
+        encode: Callable[[Delivery], bytes],
+        request_id: str,
+        on_failed: Callable[[Refusal], None],
+    ) -> Any:
+        try:
+            yield encode(first)
+            for delivery in self._rest:
+                yield encode(delivery)
+        except RefusedError as error:
+            if not self._watch.is_gone:
+                on_failed(error.refusal)
+                yield error_event(error.refusal, request_id)
+            return
+        yield DONE_EVENT
+
+
+class _Completions:
+    def __init__(self, serving: Serving, body_limit_bytes: int, is_chat: bool) -> None:
+        self._serving = serving
+        self._body_limit_bytes = body_limit_bytes
+        self._is_chat = is_chat
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        request_id = _begin(req, resp)
+        self._serving.identify(_key(req))
+        ask = self._read(req, request_id)
+        abort, watch = _watch_caller(req)
+        if ask.is_stream:
+            self._stream(ask, resp, abort, watch)
+        else:
+            self._collect(ask, resp, abort, watch)
+
+    def _read(self, req: falcon.Request, request_id: str) -> GenerationAsk:
+        data = _read_body(req, self._body_limit_bytes)
+        wanted = ChatBody if self._is_chat else CompletionBody
+        try:
+            body: Any = msgspec.json.decode(data, type=wanted)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise RefusedError(Refusal(400, "bad_body", f"body: {error}")) from error
+        prompt = chat_prompt(body.messages) if self._is_chat else body.prompt
+        return GenerationAsk(
+            request_id=request_id,
+            key=_key(req),
+            model=body.model,
+            prompt=prompt,
+            max_tokens=body.max_tokens,
+            is_stream=body.stream,
+            is_chat=self._is_chat,
+        )
+
+    def _stream(
+        self,
+        ask: GenerationAsk,
+        resp: falcon.Response,
+        abort: AbortHandle,
+        watch: CallerWatch,
+    ) -> None:
+        try:
+            rest = self._serving.stream(ask, abort)
+            first = next(rest)
+        except BaseException:
+            watch.stop()
+            raise
+        encode = event_encoder(ask.request_id, ask.model, ask.is_chat)
+        _begin_events(resp)
+        resp.stream = _CallerStream(
+            first,
+            rest,
+            encode,
+            watch,
+            ask.request_id,
+            lambda refusal: self._serving.note_failed(ask.request_id, refusal),
+        )
+
+    def _collect(
+        self,
+        ask: GenerationAsk,
+        resp: falcon.Response,
+        abort: AbortHandle,
+        watch: CallerWatch,
+    ) -> None:
+        try:
+            prompt_tokens, deliveries = self._serving.collect(ask, abort)
+        finally:
+            watch.stop()
+        answer = whole_answer(
+            ask.request_id, ask.model, ask.is_chat, prompt_tokens, deliveries
+        )
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = msgspec.json.encode(answer)
+
+
+class _Resume:
+    def __init__(self, serving: Serving) -> None:
+        self._serving = serving
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        request_id = _begin(req, resp)
+        abort, watch = _watch_caller(req)
+        cursor = req.get_header("Last-Event-ID") or ""
+        try:
+            origin, rest = self._serving.resume(request_id, _key(req), cursor, abort)
+            first = next(rest, None)
+        except BaseException:
+            watch.stop()
+            raise
+        _begin_events(resp)
+        if first is None:
+            watch.stop()
+            resp.stream = iter((DONE_EVENT,))
+            return
+        encode = event_encoder(origin.request_id, origin.service, origin.is_chat)
+        resp.stream = _CallerStream(
+            first,
+            rest,
+            encode,
+            watch,
+            request_id,
+            lambda refusal: self._serving.note_failed(request_id, refusal),
+        )
+
+
+class _Health:
+    def __init__(self, pages: HostPages) -> None:
+        self._pages = pages
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        is_healthy = self._pages.health()
+        resp.status = falcon.HTTP_200 if is_healthy else falcon.HTTP_503
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.text = "ok\n" if is_healthy else "draining\n"
+
+
+class _Ready:
+    def __init__(self, pages: HostPages) -> None:
+        self._pages = pages
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        hindrance = self._pages.readiness()
+        resp.status = falcon.HTTP_503 if hindrance else falcon.HTTP_200
+        resp.content_type = falcon.MEDIA_TEXT
+        resp.text = f"{hindrance or 'ready'}\n"
+
+
+class _Metrics:
+    def __init__(self, pages: HostPages) -> None:
+        self._pages = pages
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        resp.content_type = "text/plain; version=0.0.4; charset=utf-8"
+        resp.data = self._pages.metrics()
+
+
+class _Status:
+    def __init__(self, pages: HostPages) -> None:
+        self._pages = pages
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = self._pages.status()
+
+
+def _plain_sink(serving: Serving, body_limit_bytes: int) -> Callable[..., None]:
+    def handle(
+        req: falcon.Request,
+        resp: falcon.Response,
+        service: str,
+        path: str | None = None,
+    ) -> None:
+        request_id = _begin(req, resp)
+        body = _read_body(req, body_limit_bytes)
+        raw_path, _, query = req.env[RAW_PATH_KEY].partition("?")
+        ask = PlainAsk(
+            request_id=request_id,
+            key=_key(req),
+            service=service,
+            method=req.method,
+            path=path or "/",
+            raw_path=raw_path,
+            query=query,
+            headers=dict(req.headers),
+            body=body,
+        )
+        abort, watch = _watch_caller(req)
+        try:
+            answer = serving.call(ask, abort)
+        finally:
+            watch.stop()
+        resp.status = falcon.code_to_http_status(answer.status)
+        for name, value in answer.headers:
+            resp.append_header(name, value)
+        resp.data = answer.body
+
+    return handle
+
+
+def _begin(req: falcon.Request, resp: falcon.Response) -> str:
+    # A request id of the caller's own is not taken over: it goes to backend
+    # servers and must be unique.
+    request_id = uuid.uuid4().hex
+    req.context.request_id = request_id
+    resp.set_header(REQUEST_ID_HEADER, request_id)
+    return request_id
+
+
+def _begin_events(resp: falcon.Response) -> None:
+    resp.content_type = "text/event-stream"
+    resp.set_header("Cache-Control", "no-store")
+
+
+def _watch_caller(req: falcon.Request) -> tuple[AbortHandle, CallerWatch]:
+    abort = AbortHandle()
+    return abort, CallerWatch(req.env[CALLER_SOCKET_KEY], abort)
+
+
+def _key(req: falcon.Request) -> str:
+    return bearer_key(req.get_header("Authorization"))
+
+
+def _read_body(req: falcon.Request, limit_bytes: int) -> bytes:
+    too_large = Refusal(413, "body_too_large", f"the body is above {limit_bytes} bytes")
+    if (req.content_length or 0) > limit_bytes:
+        raise RefusedError(too_large)
+    body = bytearray()
+    stream = req.env["wsgi.input"]
+    try:
+        while chunk := stream.read(min(READ_SIZE_BYTES, limit_bytes + 1)):
+            body += chunk
+            if len(body) > limit_bytes:
+                raise RefusedError(too_large)
+    except OSError as error:
+        raise RefusedError(
+            Refusal(400, "bad_body", "the body is cut or badly encoded")
+        ) from error
+    if req.content_length is not None and len(body) < req.content_length:
+        raise RefusedError(Refusal(400, "bad_body", "the body is shorter than stated"))
+    return bytes(body)
+
+
+def _refusal_handler(serving: Serving) -> Callable[..., None]:
+    def handle(
+        req: falcon.Request, resp: falcon.Response, error: RefusedError, params: Any
+    ) -> None:
+        serving.note_refused(getattr(req.context, "request_id", ""), error)
+        _answer_refusal(req, resp, error, params)
+
+    return handle
+
+
+def _answer_refusal(
+    req: falcon.Request, resp: falcon.Response, error: RefusedError, params: Any
+) -> None:
+    refusal = error.refusal
+    resp.status = falcon.code_to_http_status(refusal.status)
+    resp.content_type = falcon.MEDIA_JSON
+    retry_after = retry_after_seconds(refusal)
+    if retry_after is not None:
+        resp.set_header("Retry-After", retry_after)
+    if refusal.status == 401:
+        resp.set_header("WWW-Authenticate", "Bearer")
+    resp.data = error_body(refusal, getattr(req.context, "request_id", ""))
+
+
+def _answer_nobody(
+    req: falcon.Request, resp: falcon.Response, error: CallerGoneError, params: Any
+) -> None:
+    resp.status = falcon.HTTP_400
+    resp.data = b""
+
+
+def _answer_http_error(
+    req: falcon.Request, resp: falcon.Response, error: falcon.HTTPError, params: Any
+) -> None:
+    status = error.status_code
+    code = "unknown_route" if status == 404 else "bad_request"
+    message = error.description or error.title or "the request cannot be served"
+    refused = RefusedError(Refusal(status, code, message))
+    _answer_refusal(req, resp, refused, params)
+    for name, value in dict(error.headers or {}).items():
+        resp.set_header(name, value)
+
+
+def _fault_handler(serving: Serving) -> Callable[..., None]:
+    def handle(
+        req: falcon.Request, resp: falcon.Response, error: Exception, params: Any
+    ) -> None:
+        # What failed inside may have failed after sending; the verdict says so.
+        serving.note_fault(getattr(req.context, "request_id", ""), error)
+        _answer_refusal(req, resp, RefusedError(_fault_refusal(error)), params)
+
+    return handle
+
+
+def _fault_refusal(error: Exception) -> Refusal:
+    message = f"internal error: {type(error).__name__}"
+    return Refusal(500, "internal_error", message, RunVerdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/src/gypsumfield/adapters/engines.py
@@ -0,0 +1,196 @@
+"""Adapter to model engines: start, resume and cancel generations, read load."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import TypeVar
+
+import msgspec
+from sseclient import SSEClient
+
+from gypsumfield.adapters.backends import AbortHandle
+from gypsumfield.adapters.backends import Exchange
+from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.backends import refused_by_backend
+from gypsumfield.engine_api import EngineRefusal
+from gypsumfield.engine_api import StartGeneration
+from gypsumfield.engine_api import TokenEvent
+from gypsumfield.exceptions import BackendError
+from gypsumfield.verdicts import RunVerdict
+
+REFUSAL_LIMIT_BYTES = 65_536
+ANSWER_LIMIT_BYTES = 4_194_304
+JSON_HEADERS = {"Content-Type": "application/json"}
+STATUS_OK = 200
+REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
+
+AnswerT = TypeVar("AnswerT")
+
+_token_decoder = msgspec.json.Decoder(TokenEvent)
+
+
+class EngineStream:
+    """Token events of one generation, checked to belong to it."""
+
+    def __init__(self, exchange: Exchange, generation_id: str) -> None:
+        self._exchange = exchange
+        self._generation_id = generation_id
+
+    def events(self) -> Iterator[TokenEvent]:
+        """Yield events up to and with the one that has a finish reason.
+
+        Raises:
+            BackendError: The stream broke, was silent for too long, ended
+                without a finish reason or carried another generation.
+        """
+        for raw in SSEClient(self._chunks()).events():
+            event = self._decode(raw.data)
+            yield event
+            if event.finish_reason is not None:
+                return
+        raise self._broken("the stream ended without a finish reason")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._exchange.close()
+
+    def _chunks(self) -> Iterator[bytes]:
+        while chunk := self._exchange.read_chunk():
+            yield chunk
+
+    def _decode(self, data: str) -> TokenEvent:
+        try:
+            event = _token_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise self._broken(f"a token event is damaged: {error}") from error
+        if event.generation_id != self._generation_id:
+            raise self._broken("a token event belongs to another generation")
+        return event
+
+    def _broken(self, reason: str) -> BackendError:
+        return BackendError(reason, RunVerdict.MAY_HAVE_RUN, "stream_broken")
+
+
+def start_generation(
+    address: str,
+    start: StartGeneration,
+    request_id: str,
+    timeouts: ExchangeTimeouts,
+    abort: AbortHandle,
+    check_before_send: Callable[[], str],
+) -> EngineStream:
+    """Start a generation on the engine at ``address``.
+
+    Raises:
+        BackendError: ``NOT_RUN`` when the engine refused or was not reached.
+    """
+    request = OutgoingRequest(
+        address=address,
+        method="POST",
+        target="/v1/generations",
+        headers=JSON_HEADERS,
+        body=msgspec.json.encode(start),
+        request_id=request_id,
+    )
+    exchange = Exchange(request, timeouts, abort)
+    status = exchange.open(check_before_send)
+    _check_status(exchange, status)
+    return EngineStream(exchange, start.generation_id)
+
+
+def resume_generation(
+    address: str,
+    generation_id: str,
+    after_sequence: int,
+    request_id: str,
+    timeouts: ExchangeTimeouts,
+    abort: AbortHandle,
+) -> EngineStream:
+    """Continue a generation after a sequence number.
+
+    Raises:
+        BackendError: The engine was not reached, or its code is
+            ``unknown_generation``.
+    """
+    request = OutgoingRequest(
+        address=address,
+        method="GET",
+        target=f"/v1/generations/{generation_id}?after={after_sequence}",
+        headers={},
+        body=b"",
+        request_id=request_id,
+    )
+    exchange = Exchange(request, timeouts, abort)
+    status = exchange.open(lambda: "")
+    _check_status(exchange, status)
+    return EngineStream(exchange, generation_id)
+
+
+def cancel_generation(
+    address: str, generation_id: str, request_id: str, timeouts: ExchangeTimeouts
+) -> None:
+    """Tell an engine to stop a generation; cancelling twice is harmless.
+
+    Raises:
+        BackendError: The engine did not answer.
+    """
+    request = OutgoingRequest(
+        address=address,
+        method="DELETE",
+        target=f"/v1/generations/{generation_id}",
+        headers={},
+        body=b"",
+        request_id=request_id,
+    )
+    exchange = Exchange(request, timeouts, AbortHandle())
+    exchange.open(lambda: "")
+    exchange.close()
+
+
+def fetch_json(
+    address: str,
+    target: str,
+    wanted: type[AnswerT],
+    request_id: str,
+    timeouts: ExchangeTimeouts,
+) -> AnswerT:
+    """Return the JSON answer of a ``GET``, a load report for example.
+
+    Raises:
+        BackendError: The engine did not answer, or not in the wanted shape.
+    """
+    request = OutgoingRequest(address, "GET", target, {}, b"", request_id)
+    exchange = Exchange(request, timeouts, AbortHandle())
+    status = exchange.open(lambda: "")
+    try:
+        body = exchange.read_body(ANSWER_LIMIT_BYTES)
+    finally:
+        exchange.close()
+    if status != STATUS_OK:
+        raise BackendError(f"{target} answered {status}", RunVerdict.RAN)
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.MsgspecError as error:
+        raise BackendError(f"{target}: {error}", RunVerdict.RAN) from error
+
+
+def _check_status(exchange: Exchange, status: int) -> None:
+    if status == STATUS_OK:
+        return
+    try:
+        body = exchange.read_body(REFUSAL_LIMIT_BYTES)
+    finally:
+        exchange.close()
+    raise _refusal_error(status, body)
+
+
+def _refusal_error(status: int, body: bytes) -> BackendError:
+    if status in REFUSAL_STATUSES:
+        try:
+            error = msgspec.json.decode(body, type=EngineRefusal).error
+        except msgspec.MsgspecError:
+            # Without the engine's own statement nothing is known.
+            return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN)
+        return refused_by_backend(error.message, error.code, error.retry_after_ms)
+    code = "unknown_generation" if status == 404 else "backend_failed"
+    return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN, code)
--- a/src/gypsumfield/clock.py
+++ b/src/gypsumfield/clock.py
@@ -25,13 +25,15 @@
 def system_clock() -> Clock:
     """Return the clock of the operating system.
 
-    Programs patch ``time.sleep`` through gevent before they call this, so that
-    a sleep suspends one greenlet and not the process.
+    A sleep suspends one greenlet and not the process.
     """
+    # The pure decisions import this module and must not load gevent with it.
+    from gevent import sleep
+
     return Clock(
         monotonic_ms=lambda: time.monotonic() * MS_PER_S,
         wall_ms=lambda: time.time() * MS_PER_S,
-        sleep_ms=lambda duration_ms: time.sleep(duration_ms / MS_PER_S),
+        sleep_ms=lambda duration_ms: sleep(duration_ms / MS_PER_S),
     )
 
 
--- /dev/null
+++ b/src/gypsumfield/commands/entry.py
@@ -0,0 +1,123 @@
+"""Program of one entry host."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+import gevent  # noqa: E402
+import msgspec  # noqa: E402
+from cleo.commands.command import Command  # noqa: E402
+from cleo.helpers import option  # noqa: E402
+from gevent.event import Event  # noqa: E402
+
+from gypsumfield.adapters.logs import open_event_log  # noqa: E402
+from gypsumfield.clock import system_clock  # noqa: E402
+from gypsumfield.commands.program import run_program  # noqa: E402
+from gypsumfield.composition import build_entry_host  # noqa: E402
+from gypsumfield.composition import EntryHost  # noqa: E402
+from gypsumfield.exceptions import GypsumfieldError  # noqa: E402
+from gypsumfield.settings import EntrySettings  # noqa: E402
+from gypsumfield.settings import read_settings  # noqa: E402
+
+EXIT_CLEAN = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_ANSWERS_CUT = 3
+
+
+class ReadyLine(msgspec.Struct, frozen=True):
+    """Line on standard output when the host takes requests."""
+
+    ready: bool
+    host_id: str
+    availability_zone: str
+    url: str
+    control_address: str = ""
+
+
+class EntryCommand(Command):
+    """Serve callers as one entry host until SIGTERM or SIGINT."""
+
+    name = "gypsumfield-entry"
+    description = "Serves callers as one entry host until SIGTERM or SIGINT."
+    help = (
+        "SIGTERM or SIGINT drains: the health page turns to 503, running answers "
+        "end, then the program exits with 0. A second signal ends it at once.\n"
+        "Exit status: 0 clean, 2 bad settings, 3 when answers were cut."
+    )
+    options = [
+        option("settings", None, "JSON file with the host's settings.", flag=False)
+    ]
+
+    def handle(self) -> int:
+        """Run the host and return the exit status."""
+        path = self.option("settings")
+        if not path:
+            self.line_error("gypsumfield-entry: option --settings is missing")
+            return EXIT_BAD_SETTINGS
+        try:
+            host = open_host(read_settings(path, EntrySettings))
+            url = host.start()
+        except (GypsumfieldError, OSError) as error:
+            self.line_error(f"gypsumfield-entry: {error}")
+            return EXIT_BAD_SETTINGS
+        print_ready(host, url)
+        cut_count = wait_and_drain([host])
+        return EXIT_ANSWERS_CUT if cut_count else EXIT_CLEAN
+
+
+def open_host(settings: EntrySettings) -> EntryHost:
+    """Return an entry host with its log opened."""
+    clock = system_clock()
+    log_event = open_event_log(
+        settings.host_id, settings.availability_zone, settings.log_path, clock
+    )
+    return build_entry_host(settings, clock, log_event)
+
+
+def print_ready(host: EntryHost, url: str) -> None:
+    """Print the ready line of one host."""
+    line = ReadyLine(True, host.settings.host_id, host.settings.availability_zone, url)
+    sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
+    sys.stdout.flush()
+
+
+def wait_and_drain(hosts: list[EntryHost]) -> int:
+    """Wait for a signal, then drain all hosts; a second signal cuts.
+
+    Returns:
+        Number of answers that were cut.
+    """
+    first = Event()
+    second = Event()
+
+    def note_signal() -> None:
+        (second if first.is_set() else first).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, note_signal)
+    first.wait()
+    drains = [gevent.spawn(host.drain) for host in hosts]
+    waiter = gevent.spawn(second.wait)
+    gevent.wait([gevent.spawn(gevent.joinall, drains), waiter], count=1)
+    return sum(
+        _end_drain(host, drain) for host, drain in zip(hosts, drains, strict=True)
+    )
+
+
+def _end_drain(host: EntryHost, drain: gevent.Greenlet) -> int:
+    if drain.ready():
+        return int(drain.get())
+    drain.kill()
+    return host.stop()
+
+
+def main() -> int:
+    """Run the program."""
+    return run_program(EntryCommand())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -213,6 +213,13 @@
     cut_count: int
 
 
+class InternalFault(Event, frozen=True, kw_only=True, tag="internal_fault"):
+    """The program failed in a way it does not foresee."""
+
+    reason: str
+    trace: str
+
+
 class MessageSent(Event, frozen=True, kw_only=True, tag="message_sent"):
     """A control message left for a peer."""
 
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -21,6 +21,10 @@
     """A resume cursor is not authentic, or belongs to another account."""
 
 
+class PlatformError(GypsumfieldError):
+    """The platform's service did not answer, or not in its proper form."""
+
+
 class BackendError(GypsumfieldError):
     """An attempt against a backend server failed.
 
@@ -63,3 +67,19 @@
     message: str
     verdict: RunVerdict = RunVerdict.NOT_RUN
     retry_after_ms: float | None = None
+
+
+class RefusedError(GypsumfieldError):
+    """A request gets its final answer instead of being served.
+
+    Attributes:
+        refusal: The answer.
+        account: Client account of the request, where it is known.
+        service: Service of the request, where it is known.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+        self.account = ""
+        self.service = ""
--- /dev/null
+++ b/src/gypsumfield/status_page.py
@@ -0,0 +1,88 @@
+"""Status page of an entry host: what is in force, known and used, and why."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from gypsumfield.clock import Clock
+from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.directory import BackendDirectory
+from gypsumfield.platform_watch import PlatformWatch
+from gypsumfield.settings import EntrySettings
+
+
+class StatusSources(NamedTuple):
+    """Parts of the host that the page reads."""
+
+    settings: EntrySettings
+    store: ConfigurationStore
+    directory: BackendDirectory
+    watch: PlatformWatch
+    clock: Clock
+
+
+class BackendStatus(msgspec.Struct, frozen=True):
+    """One backend server and, where it gets no new work, why."""
+
+    host_id: str
+    availability_zone: str
+    services: tuple[str, ...]
+    hindrances: Mapping[str, str]
+
+
+class StatusPage(msgspec.Struct, frozen=True):
+    """Answer of ``/statusz``.
+
+    Attributes:
+        host_id: This host.
+        availability_zone: Zone it stands in.
+        configuration_revision: Revision in force.
+        configuration_age_ms: Time since a source last confirmed it.
+        rejected_values: Reason by key for published values refused here.
+        member_version: Version of the member list.
+        members: Host ids of the entry hosts.
+        backend_servers: All backend servers, with hindrances by service.
+    """
+
+    host_id: str
+    availability_zone: str
+    configuration_revision: int
+    configuration_age_ms: float
+    rejected_values: Mapping[str, str]
+    member_version: int
+    members: tuple[str, ...]
+    backend_servers: tuple[BackendStatus, ...]
+
+
+def render_status(sources: StatusSources) -> bytes:
+    """Return the page as JSON."""
+    store = sources.store
+    directory = sources.directory
+    page = StatusPage(
+        host_id=sources.settings.host_id,
+        availability_zone=sources.settings.availability_zone,
+        configuration_revision=store.revision,
+        configuration_age_ms=sources.clock.monotonic_ms() - sources.watch.confirmed_ms,
+        rejected_values=store.current.rejected,
+        member_version=directory.version,
+        members=tuple(member.host_id for member in directory.entry_hosts()),
+        backend_servers=_backend_statuses(directory),
+    )
+    return msgspec.json.encode(page)
+
+
+def _backend_statuses(directory: BackendDirectory) -> tuple[BackendStatus, ...]:
+    return tuple(
+        BackendStatus(
+            host_id=member.host_id,
+            availability_zone=member.availability_zone,
+            services=member.services,
+            hindrances={
+                service: hindrance
+                for service in member.services
+                if (hindrance := directory.find_hindrance(service, member))
+            },
+        )
+        for member in directory.backend_servers()
+    )
--- a/tests/httpcalls.py
+++ b/tests/httpcalls.py
@@ -43,6 +43,11 @@
         host, int(port), connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
     )
     try:
-        yield client.request(method, f"/{path}", body=data, headers=headers or {})
+        response = client.request(method, f"/{path}", body=data, headers=headers or {})
+        try:
+            yield response
+        finally:
+            # An answer that was not read to its end closes its connection here.
+            response.release()
     finally:
         client.close()
