--- /dev/null
+++ b/src/gypsumfield/decisions/admission.py
@@ -0,0 +1,146 @@
+"""Admission to an engine by the predicted peak of its key-value memory.
+
+Every running generation grows by one token a step and gives its memory back
+when it ends. For a row of future steps the mean and the variance of the memory
+in use follow from the chance that each generation still runs. A candidate is
+admitted while the chance of running out stays below the bound of every profile
+in the batch, at every one of these steps.
+"""
+
+import math
+from collections.abc import Callable
+from collections.abc import Sequence
+from statistics import NormalDist
+from typing import NamedTuple
+
+from gypsumfield.configuration import Profile
+from gypsumfield.decisions.lengths import LengthModel
+from gypsumfield.decisions.workload import GenerationDemand
+from gypsumfield.decisions.workload import RunningGeneration
+
+MayAdmit = Callable[[Sequence[RunningGeneration], GenerationDemand, int], bool]
+LookUpProfile = Callable[[str], Profile]
+
+_HORIZON_STEPS = (16, 48, 96, 160, 256, 400, 640, 1_024, 2_048, 4_096)
+_SMALLEST_PROBABILITY = 1e-9
+# The bound is for a whole run and each step may break it; over the steps near
+# the peak the chances add up to about this multiple of a single one.
+_PEAK_WIDTH_FACTOR = 4.0
+
+
+class _Member(NamedTuple):
+    """One generation of the batch, candidate included."""
+
+    longer_than: Callable[[int], float]
+    used_tokens: int
+    generated_tokens: int
+    max_tokens: int
+    alive: float
+
+
+class MemoryForecast(NamedTuple):
+    """Memory in use after some steps; ``skewness`` has no unit."""
+
+    mean_tokens: float
+    deviation_tokens: float
+    skewness: float
+
+    def quantile(self, deviations: float) -> float:
+        """Return the memory exceeded as seldom as ``deviations`` of a normal one.
+
+        The second term of the Cornish-Fisher expansion corrects for the
+        skewness, which is large while a few long answers hold the memory.
+        """
+        corrected = deviations + (deviations * deviations - 1.0) * self.skewness / 6.0
+        return self.mean_tokens + max(0.0, corrected) * self.deviation_tokens
+
+
+def make_admission(
+    lengths: LengthModel, look_up_profile: LookUpProfile, reserve_ratio: float = 0.0
+) -> MayAdmit:
+    """Return the decision whether an engine may take one more generation.
+
+    Args:
+        lengths: Learned output lengths.
+        look_up_profile: Returns the profile of a name.
+        reserve_ratio: Share of the memory that is never planned with.
+    """
+    deviations_of = _make_deviations()
+
+    def may_admit(
+        running: Sequence[RunningGeneration],
+        candidate: GenerationDemand,
+        memory_limit_tokens: int,
+    ) -> bool:
+        limit_tokens = memory_limit_tokens * (1.0 - reserve_ratio)
+        profiles = {each.demand.profile for each in running} | {candidate.profile}
+        # The engine chooses whom it preempts, so the strictest bound counts.
+        bound = min(look_up_profile(p).memory_overrun_probability for p in profiles)
+        members = _members(lengths, running, candidate)
+        if sum(each.used_tokens + 1 for each in members) > limit_tokens:
+            return False
+        if not running:
+            # An engine ends a lone generation at its memory limit.
+            return True
+        deviations = deviations_of(bound)
+        return all(
+            forecast(members, steps).quantile(deviations) <= limit_tokens
+            for steps in _HORIZON_STEPS
+        )
+
+    return may_admit
+
+
+def _make_deviations() -> Callable[[float], float]:
+    known: dict[float, float] = {}
+
+    def deviations_of(bound: float) -> float:
+        """Return how many standard deviations are exceeded with ``bound``."""
+        if bound not in known:
+            at_one_step = bound / _PEAK_WIDTH_FACTOR
+            clipped = min(max(at_one_step, _SMALLEST_PROBABILITY), 0.5)
+            known[bound] = -NormalDist().inv_cdf(clipped)
+        return known[bound]
+
+    return deviations_of
+
+
+def _members(
+    lengths: LengthModel,
+    running: Sequence[RunningGeneration],
+    candidate: GenerationDemand,
+) -> list[_Member]:
+    members = []
+    for demand, generated_tokens in (*running, RunningGeneration(candidate, 0)):
+        table = lengths.table(demand)
+        members.append(
+            _Member(
+                table.longer_than,
+                demand.prompt_tokens + generated_tokens,
+                generated_tokens,
+                demand.max_tokens,
+                table.longer_than(generated_tokens),
+            )
+        )
+    return members
+
+
+def forecast(members: Sequence[_Member], steps: int) -> MemoryForecast:
+    """Return the distribution of the memory in use after ``steps`` steps."""
+    mean = 0.0
+    variance = 0.0
+    third_moment = 0.0
+    for longer_than, used_tokens, generated_tokens, max_tokens, alive in members:
+        length_tokens = generated_tokens + steps
+        if length_tokens >= max_tokens or alive <= 0.0:
+            continue
+        runs = longer_than(length_tokens) / alive
+        size = used_tokens + steps
+        spread = runs * (1.0 - runs) * size * size
+        mean += runs * size
+        variance += spread
+        third_moment += spread * (1.0 - 2.0 * runs) * size
+    if variance <= 0.0:
+        return MemoryForecast(mean, 0.0, 0.0)
+    deviation = math.sqrt(variance)
+    return MemoryForecast(mean, deviation, third_moment / (variance * deviation))
--- /dev/null
+++ b/tests/test_lengths.py
@@ -0,0 +1,117 @@
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from gypsumfield.decisions.lengths import BUCKET_COUNT
+from gypsumfield.decisions.lengths import bucket_of
+from gypsumfield.decisions.lengths import bucket_start
+from gypsumfield.decisions.lengths import FinishedLength
+from gypsumfield.decisions.lengths import LARGEST_LENGTH_TOKENS
+from gypsumfield.decisions.lengths import LengthModel
+from gypsumfield.decisions.lengths import LengthSettings
+from gypsumfield.decisions.workload import GenerationDemand
+
+
+def demand(account="cart-7", max_tokens=32_768):
+    return GenerationDemand("r", "assistant", "dawn", account, 50, max_tokens)
+
+
+def teach(model, lengths, account="cart-7", **fields):
+    for now_ms, tokens in enumerate(lengths):
+        model.record(FinishedLength(demand(account), tokens, **fields), now_ms)
+
+
+@given(st.integers(0, LARGEST_LENGTH_TOKENS))
+@settings(derandomize=True, deadline=None)
+def test_buckets_hold_their_lengths(length):
+    index = bucket_of(length)
+    assert 0 <= index < BUCKET_COUNT
+    assert bucket_start(index) <= length < bucket_start(index + 1)
+    assert bucket_start(index + 1) - bucket_start(index) <= max(1, length / 4)
+
+
+def test_first_request_has_a_spread_out_estimate():
+    remaining = LengthModel().remaining(demand(), 0)
+    assert 200 <= remaining.quantile(0.5) <= 320
+    assert remaining.quantile(0.95) > 1_000
+    # What has already grown long is expected to grow longer still.
+    assert LengthModel().remaining(demand(), 2_000).mean_tokens > 500
+
+
+@pytest.mark.parametrize("chance", [0.1, 0.5, 0.9])
+@pytest.mark.parametrize("generated", [0, 100, 400])
+def test_learned_quantiles_match_the_sample(chance, generated):
+    rng = random.Random(5)
+    sample = [max(1, round(rng.lognormvariate(5.0, 0.8))) for _ in range(4_000)]
+    model = LengthModel(LengthSettings(half_life_records=1e6))
+    teach(model, sample)
+    rest = sorted(each - generated for each in sample if each > generated)
+    wanted = rest[int(chance * len(rest))]
+    found = model.remaining(demand(), generated).quantile(chance)
+    assert found == pytest.approx(wanted, rel=0.2, abs=4)
+    mean = model.remaining(demand(), generated).mean_tokens
+    assert mean == pytest.approx(sum(rest) / len(rest), rel=0.15)
+
+
+def test_answers_cut_short_do_not_pull_the_estimate_down():
+    cut = LengthModel()
+    taken_as_ends = LengthModel()
+    whole = [1_000] * 200
+    teach(cut, whole)
+    teach(taken_as_ends, whole)
+    teach(cut, [20] * 200, is_complete=False)
+    teach(taken_as_ends, [20] * 200)
+    assert cut.remaining(demand(), 0).quantile(0.4) > 800
+    assert taken_as_ends.remaining(demand(), 0).quantile(0.4) < 30
+
+
+def test_the_estimate_follows_a_drift():
+    model = LengthModel()
+    teach(model, [50] * 2_000)
+    assert model.remaining(demand("other"), 0).quantile(0.5) < 70
+    teach(model, [900] * 1_200)
+    assert model.remaining(demand("other"), 0).quantile(0.5) > 700
+
+
+def test_silence_fades_what_was_learned_into_the_prior():
+    model = LengthModel()
+    teach(model, [9] * 500)
+    later_ms = 20 * model.settings.half_life_ms
+    model.record(FinishedLength(demand(), 9), later_ms)
+    assert model.remaining(demand("other"), 0).quantile(0.9) > 500
+
+
+def test_an_account_beyond_its_rate_teaches_only_itself():
+    model = LengthModel()
+    teach(model, [100] * 300)
+    teach(model, [5_000] * 300, account="flood", is_within_rate=False)
+    assert model.remaining(demand("new"), 0).quantile(0.9) < 200
+    assert model.remaining(demand("flood"), 0).quantile(0.5) > 4_000
+
+
+def test_max_tokens_bounds_what_is_to_come():
+    remaining = LengthModel().remaining(demand(max_tokens=40), 30)
+    assert remaining.quantile(0.999) <= 10
+    assert remaining.longer_than(10) == 0.0
+    assert 0.0 < remaining.mean_tokens <= 10.0
+
+
+def test_estimates_of_single_accounts_are_bounded():
+    model = LengthModel(LengthSettings(account_limit=3))
+    for number in range(10):
+        teach(model, [50], account=f"account-{number}")
+    assert len(model._accounts) == 3
+
+
+@given(st.lists(st.integers(1, 70_000), max_size=60), st.integers(0, 40_000))
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_chances_fall_and_stay_between_zero_and_one(lengths, generated):
+    model = LengthModel(LengthSettings(half_life_records=0.3))
+    teach(model, lengths)
+    remaining = model.remaining(demand(max_tokens=70_000), generated)
+    chances = [remaining.longer_than(tokens) for tokens in range(0, 30_000, 997)]
+    assert all(0.0 <= each <= 1.0 for each in chances)
+    assert chances == sorted(chances, reverse=True)
