Place requests by predicted load, in fair order where none is free

Cause: requests went to a shuffled own zone first and were refused as soon as a slot was missing; load reports and cache events of engines were not read. Change: engines close to the host are polled, the routing, ejection and affinity decisions rank them, a dispatcher keeps one fair queue a service and answers early refusals at once; the abort handle ends waits of every kind; intake, relay and generations are modules of their own. Conclusion: the policy modules run in the entry host; slots and rates still come from the static baseline.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -17,6 +17,7 @@
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.response import HTTPSocketResponse
 
+from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.exceptions import BackendError
@@ -29,26 +30,6 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-class AbortHandle:
-    """Lets another greenlet end the exchange that a greenlet waits on."""
-
-    def __init__(self) -> None:
-        self.reason = ""
-        self._sock: Any = None
-
-    def attach(self, sock: Any) -> None:
-        """Name the socket that `abort` shuts down; None detaches."""
-        self._sock = sock
-        if sock is not None and self.reason:
-            _shut_down(sock)
-
-    def abort(self, reason: str) -> None:
-        """End the exchange in progress and all later ones."""
-        self.reason = self.reason or reason
-        if self._sock is not None:
-            _shut_down(self._sock)
-
-
 class OutgoingRequest(NamedTuple):
     """One request to a backend server.
 
@@ -170,7 +151,7 @@
         try:
             self._sock = self._connect()
             self.stage = Stage.CONNECTED
-            self._abort.attach(self._sock)
+            self._abort.attach(self._shut_down)
             hindrance = check_before_send()
             if hindrance:
                 raise self._error(hindrance, "not_sent")
@@ -178,7 +159,7 @@
             self._read_headers()
         except (OSError, HTTPParseError) as error:
             self.close()
-            raise self._error(_describe(error), "backend_failed") from error
+            raise self._error(_describe(error), self._code_of(error)) from error
         except BaseException:
             self.close()
             raise
@@ -248,6 +229,15 @@
             self._sock.close()
             self._sock = None
 
+    def _shut_down(self) -> None:
+        if self._sock is None:
+            return
+        try:
+            self._sock.shutdown(gevent.socket.SHUT_RDWR)
+        except OSError:
+            # The peer was faster; the waiting greenlet wakes up all the same.
+            return
+
     def _connect(self) -> Any:
         pooled = self._pool.take(self._request.address) if self._pool else None
         if pooled is not None:
@@ -281,6 +271,12 @@
             or self.status in STATUSES_WITHOUT_BODY
         )
 
+    def _code_of(self, error: Exception) -> str:
+        if self.stage is Stage.BEFORE_CONNECT:
+            return "unreachable"
+        is_silent = isinstance(error, TimeoutError)
+        return "backend_stalled" if is_silent else "backend_failed"
+
     def _opened(self) -> _Response:
         if self._response is None:
             raise self._error("no answer was read", "backend_failed")
@@ -323,13 +319,5 @@
     return not poller.poll(0)
 
 
-def _shut_down(sock: Any) -> None:
-    try:
-        sock.shutdown(gevent.socket.SHUT_RDWR)
-    except OSError:
-        # The peer was faster; the waiting greenlet wakes up all the same.
-        return
-
-
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -12,7 +12,7 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
-from gypsumfield.adapters.backends import AbortHandle
+from gypsumfield.aborts import AbortHandle
 
 HEADER_BLOCK_LIMIT_BYTES = 32_768
 HEADER_COUNT_LIMIT = 100
--- a/src/gypsumfield/adapters/callers.py
+++ b/src/gypsumfield/adapters/callers.py
@@ -9,8 +9,8 @@
 import falcon
 import msgspec
 
+from gypsumfield.aborts import AbortHandle
 from gypsumfield.access import bearer_key
-from gypsumfield.adapters.backends import AbortHandle
 from gypsumfield.adapters.caller_server import CALLER_SOCKET_KEY
 from gypsumfield.adapters.caller_server import CallerWatch
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
@@ -26,9 +26,10 @@
 from gypsumfield.exceptions import CallerGoneError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
-from gypsumfield.generations import Delivery
-from gypsumfield.serving import GenerationAsk
-from gypsumfield.serving import PlainAsk
+from gypsumfield.intake import GenerationAsk
+from gypsumfield.intake import PlainAsk
+from gypsumfield.intake import ResumeAsk
+from gypsumfield.relay import Delivery
 from gypsumfield.serving import Serving
 from gypsumfield.verdicts import RunVerdict
 
@@ -68,7 +69,7 @@
     app.add_route("/statusz", _Status(pages))
     app.add_sink(_plain_sink(serving, body_limit_bytes), prefix=PLAIN_PREFIX)
     app.add_error_handler(RefusedError, _refusal_handler(serving))
-    app.add_error_handler(CallerGoneError, _answer_nobody)
+    app.add_error_handler(CallerGoneError, _gone_handler(serving))
     app.add_error_handler(falcon.HTTPError, _answer_http_error)
     app.add_error_handler(Exception, _fault_handler(serving))
     return app
@@ -126,15 +127,18 @@
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         request_id = _begin(req, resp)
-        self._serving.identify(_key(req))
-        ask = self._read(req, request_id)
-        abort, watch = _watch_caller(req)
+        self._serving.check_key(_key(req))
+        abort = AbortHandle()
+        ask = self._read(req, request_id, abort)
+        watch = CallerWatch(req.env[CALLER_SOCKET_KEY], abort)
         if ask.is_stream:
-            self._stream(ask, resp, abort, watch)
+            self._stream(ask, resp, watch)
         else:
-            self._collect(ask, resp, abort, watch)
+            self._collect(ask, resp, watch)
 
-    def _read(self, req: falcon.Request, request_id: str) -> GenerationAsk:
+    def _read(
+        self, req: falcon.Request, request_id: str, abort: AbortHandle
+    ) -> GenerationAsk:
         data = _read_body(req, self._body_limit_bytes)
         wanted = ChatBody if self._is_chat else CompletionBody
         try:
@@ -150,17 +154,17 @@
             max_tokens=body.max_tokens,
             is_stream=body.stream,
             is_chat=self._is_chat,
+            abort=abort,
         )
 
     def _stream(
         self,
         ask: GenerationAsk,
         resp: falcon.Response,
-        abort: AbortHandle,
         watch: CallerWatch,
     ) -> None:
         try:
-            rest = self._serving.stream(ask, abort)
+            rest = self._serving.stream(ask)
             first = next(rest)
         except BaseException:
             watch.stop()
@@ -180,11 +184,10 @@
         self,
         ask: GenerationAsk,
         resp: falcon.Response,
-        abort: AbortHandle,
         watch: CallerWatch,
     ) -> None:
         try:
-            prompt_tokens, deliveries = self._serving.collect(ask, abort)
+            prompt_tokens, deliveries = self._serving.collect(ask)
         finally:
             watch.stop()
         answer = whole_answer(
@@ -200,10 +203,12 @@
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         request_id = _begin(req, resp)
-        abort, watch = _watch_caller(req)
+        abort = AbortHandle()
         cursor = req.get_header("Last-Event-ID") or ""
+        ask = ResumeAsk(request_id, _key(req), cursor, abort)
+        watch = CallerWatch(req.env[CALLER_SOCKET_KEY], abort)
         try:
-            origin, rest = self._serving.resume(request_id, _key(req), cursor, abort)
+            origin, rest = self._serving.resume(ask)
             first = next(rest, None)
         except BaseException:
             watch.stop()
@@ -273,6 +278,7 @@
     ) -> None:
         request_id = _begin(req, resp)
         body = _read_body(req, body_limit_bytes)
+        abort = AbortHandle()
         raw_path, _, query = req.env[RAW_PATH_KEY].partition("?")
         ask = PlainAsk(
             request_id=request_id,
@@ -284,10 +290,11 @@
             query=query,
             headers=dict(req.headers),
             body=body,
+            abort=abort,
         )
-        abort, watch = _watch_caller(req)
+        watch = CallerWatch(req.env[CALLER_SOCKET_KEY], abort)
         try:
-            answer = serving.call(ask, abort)
+            answer = serving.call(ask)
         finally:
             watch.stop()
         resp.status = falcon.code_to_http_status(answer.status)
@@ -312,11 +319,6 @@
     resp.set_header("Cache-Control", "no-store")
 
 
-def _watch_caller(req: falcon.Request) -> tuple[AbortHandle, CallerWatch]:
-    abort = AbortHandle()
-    return abort, CallerWatch(req.env[CALLER_SOCKET_KEY], abort)
-
-
 def _key(req: falcon.Request) -> str:
     return bearer_key(req.get_header("Authorization"))
 
@@ -365,11 +367,16 @@
     resp.data = error_body(refusal, getattr(req.context, "request_id", ""))
 
 
-def _answer_nobody(
-    req: falcon.Request, resp: falcon.Response, error: CallerGoneError, params: Any
-) -> None:
-    resp.status = falcon.HTTP_400
-    resp.data = b""
+def _gone_handler(serving: Serving) -> Callable[..., None]:
+    def handle(
+        req: falcon.Request, resp: falcon.Response, error: CallerGoneError, params: Any
+    ) -> None:
+        # Nobody reads this answer; the server closes the connection after it.
+        serving.note_gone(getattr(req.context, "request_id", ""))
+        resp.status = falcon.HTTP_400
+        resp.data = b""
+
+    return handle
 
 
 def _answer_http_error(
--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -7,7 +7,7 @@
 import msgspec
 from sseclient import SSEClient
 
-from gypsumfield.adapters.backends import AbortHandle
+from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
--- a/src/gypsumfield/caller_api.py
+++ b/src/gypsumfield/caller_api.py
@@ -8,10 +8,8 @@
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.exceptions import Refusal
-from gypsumfield.generations import Delivery
+from gypsumfield.relay import Delivery
 
-MESSAGE_COUNT_LIMIT = 10_000
-CHARACTERS_PER_TOKEN = 4
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -106,11 +104,6 @@
     return "\n".join(f"{message.role}: {message.content}" for message in messages)
 
 
-def estimate_prompt_tokens(prompt: str) -> int:
-    """Return the estimated length of a prompt in tokens."""
-    return max(1, math.ceil(len(prompt) / CHARACTERS_PER_TOKEN))
-
-
 def event_encoder(request_id: str, model: str, is_chat: bool) -> EventEncoder:
     """Return a function that encodes one delivery as a server-sent event."""
     quoted_id = msgspec.json.encode(request_id).decode()
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -2,6 +2,8 @@
 
 import random
 from collections import defaultdict
+from collections.abc import Sequence
+from typing import Protocol
 
 from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.caller_server import CallerServer
@@ -13,19 +15,29 @@
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.adapters.platform import PlatformClient
 from gypsumfield.attempts import AttemptPorts
-from gypsumfield.attempts import Job
+from gypsumfield.backend_choice import BackendChooser
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.retries import RetryBudget
+from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.directory import BackendDirectory
+from gypsumfield.dispatch import Dispatcher
+from gypsumfield.dispatch import DispatchPorts
+from gypsumfield.dispatch import Placement
+from gypsumfield.engine_watch import EngineWatch
+from gypsumfield.engine_watch import EngineWatchPorts
 from gypsumfield.events import HostDrained
 from gypsumfield.events import HostDraining
 from gypsumfield.events import HostStarted
 from gypsumfield.generations import GenerationPorts
+from gypsumfield.intake import Intake
+from gypsumfield.jobs import Job
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.platform_api import Member
 from gypsumfield.platform_watch import PlatformWatch
 from gypsumfield.ports import EmitEvent
+from gypsumfield.relay import RelayPorts
 from gypsumfield.serving import Serving
 from gypsumfield.serving import ServingPorts
 from gypsumfield.settings import EntrySettings
@@ -38,6 +50,16 @@
 DRAIN_CHECK_INTERVAL_MS = 20.0
 
 
+class Watch(Protocol):
+    """Part of the host that runs in greenlets of its own."""
+
+    def start(self) -> None:
+        """Begin to run."""
+
+    def stop(self) -> None:
+        """End all greenlets."""
+
+
 class EntryHost:
     """One entry host: started, drained and stopped as a whole."""
 
@@ -45,14 +67,14 @@
         self,
         settings: EntrySettings,
         server: CallerServer,
-        watch: PlatformWatch,
+        watches: Sequence[Watch],
         pool: BackendPool,
         clock: Clock,
         emit: EmitEvent,
     ) -> None:
         self.settings = settings
         self._server = server
-        self._watch = watch
+        self._watches = watches
         self._pool = pool
         self._clock = clock
         self._emit = emit
@@ -64,7 +86,8 @@
             The URL for callers.
         """
         self._server.start()
-        self._watch.start()
+        for watch in self._watches:
+            watch.start()
         url = f"http://{self._server.server_host}:{self._server.server_port}"
         self._emit(HostStarted(address=url))
         return url
@@ -104,7 +127,8 @@
             Number of answers that were cut.
         """
         cut_count = self.in_flight_count
-        self._watch.stop()
+        for watch in self._watches:
+            watch.stop()
         self._server.stop(timeout=0)
         self._pool.close()
         self._emit(HostDrained(cut_count=cut_count))
@@ -141,65 +165,102 @@
         emit,
         rng,
     )
+    lengths = LengthModel()
+    chooser = BackendChooser(
+        settings.availability_zone, directory, lengths, clock, rng, emit
+    )
+    dispatcher = Dispatcher(
+        DispatchPorts(
+            clock=clock,
+            configuration=lambda: store.current,
+            chooser=chooser,
+            slots=static_slots(settings.host_id, SLOT_LIMIT_PER_HOST),
+            expected_tokens=lambda demand: _expected_tokens(lengths, demand),
+            record_queue_wait=metrics.record_queue_wait,
+            emit=emit,
+        )
+    )
+    engine_watch = EngineWatch(
+        settings.availability_zone,
+        EngineWatchPorts(
+            list_engines=lambda: _engines(store, directory),
+            is_close=lambda host_id: chooser.in_flight_count(host_id) > 0,
+            observe_load=chooser.observe_load,
+            observe_cache=chooser.observe_cache,
+            cache_sequence=chooser.cache_sequence,
+            emit=emit,
+        ),
+        clock,
+        rng,
+    )
     pool = BackendPool()
-    attempts = _attempt_ports(settings, store, directory, clock, emit, rng)
+    attempts = _attempt_ports(store, directory, dispatcher, clock, emit)
+    relay = RelayPorts(
+        clock=clock,
+        configuration=lambda: store.current,
+        connect_timeout_ms=settings.connect_timeout_ms,
+        record_between_tokens=metrics.record_between_tokens,
+        emit=emit,
+    )
     serving = Serving(
         ServingPorts(
-            attempts=attempts,
+            intake=Intake(lambda: store.current, clock, lambda: _host_hindrance(store)),
             generations=GenerationPorts(
                 attempts=attempts,
-                connect_timeout_ms=settings.connect_timeout_ms,
+                relay=relay,
                 find_backend=directory.find,
-                record_between_tokens=metrics.record_between_tokens,
-                record_length=lambda _request, _tokens: None,
+                record_length=lambda finished: lengths.record(
+                    finished, clock.monotonic_ms()
+                ),
             ),
-            plain=PlainPorts(attempts, settings.connect_timeout_ms, pool),
+            plain=PlainPorts(attempts, relay, pool),
             quotas=static_quotas(
                 lambda: store.current, lambda: len(directory.entry_hosts()), clock
             ),
-            find_host_hindrance=lambda: _host_hindrance(store),
+            emit=emit,
         )
     )
     server = _caller_server(settings, serving, store, metrics, watch, directory, clock)
-    return EntryHost(settings, server, watch, pool, clock, emit)
+    return EntryHost(settings, server, [watch, engine_watch], pool, clock, emit)
 
 
 def _attempt_ports(
-    settings: EntrySettings,
     store: ConfigurationStore,
     directory: BackendDirectory,
+    dispatcher: Dispatcher,
     clock: Clock,
     emit: EmitEvent,
-    rng: random.Random,
 ) -> AttemptPorts:
     budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
 
-    def rank_backends(job: Job, tried: frozenset[str]) -> list[Member]:
-        members = [
-            member
-            for member in directory.eligible_backends(job.service_name)
-            if member.host_id not in tried
-        ]
-        rng.shuffle(members)
-        own_zone = settings.availability_zone
-        return sorted(members, key=lambda member: member.availability_zone != own_zone)
-
-    def find_hindrance(job: Job, member: Member) -> str:
+    def find_hindrance(job: Job, placement: Placement) -> str:
         if clock.monotonic_ms() > job.deadline_ms:
             return "the deadline has passed"
-        return directory.find_hindrance(job.service_name, member)
+        return directory.find_hindrance(job.service_name, placement.backend)
 
     return AttemptPorts(
         clock=clock,
         configuration=lambda: store.current,
-        rank_backends=rank_backends,
+        dispatcher=dispatcher,
         find_hindrance=find_hindrance,
-        slots=static_slots(settings.host_id, SLOT_LIMIT_PER_HOST),
         budgets=budgets.__getitem__,
         emit=emit,
     )
 
 
+def _expected_tokens(lengths: LengthModel, demand: GenerationDemand) -> float:
+    if demand.max_tokens == 0:
+        return 1.0
+    return demand.prompt_tokens + lengths.remaining(demand, 0).mean_tokens
+
+
+def _engines(store: ConfigurationStore, directory: BackendDirectory) -> list[Member]:
+    services = store.current.services
+    models = {name for name, service in services.items() if service.kind == "model"}
+    members = directory.backend_servers()
+    return [member for member in members if models.intersection(member.services)]
+
+
 def _caller_server(
     settings: EntrySettings,
     serving: Serving,
--- a/src/gypsumfield/decisions/fairness.py
+++ b/src/gypsumfield/decisions/fairness.py
@@ -148,15 +148,18 @@
     def next(self, now_ms: float) -> QueueEntry | None:
         """Take the entry that is next and charge its expected tokens."""
         entry = self.peek(now_ms)
-        if entry is None:
-            return None
+        if entry is not None:
+            self.take(entry, now_ms)
+        return entry
+
+    def take(self, entry: QueueEntry, now_ms: float) -> None:
+        """Take a waiting entry and charge its expected tokens."""
         account = entry.demand.account
         self._virtual_time = max(self._virtual_time, self._counters[account])
         self.charge(account, entry.expected_tokens, entry.weight)
         self._remove(entry)
         self._picks += 1
         self._rate.take(entry.expected_tokens, now_ms)
-        return entry
 
     def expire(self, now_ms: float) -> list[QueueRefusal]:
         """Take out all entries whose time is over, with their final answer."""
--- a/src/gypsumfield/decisions/retries.py
+++ b/src/gypsumfield/decisions/retries.py
@@ -39,6 +39,7 @@
     ALREADY_DELIVERED = "part of the answer has left for the caller"
     MAY_HAVE_RUN = "the call may have run and must not be repeated"
     DEADLINE = "its deadline has passed"
+    CALLER_GONE = "its caller has left"
     ATTEMPT_LIMIT = "it was tried often enough"
     NO_BACKEND_LEFT = "no other backend server is left to try"
     NO_BUDGET = "the retry budget of the service is spent"
--- /dev/null
+++ b/src/gypsumfield/engine_watch.py
@@ -0,0 +1,139 @@
+"""Greenlets that read load reports and cache events of engines."""
+
+import random
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple
+from typing import TypeVar
+
+import gevent
+from gevent.pool import Pool
+
+from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.engines import fetch_json
+from gypsumfield.clock import Clock
+from gypsumfield.engine_api import CacheEvents
+from gypsumfield.engine_api import LoadReport
+from gypsumfield.events import EnginePreempted
+from gypsumfield.exceptions import BackendError
+from gypsumfield.platform_api import Member
+from gypsumfield.ports import EmitEvent
+
+POLL_INTERVAL_MS = 250.0
+CACHE_POLL_ROUNDS = 4
+POLLED_STRANGERS_LIMIT = 16
+POLL_TIMEOUT_MS = 1_000.0
+POLL_CONCURRENCY = 64
+
+AnswerT = TypeVar("AnswerT")
+ObserveLoad = Callable[[str, LoadReport, float], None]
+
+
+class EngineWatchPorts(NamedTuple):
+    """What the watch needs from outside.
+
+    Attributes:
+        list_engines: Returns all model engines of the fleet.
+        is_close: Whether this host owns an engine or has requests there; it is
+            polled in every round.
+        observe_load: Called with host id, report and the time of asking.
+        observe_cache: Called with host id and published cache events.
+        cache_sequence: Returns after which event to ask.
+        emit: Takes events.
+    """
+
+    list_engines: Callable[[], list[Member]]
+    is_close: Callable[[str], bool]
+    observe_load: ObserveLoad
+    observe_cache: Callable[[str, CacheEvents], None]
+    cache_sequence: Callable[[str], int]
+    emit: EmitEvent
+
+
+class EngineWatch:
+    """Polls the engines close to this host, and a few others by draw.
+
+    Polling all engines from all entry hosts would grow with the square of the
+    fleet, so the number of others is bounded.
+    """
+
+    def __init__(
+        self,
+        own_zone: str,
+        ports: EngineWatchPorts,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own_zone = own_zone
+        self._ports = ports
+        self._clock = clock
+        self._rng = rng
+        self._round = 0
+        self._preemptions: dict[str, tuple[str, int]] = {}
+        self._pool = Pool(POLL_CONCURRENCY)
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._pool.kill()
+
+    def poll_once(self) -> None:
+        """Poll one round of engines and wait for their answers."""
+        self._round += 1
+        for member in self._choose():
+            self._pool.spawn(self._poll, member)
+        self._pool.join()
+
+    def _run(self) -> None:
+        while True:
+            self.poll_once()
+            self._clock.sleep_ms(POLL_INTERVAL_MS)
+
+    def _choose(self) -> list[Member]:
+        engines = self._ports.list_engines()
+        close = [each for each in engines if self._ports.is_close(each.host_id)]
+        others = [each for each in engines if not self._ports.is_close(each.host_id)]
+        self._rng.shuffle(others)
+        others.sort(key=lambda each: each.availability_zone != self._own_zone)
+        return [*close, *others[:POLLED_STRANGERS_LIMIT]]
+
+    def _poll(self, member: Member) -> None:
+        try:
+            self._poll_load(member)
+            if self._round % CACHE_POLL_ROUNDS == 0:
+                self._poll_cache(member)
+        except BackendError:
+            # A silent engine's report grows old, and routing trusts it less.
+            return
+
+    def _poll_load(self, member: Member) -> None:
+        requested_ms = self._clock.monotonic_ms()
+        report = self._fetch(member, "/v1/load", LoadReport)
+        self._ports.observe_load(member.host_id, report, requested_ms)
+        boot_id, known_count = self._preemptions.get(member.host_id, ("", 0))
+        new_count = report.preemption_count
+        if boot_id == report.boot_id:
+            new_count -= known_count
+        self._preemptions[member.host_id] = (report.boot_id, report.preemption_count)
+        if boot_id and new_count > 0:
+            self._ports.emit(
+                EnginePreempted(
+                    backend_server=member.host_id, preemption_count=new_count
+                )
+            )
+
+    def _poll_cache(self, member: Member) -> None:
+        after = self._ports.cache_sequence(member.host_id)
+        target = f"/v1/cache-events?after={after}"
+        events = self._fetch(member, target, CacheEvents)
+        self._ports.observe_cache(member.host_id, events)
+
+    def _fetch(self, member: Member, target: str, wanted: type[AnswerT]) -> AnswerT:
+        timeouts = ExchangeTimeouts(POLL_TIMEOUT_MS, POLL_TIMEOUT_MS, POLL_TIMEOUT_MS)
+        return fetch_json(member.address, target, wanted, uuid.uuid4().hex, timeouts)
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -156,6 +156,15 @@
     reason: str
 
 
+class BackendHealthChanged(
+    Event, frozen=True, kw_only=True, tag="backend_health_changed"
+):
+    """This host trusts a backend server more or less than before."""
+
+    health: str
+    reason: str
+
+
 class ConfigurationInForce(
     Event, frozen=True, kw_only=True, tag="configuration_in_force"
 ):
--- a/src/gypsumfield/plain_calls.py
+++ b/src/gypsumfield/plain_calls.py
@@ -7,18 +7,18 @@
 from urllib.parse import quote
 from urllib.parse import urlencode
 
-from gypsumfield.adapters.backends import AbortHandle
 from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.backends import Exchange
-from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.attempts import Attempt
 from gypsumfield.attempts import AttemptPorts
-from gypsumfield.attempts import Job
 from gypsumfield.attempts import run_attempts
 from gypsumfield.exceptions import Refusal
+from gypsumfield.jobs import Job
 from gypsumfield.ports import SlotOutcome
 from gypsumfield.ports import SlotUse
+from gypsumfield.relay import exchange_timeouts
+from gypsumfield.relay import RelayPorts
 
 ANSWER_LIMIT_BYTES = 16_777_216
 INTERNAL_PREFIX = "x-gypsumfield-"
@@ -80,13 +80,11 @@
     """What plain calls need from outside."""
 
     attempts: AttemptPorts
-    connect_timeout_ms: float
+    relay: RelayPorts
     pool: BackendPool
 
 
-def call_plain_service(
-    ports: PlainPorts, call: PlainCall, abort: AbortHandle
-) -> PlainAnswer:
+def call_plain_service(ports: PlainPorts, call: PlainCall) -> PlainAnswer:
     """Return the whole answer of a plain service.
 
     Raises:
@@ -94,7 +92,7 @@
     """
 
     def perform(attempt: Attempt) -> PlainAnswer:
-        return _perform(ports, call, abort, attempt)
+        return _perform(ports, call, attempt)
 
     return run_attempts(ports.attempts, call.job, perform)
 
@@ -162,15 +160,17 @@
     ]
 
 
-def _perform(
-    ports: PlainPorts, call: PlainCall, abort: AbortHandle, attempt: Attempt
-) -> PlainAnswer:
+def _perform(ports: PlainPorts, call: PlainCall, attempt: Attempt) -> PlainAnswer:
     job = call.job
     # A call that must not be repeated never goes out on a used connection: the
     # server may close it after reading, and nobody could tell what ran.
     pool = ports.pool if job.is_idempotent else None
-    exchange = Exchange(_outgoing(call, attempt), _timeouts(ports, job), abort, pool)
-    status = exchange.open(lambda: ports.attempts.find_hindrance(job, attempt.backend))
+    exchange = Exchange(
+        _outgoing(call, attempt), exchange_timeouts(ports.relay, job), job.abort, pool
+    )
+    status = exchange.open(
+        lambda: ports.attempts.find_hindrance(job, attempt.placement)
+    )
     try:
         body = exchange.read_body(ANSWER_LIMIT_BYTES)
         headers = clean_answer_headers(exchange.header_items())
@@ -178,7 +178,8 @@
         exchange.close()
         raise
     exchange.finish()
-    ports.attempts.slots.release(attempt.lease, SlotUse(SlotOutcome.COMPLETED))
+    use = SlotUse(SlotOutcome.COMPLETED)
+    ports.attempts.dispatcher.release(job, attempt.placement, use)
     return PlainAnswer(status, headers, body)
 
 
@@ -196,9 +197,3 @@
         body=call.body,
         request_id=call.job.request_id,
     )
-
-
-def _timeouts(ports: PlainPorts, job: Job) -> ExchangeTimeouts:
-    remaining_ms = job.deadline_ms - ports.attempts.clock.monotonic_ms()
-    silence_ms = max(1.0, min(job.profile.stall_timeout_ms, remaining_ms))
-    return ExchangeTimeouts(ports.connect_timeout_ms, silence_ms, silence_ms)
