--- a/src/gypsumfield/commands/program.py
+++ b/src/gypsumfield/commands/program.py
@@ -1,10 +1,12 @@
 """Runs a program that has exactly one command."""
 
+import sys
 from importlib.metadata import version
 from typing import cast
 
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.io.inputs.argv_input import ArgvInput
 
 
 def run_program(command: Command) -> int:
@@ -13,7 +15,7 @@
     application = Application(name, version("gypsumfield"))
     application.auto_exits(False)
     application.add(command)
-    # The library offers no public way to make a command the only one.
-    application._default_command = name
-    application._single_command = True
-    return cast("int", application.run())
+    # Naming the command makes it the only one. The library's own mode for that
+    # fails on arguments that are no options.
+    arguments = ArgvInput([name, name, *sys.argv[1:]])
+    return cast("int", application.run(arguments))
--- a/src/gypsumfield/decisions/redaction.py
+++ b/src/gypsumfield/decisions/redaction.py
@@ -3,23 +3,26 @@
 import re
 
 REDACTED = "[redacted]"
+SHORTEST_OPAQUE_LENGTH = 32
 
-_SHORTEST_SECRET_LENGTH = 6
 _SECRET_NAME = r"(?:key|token|secret|password|passwd|signature|credential)s?"
 
 _HEADER = re.compile(
-    r"(?i)\b((?:proxy-)?authorization|x-api-key|(?:set-)?cookie)([\"']?\s*[:=]\s*).+",
+    r"(?i)((?:proxy-)?authorization|x-api-key|(?:set-)?cookie)([\"']?\s*[:=]\s*).+",
     re.DOTALL,
 )
 _SCHEME = re.compile(r"(?i)\b(bearer|basic|digest)(\s+)[^\s,;\"'&]{6,}")
-_ASSIGNMENT = re.compile(
-    rf"(?i)\b([\w-]*{_SECRET_NAME})([\"']?\s*[:=]\s*[\"']?)[^&\s\"',;]+"
-)
+_ASSIGNMENT = re.compile(rf"(?i)({_SECRET_NAME}[\"']?\s*[:=]\s*[\"']?)[^&\s\"',;]+")
+_PREFIXED_KEY = re.compile(r"\b(?:sk|pk|key)[-_][\w-]{8,}")
 _OPAQUE_WORD = re.compile(
     r"(?<![\w+/=-])(?=[\w+/=-]*[a-z])(?=[\w+/=-]*[A-Z])(?=[\w+/=-]*\d)"
-    r"[\w+/=-]{32,}"
+    rf"[\w+/=-]{{{SHORTEST_OPAQUE_LENGTH},}}"
+)
+# Every pattern but the last one needs one of these marks.
+_MARKS = (
+    *("auth", "cookie", "key", "bearer", "basic", "digest", "token", "secret"),
+    *("passw", "signature", "credential", "sk-", "sk_", "pk-", "pk_"),
 )
-_PREFIXED_KEY = re.compile(r"\b(?:sk|pk|key)[-_][\w-]{8,}")
 
 
 def redact(text: str) -> str:
@@ -29,10 +32,12 @@
     name says that they are secret, words with a customary key prefix, and long
     words of mixed case and digits. Lower-case hexadecimal ids stay.
     """
-    if len(text) < _SHORTEST_SECRET_LENGTH:
-        return text
-    text = _HEADER.sub(rf"\1\2{REDACTED}", text)
-    text = _SCHEME.sub(rf"\1\2{REDACTED}", text)
-    text = _ASSIGNMENT.sub(rf"\1\2{REDACTED}", text)
-    text = _PREFIXED_KEY.sub(REDACTED, text)
-    return _OPAQUE_WORD.sub(REDACTED, text)
+    lowered = text.lower()
+    if any(mark in lowered for mark in _MARKS):
+        text = _HEADER.sub(rf"\1\2{REDACTED}", text)
+        text = _SCHEME.sub(rf"\1\2{REDACTED}", text)
+        text = _ASSIGNMENT.sub(rf"\1{REDACTED}", text)
+        text = _PREFIXED_KEY.sub(REDACTED, text)
+    if len(text) >= SHORTEST_OPAQUE_LENGTH:
+        text = _OPAQUE_WORD.sub(REDACTED, text)
+    return text
