--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -8,7 +8,9 @@
 import msgspec
 
 
-class Event(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Event(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag_field="event"
+):
     """Base of all events.
 
     Attributes:
@@ -17,6 +19,8 @@
         service: Service of the request.
         backend_server: Host id of the backend server.
         availability_zone: Zone it concerns, where not the host's own.
+
+    ``IS_HOT`` marks a type that may be sampled. Refusals and faults are not.
     """
 
     IS_HOT: ClassVar[bool] = False
@@ -227,3 +231,20 @@
     message_id: str
     sender: str
     kind: str
+
+
+class ControlMessageRefused(
+    Event, frozen=True, kw_only=True, tag="control_message_refused"
+):
+    """A frame on the control socket was dropped unread."""
+
+    reason: str
+
+
+class ControlHandlerFailed(
+    Event, frozen=True, kw_only=True, tag="control_handler_failed"
+):
+    """A handler or tick of the control loop raised an error."""
+
+    handler: str
+    reason: str
