--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -12,7 +12,7 @@
 import xxhash
 
 HOLD_DOWN_MS = 6_000.0
-PAUSE_LIMIT_MS = 1_000.0
+PAUSE_LIMIT_MS = 2_000.0
 
 
 class ZoneView(NamedTuple):
@@ -36,7 +36,7 @@
 
 def _score(resource: str, host: str) -> tuple[int, str]:
     # The name breaks a tie, so that every host breaks it alike.
-    return xxhash.xxh3_64_intdigest(f"{resource}\0{host}"), host
+    return xxhash.xxh3_64_intdigest(f"{resource}\0{host}".encode()), host
 
 
 class Ownership:
@@ -49,12 +49,16 @@
         host_id: The host that asks.
         now_ms: Monotonic time of its start.
         hold_down_ms: Wait before ownership grows.
+
+    Attributes:
+        unchanged_since_ms: Since when this host has owned the same resources.
     """
 
     def __init__(
         self, host_id: str, now_ms: float, hold_down_ms: float = HOLD_DOWN_MS
     ) -> None:
         self.host_id = host_id
+        self.unchanged_since_ms = now_ms
         self._hold_down_ms = hold_down_ms
         self._hosts: frozenset[str] = frozenset({host_id})
         self._departed_at_ms: dict[str, float] = {}
@@ -70,12 +74,17 @@
         starts_anew = not view.is_confirmed or self.is_paused(now_ms)
         if starts_anew:
             self._ready_at_ms = now_ms + self._hold_down_ms
+        rivals_before = self._rivals()
         for host in self._hosts - view.hosts:
             self._departed_at_ms[host] = now_ms
         for host in view.hosts:
             self._departed_at_ms.pop(host, None)
         self._forget_departed(now_ms)
         self._hosts = view.hosts
+        was_ready = self._updated_at_ms >= self._ready_at_ms
+        is_ready = now_ms >= self._ready_at_ms
+        if not is_ready or not was_ready or self._rivals() != rivals_before:
+            self.unchanged_since_ms = now_ms
         self._updated_at_ms = now_ms
         return starts_anew
 
@@ -85,12 +94,9 @@
 
     def owns(self, resource: str, now_ms: float) -> bool:
         """Return whether this host may act as owner of ``resource`` now."""
-        if now_ms < self._ready_at_ms or self.is_paused(now_ms):
+        if self._updated_at_ms < self._ready_at_ms or self.is_paused(now_ms):
             return False
-        rivals = self._hosts.union(self._departed_at_ms)
-        if self.host_id not in rivals:
-            return False
-        return owner_of(resource, rivals) == self.host_id
+        return owner_of(resource, self._rivals()) == self.host_id
 
     def current_owner(self, resource: str) -> str | None:
         """Return the host to ask for ``resource``; it may still be waiting."""
@@ -109,6 +115,9 @@
                 waits.append(departed_at_ms + self._hold_down_ms - now_ms)
         return max(0.0, *waits)
 
+    def _rivals(self) -> frozenset[str]:
+        return self._hosts.union(self._departed_at_ms)
+
     def _forget_departed(self, now_ms: float) -> None:
         self._departed_at_ms = {
             host: departed_at_ms
--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -8,14 +8,15 @@
 so that held and lent tokens never exceed the burst together.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
+from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import Ownership
 from gypsumfield.decisions.ownership import ZoneView
-from gypsumfield.decisions.ownership import owner_of
 
 POSITIONS_PER_ZONE = 12
 LOAN_LIFETIME_MS = 100.0
@@ -103,6 +104,7 @@
 
     def __init__(self, now_ms: float, hold_down_ms: float = HOLD_DOWN_MS) -> None:
         self.share = 0.0
+        self.unchanged_since_ms = now_ms
         self._hold_down_ms = hold_down_ms
         self._wanted_share = 0.0
         self._wanted_since_ms = now_ms
@@ -113,14 +115,15 @@
         if wanted_share != self._wanted_share or not view.are_zones_agreed:
             self._wanted_share = wanted_share
             self._wanted_since_ms = now_ms
-        if wanted_share < self.share:
-            self.share = wanted_share
-        elif now_ms - self._wanted_since_ms >= self._hold_down_ms:
+        is_agreed = now_ms - self._wanted_since_ms >= self._hold_down_ms
+        if wanted_share < self.share or (is_agreed and wanted_share > self.share):
             self.share = wanted_share
+            self.unchanged_since_ms = now_ms
 
-    def start_anew(self) -> None:
+    def start_anew(self, now_ms: float) -> None:
         """Give the share up until the list has been agreed on again."""
         self.share = 0.0
+        self.unchanged_since_ms = now_ms
         self._wanted_share = -1.0
 
 
@@ -137,6 +140,9 @@
         self.refundable_tokens = 0.0
         self.capacity_tokens = 0.0
         self.mint_per_s = 0.0
+        self._waiting: set[int] = set()
+        self._last_ticket = 0
+        self._asked_tokens: dict[str, float] = {}
         self._minted_at_ms = now_ms
         self._lent: list[_Lapse] = []
         self._borrowed: list[_Lapse] = []
@@ -214,10 +220,40 @@
             self._borrowed.append(_Lapse(lapses_at_ms, loan.tokens))
         return True
 
+    def note_ask(self, ask: Ask) -> None:
+        """Count tokens that a peer was asked for and has not answered yet."""
+        asked_tokens = self._asked_tokens.get(ask.peer, 0.0)
+        self._asked_tokens[ask.peer] = asked_tokens + ask.tokens
+
+    def note_answer(self, ask: Ask) -> None:
+        """Take an ask that was answered, or has timed out, from the count."""
+        asked_tokens = self._asked_tokens.pop(ask.peer, 0.0) - ask.tokens
+        if asked_tokens > ROUNDING_TOKENS:
+            self._asked_tokens[ask.peer] = asked_tokens
+
     def peer_was_silent(self, peer: str, now_ms: float) -> None:
         """Do not ask ``peer`` for a while: it has not answered in time."""
         self._silent_until_ms[peer] = now_ms + SILENT_PEER_MS
 
+    def missing_tokens(self, ticket: int) -> float:
+        """Return what a waiting request lacks, those before it being served."""
+        place = 1 + sum(other < ticket for other in self._waiting)
+        return place - self.available_tokens()
+
+    def join_queue(self) -> int:
+        """Return the ticket of a request that begins to wait."""
+        self._last_ticket += 1
+        self._waiting.add(self._last_ticket)
+        return self._last_ticket
+
+    def leave_queue(self, ticket: int) -> None:
+        """Forget a request that waits no longer."""
+        self._waiting.discard(ticket)
+
+    def is_anybody_waiting(self) -> bool:
+        """Return whether a request waits for tokens."""
+        return bool(self._waiting)
+
     def start_anew(self, now_ms: float) -> None:
         """Drop all tokens: the host was paused or cut off."""
         self.tokens = 0.0
@@ -239,29 +275,30 @@
         answered yet may have all of the burst.
         """
         levels = sorted(
-            ((self._level_of(peer, limit, now_ms), peer) for peer in peers),
-            reverse=True,
+            ((self._level_of(peer, now_ms), peer) for peer in peers),
+            key=lambda entry: (-entry[0], self._asked_tokens.get(entry[1], 0.0)),
         )
         asks: list[Ask] = []
         missing = missing_tokens
         for level_tokens, peer in levels:
-            if missing <= 0.0 or level_tokens < SMALLEST_LOAN_TOKENS:
+            if missing <= ROUNDING_TOKENS or level_tokens < SMALLEST_LOAN_TOKENS:
                 break
-            asks.append(Ask(peer, missing_tokens))
+            asks.append(Ask(peer, missing))
             missing -= level_tokens
         if missing <= ROUNDING_TOKENS:
             return BorrowingPlan(tuple(asks), 0.0)
         return BorrowingPlan((), missing / limit.rate_per_s * MS_PER_S)
 
-    def _level_of(self, peer: str, limit: AccountLimit, now_ms: float) -> float:
+    def _level_of(self, peer: str, now_ms: float) -> float:
         if self._silent_until_ms.get(peer, 0.0) > now_ms:
             return 0.0
         known = self._peer_levels.get(peer)
         if known is None or now_ms - known.known_at_ms > PEER_LEVEL_LIFETIME_MS:
-            return limit.burst
+            return math.inf
         elapsed_s = (now_ms - known.known_at_ms) / MS_PER_S
         grown = known.loan.level_tokens + known.loan.mint_per_s * elapsed_s
-        return min(grown, known.loan.capacity_tokens)
+        level_tokens = min(grown, known.loan.capacity_tokens)
+        return level_tokens - self._asked_tokens.get(peer, 0.0)
 
     def _room(self) -> float:
         lent = sum(loan.tokens for loan in self._lent)
@@ -288,42 +325,60 @@
         self._split = ZoneSplit(now_ms, hold_down_ms)
         self._zone = ""
         self._pools: dict[str, AccountPool] = {}
+        self._shares: dict[str, float] = {}
+        self._shares_since_ms = now_ms
+        self._forgotten_at_ms = now_ms
 
     def update(self, view: QuotaView, now_ms: float) -> None:
         """Follow membership and the list of zones; called at every tick."""
         self._zone = view.zone
-        starts_anew = self._ownership.update(view.zone_view, now_ms)
-        if starts_anew:
-            self._split.start_anew()
+        if self._ownership.update(view.zone_view, now_ms):
+            self._split.start_anew(now_ms)
             for pool in self._pools.values():
                 pool.start_anew(now_ms)
         self._split.update(view, now_ms)
+        unchanged_since_ms = max(
+            self._ownership.unchanged_since_ms, self._split.unchanged_since_ms
+        )
+        if unchanged_since_ms != self._shares_since_ms:
+            self._shares.clear()
+            self._shares_since_ms = unchanged_since_ms
 
     def share_of(self, account: str, now_ms: float) -> float:
         """Return this host's share of the account's rate, from 0 to 1."""
-        owned = sum(
-            self._ownership.owns(position, now_ms)
-            for position in positions_of(account, self._zone)
-        )
-        return self._split.share * owned / POSITIONS_PER_ZONE
+        if self._ownership.is_paused(now_ms):
+            return 0.0
+        share = self._shares.get(account)
+        if share is None:
+            positions = positions_of(account, self._zone)
+            owned = sum(self._ownership.owns(name, now_ms) for name in positions)
+            share = self._split.share * owned / POSITIONS_PER_ZONE
+            self._shares[account] = share
+        return share
 
     def pool_of(self, account: str, limit: AccountLimit, now_ms: float) -> AccountPool:
         """Return the account's pool, minted up to ``now_ms``."""
+        share = self.share_of(account, now_ms)
+        mint_per_s = share * limit.rate_per_s
         pool = self._pools.get(account)
         if pool is None:
-            pool = AccountPool(now_ms)
+            # The share has been this host's since then, and nobody used it.
+            pool = AccountPool(max(self._shares_since_ms, self._forgotten_at_ms))
+            pool.mint_per_s = mint_per_s
             self._pools[account] = pool
         if self._ownership.is_paused(now_ms):
             pool.start_anew(now_ms)
-        share = self.share_of(account, now_ms)
-        pool.refresh(share * limit.rate_per_s, share * limit.burst, now_ms)
+        pool.refresh(mint_per_s, share * limit.burst, now_ms)
         return pool
 
-    def forget_except(self, accounts: Iterable[str]) -> None:
+    def forget_except(self, accounts: Iterable[str], now_ms: float) -> None:
         """Drop the pools of accounts that are gone from the configuration."""
-        kept = frozenset(accounts)
-        for account in self._pools.keys() - kept:
+        gone = self._pools.keys() - frozenset(accounts)
+        for account in gone:
             del self._pools[account]
+        if gone:
+            # An account that comes back must not find a second burst.
+            self._forgotten_at_ms = now_ms
 
 
 def positions_of(account: str, zone: str) -> tuple[str, ...]:
