--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -192,9 +192,9 @@
         self.tokens += refund
 
     def lend(self, wanted_tokens: float, now_ms: float) -> Loan:
-        """Subtract up to ``wanted_tokens`` for a peer."""
+        """Subtract up to ``wanted_tokens`` for a peer; own requests go first."""
         lent = max(0.0, min(wanted_tokens, self.tokens))
-        if lent < SMALLEST_LOAN_TOKENS:
+        if lent < SMALLEST_LOAN_TOKENS or self._waiting:
             lent = 0.0
         if lent:
             self.tokens -= lent
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -47,17 +47,24 @@
     Attributes:
         boot_id: Boot of the server.
         is_cold: Whether it bears only a little load.
-        request_count: Requests that run or wait there.
+        running_count: Requests that run there.
+        waiting_count: Requests that wait there for memory.
         memory_limit_tokens: Its key-value memory; 0 when it has none.
         taken_at_ms: When it was so, on this host's monotonic clock.
     """
 
     boot_id: str
     is_cold: bool
-    request_count: int
+    running_count: int
+    waiting_count: int
     memory_limit_tokens: int
     taken_at_ms: float
 
+    @property
+    def request_count(self) -> int:
+        """Requests that run or wait there."""
+        return self.running_count + self.waiting_count
+
 
 class HeldLease(NamedTuple):
     """A lease as its holder reports it.
@@ -172,9 +179,11 @@
         if load.is_cold and not self.is_cold:
             self._turn_cold("it says that it is cold", now_ms)
         elif not load.is_cold and load.taken_at_ms > self._trouble_at_ms:
-            # A warm server bears what it runs; a new owner need not ramp up.
             self.is_cold = False
-            self.limit = max(self.limit, min(load.request_count, self._warm_limit))
+            if load.waiting_count == 0:
+                # It bears what it runs, so a new owner need not ramp up to it.
+                borne_count = min(load.running_count, self._warm_limit)
+                self.limit = max(self.limit, borne_count)
 
     def in_flight_count(self, now_ms: float) -> int:
         """Return the most requests that may run on the server now."""
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -138,18 +138,18 @@
         account: Client account.
         token_count: Tokens moved; 0 tells that none can be spared.
         receiver_boot_id: Boot of the receiver that the tokens are for.
+        level_tokens: Tokens that the sender has left.
+        capacity_tokens: Tokens that the sender can hold at most.
+        mint_per_s: Tokens a second that the sender mints.
     """
 
     transfer_id: str = ""
     account: str = ""
     token_count: float = 0.0
     receiver_boot_id: str = ""
-
-
-class TokenAcknowledgement(ControlMessage, frozen=True, tag=12):
-    """Confirms that a transfer has arrived."""
-
-    transfer_id: str = ""
+    level_tokens: float = 0.0
+    capacity_tokens: float = 0.0
+    mint_per_s: float = 0.0
 
 
 class SlotRequest(ControlMessage, frozen=True, tag=20):
@@ -164,6 +164,7 @@
         prompt_tokens: Estimated length of the prompt.
         max_tokens: Largest output.
         priority: Larger is served first.
+        lease_id: Unique name that the lease shall have.
     """
 
     request_id: str = ""
@@ -174,6 +175,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     priority: int = 0
+    lease_id: str = ""
 
 
 class SlotGrant(ControlMessage, frozen=True, tag=21):
@@ -224,12 +226,40 @@
     first_token_ms: float | None = None
 
 
+class LeaseReport(msgspec.Struct, frozen=True, array_like=True):
+    """One lease in use, with all that a new owner must know of it.
+
+    Attributes:
+        lease_id: Name of the lease.
+        backend_server: Host id of the backend server.
+        boot_id: Boot of the backend server that the lease is for.
+        generated_tokens: Tokens its answer has so far.
+        request_id: Unique name of the caller's request.
+        service: Service of the request.
+        profile: Profile of the service.
+        account: Client account.
+        prompt_tokens: Estimated length of the prompt.
+        max_tokens: Largest output.
+        priority: Larger is served first.
+    """
+
+    lease_id: str
+    backend_server: str
+    boot_id: str
+    generated_tokens: int
+    request_id: str
+    service: str
+    profile: str
+    account: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+
+
 class SlotProgress(ControlMessage, frozen=True, tag=24):
-    """Renews a lease and tells how many tokens its answer has so far."""
+    """Renews leases, or tells a new owner of them."""
 
-    lease_id: str = ""
-    backend_server: str = ""
-    generated_tokens: int = 0
+    leases: tuple[LeaseReport, ...] = ()
 
 
 class BackendSummary(ControlMessage, frozen=True, tag=25):
@@ -263,7 +293,6 @@
     | ValuesRequest
     | TokenRequest
     | TokenTransfer
-    | TokenAcknowledgement
     | SlotRequest
     | SlotGrant
     | SlotRefused
--- a/src/gypsumfield/ports.py
+++ b/src/gypsumfield/ports.py
@@ -1,5 +1,6 @@
 """What the serving code needs from outside, as callables."""
 
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
@@ -49,12 +50,15 @@
         backend_server: Host id of the backend server.
         boot_id: Boot of the backend server that the lease is for.
         owner: Host id of the entry host that granted it.
+        send_before_ms: Monotonic time after which the request must not be sent
+            any more; to be checked right before sending.
     """
 
     lease_id: str
     backend_server: str
     boot_id: str
     owner: str
+    send_before_ms: float = math.inf
 
 
 class SlotRefusal(NamedTuple):
--- /dev/null
+++ b/src/gypsumfield/quota_service.py
@@ -0,0 +1,218 @@
+"""Account limits of one entry host: lends and borrows rate tokens by message."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import gevent
+from returns.result import Result
+from returns.result import Success
+
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.control_loop import ControlLoop
+from gypsumfield.control_loop import PeerUnavailable
+from gypsumfield.decisions.borrowing import Answer
+from gypsumfield.decisions.borrowing import AskPeers
+from gypsumfield.decisions.borrowing import BorrowingStep
+from gypsumfield.decisions.borrowing import take_token
+from gypsumfield.decisions.ownership import HOLD_DOWN_MS
+from gypsumfield.decisions.quotas import AccountLimit
+from gypsumfield.decisions.quotas import AccountPool
+from gypsumfield.decisions.quotas import Ask
+from gypsumfield.decisions.quotas import holders_of
+from gypsumfield.decisions.quotas import Loan
+from gypsumfield.decisions.quotas import QuotaLedger
+from gypsumfield.decisions.quotas import QuotaView
+from gypsumfield.events import ShareMoved
+from gypsumfield.messages import TokenRequest
+from gypsumfield.messages import TokenTransfer
+from gypsumfield.ports import EmitEvent
+from gypsumfield.ports import QuotaDecision
+from gypsumfield.ports import QuotaPort
+
+TICK_INTERVAL_MS = 250.0
+UNKNOWN_ACCOUNT_RETRY_MS = 1_000.0
+
+ReadView = Callable[[], QuotaView]
+ReadLimits = Callable[[], Mapping[str, AccountLimit]]
+ReadHosts = Callable[[], Mapping[str, frozenset[str]]]
+
+
+class QuotaSources(NamedTuple):
+    """What the service reads, at every tick and request.
+
+    Attributes:
+        read_view: Zone list and entry hosts of this host's zone.
+        read_limits: Rate and burst by account, from the configuration.
+        read_hosts: Live entry hosts by zone, to borrow from.
+    """
+
+    read_view: ReadView
+    read_limits: ReadLimits
+    read_hosts: ReadHosts
+
+
+class QuotaService:
+    """Takes and lends rate tokens of all accounts on one entry host.
+
+    Args:
+        loop: Control loop of this host.
+        clock: Clock of this host.
+        sources: Membership and configuration.
+        emit: Takes events.
+        hold_down_ms: Wait before a share of this host grows.
+    """
+
+    def __init__(
+        self,
+        loop: ControlLoop,
+        clock: Clock,
+        sources: QuotaSources,
+        emit: EmitEvent,
+        hold_down_ms: float = HOLD_DOWN_MS,
+    ) -> None:
+        self._loop = loop
+        self._clock = clock
+        self._sources = sources
+        self._emit = emit
+        self._ledger = QuotaLedger(loop.host_id, clock.monotonic_ms(), hold_down_ms)
+        self._hosts: Mapping[str, frozenset[str]] = {}
+        self._peers: dict[str, tuple[str, ...]] = {}
+        self._request_count = 0
+
+    def start(self) -> None:
+        """Register with the control loop."""
+        self._loop.register(TokenRequest, self._lend)
+        self._loop.add_tick(TICK_INTERVAL_MS, self._tick)
+        self._tick(self._clock.monotonic_ms())
+
+    def port(self) -> QuotaPort:
+        """Return the port for the serving code."""
+        return QuotaPort(take=self.take, give_back=self.give_back)
+
+    def take(self, account: str) -> QuotaDecision:
+        """Take one token of ``account``; may wait for a loan."""
+        limit = self._sources.read_limits().get(account)
+        if limit is None:
+            return QuotaDecision(
+                is_granted=False,
+                retry_after_ms=UNKNOWN_ACCOUNT_RETRY_MS,
+                reason="the account is not in the configuration",
+            )
+        steps = take_token(
+            lambda: self._pool(account, limit),
+            limit,
+            self._peers_of(account),
+            self._clock.monotonic_ms,
+        )
+        answers: tuple[Answer, ...] | None = None
+        while True:
+            try:
+                step = next(steps) if answers is None else steps.send(answers)
+            except StopIteration as stop:
+                return stop.value  # type: ignore[no-any-return]
+            answers = self._carry_out(account, step)
+
+    def give_back(self, account: str) -> None:
+        """Return the token of a request that has not run."""
+        limit = self._sources.read_limits().get(account)
+        if limit is not None:
+            self._pool(account, limit).give_back()
+
+    def shares(self) -> Mapping[str, float]:
+        """Return this host's share of each account's rate, for the status page."""
+        now_ms = self._clock.monotonic_ms()
+        return {
+            account: self._ledger.share_of(account, now_ms)
+            for account in self._sources.read_limits()
+        }
+
+    def _tick(self, now_ms: float) -> None:
+        self._ledger.update(self._sources.read_view(), now_ms)
+        self._ledger.forget_except(self._sources.read_limits(), now_ms)
+        hosts = self._sources.read_hosts()
+        if hosts != self._hosts:
+            self._hosts = dict(hosts)
+            self._peers.clear()
+
+    def _pool(self, account: str, limit: AccountLimit) -> AccountPool:
+        return self._ledger.pool_of(account, limit, self._clock.monotonic_ms())
+
+    def _peers_of(self, account: str) -> tuple[str, ...]:
+        peers = self._peers.get(account)
+        if peers is None:
+            holders: set[str] = set()
+            for zone, hosts in self._hosts.items():
+                holders |= holders_of(account, zone, hosts)
+            peers = tuple(sorted(holders - {self._loop.host_id}))
+            self._peers[account] = peers
+        return peers
+
+    def _carry_out(self, account: str, step: BorrowingStep) -> tuple[Answer, ...]:
+        if not isinstance(step, AskPeers):
+            gevent.sleep(step.duration_ms / MS_PER_S)
+            return ()
+        if len(step.asks) == 1:
+            return (self._ask(account, step.asks[0], step.timeout_ms),)
+        greenlets = [
+            gevent.spawn(self._ask, account, ask, step.timeout_ms) for ask in step.asks
+        ]
+        gevent.joinall(greenlets)
+        return tuple(greenlet.get() for greenlet in greenlets)
+
+    def _ask(self, account: str, ask: Ask, timeout_ms: float) -> Answer:
+        self._request_count += 1
+        request = TokenRequest(
+            request_id=f"{self._loop.boot_id}/{self._request_count}",
+            account=account,
+            token_count=ask.tokens,
+        )
+        result: Result[TokenTransfer, PeerUnavailable] = self._loop.request(
+            ask.peer, request, TokenTransfer, timeout_ms
+        )
+        if not isinstance(result, Success):
+            return Answer(ask.peer, None)
+        return Answer(ask.peer, self._open(request, result.unwrap()))
+
+    def _open(self, request: TokenRequest, transfer: TokenTransfer) -> Loan | None:
+        """Return the loan in a transfer, or None if it is not for this request."""
+        is_for_this_boot = transfer.receiver_boot_id == self._loop.boot_id
+        if not is_for_this_boot or transfer.transfer_id != request.request_id:
+            return None
+        return Loan(
+            transfer.token_count,
+            transfer.level_tokens,
+            transfer.capacity_tokens,
+            transfer.mint_per_s,
+        )
+
+    def _lend(self, sender: str, request: TokenRequest) -> TokenTransfer | None:
+        limit = self._sources.read_limits().get(request.account)
+        if limit is None:
+            return TokenTransfer(
+                transfer_id=request.request_id,
+                account=request.account,
+                receiver_boot_id=self._loop.boot_id_of(sender),
+            )
+        now_ms = self._clock.monotonic_ms()
+        pool = self._ledger.pool_of(request.account, limit, now_ms)
+        loan = pool.lend(request.token_count, now_ms)
+        if loan.tokens > 0.0:
+            self._emit(
+                ShareMoved(
+                    account=request.account,
+                    sender=self._loop.host_id,
+                    receiver=sender,
+                    token_count=loan.tokens,
+                )
+            )
+        return TokenTransfer(
+            transfer_id=request.request_id,
+            account=request.account,
+            token_count=loan.tokens,
+            receiver_boot_id=self._loop.boot_id_of(sender),
+            level_tokens=loan.level_tokens,
+            capacity_tokens=loan.capacity_tokens,
+            mint_per_s=loan.mint_per_s,
+        )
--- /dev/null
+++ b/src/gypsumfield/slot_service.py
@@ -0,0 +1,431 @@
+"""Slots of backend servers on one entry host: owner and holder of leases.
+
+As owner, the host grants slots of the backend servers of its zone that
+rendezvous hashing gives to it. As holder, it asks the owner for a slot, tells
+it of the progress, and returns the lease with its evidence. Leases in use are
+reported to whoever is the owner now, so that a new owner knows of them before
+it may grant anything.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Success
+
+from gypsumfield.clock import Clock
+from gypsumfield.control_loop import ControlLoop
+from gypsumfield.decisions.ownership import HOLD_DOWN_MS
+from gypsumfield.decisions.ownership import owner_of
+from gypsumfield.decisions.ownership import Ownership
+from gypsumfield.decisions.ownership import ZoneView
+from gypsumfield.decisions.slots import BackendSlots
+from gypsumfield.decisions.slots import HeldLease
+from gypsumfield.decisions.slots import LEASE_MS
+from gypsumfield.decisions.slots import LoadObservation
+from gypsumfield.decisions.slots import MayAdmit
+from gypsumfield.decisions.workload import GenerationDemand
+from gypsumfield.engine_api import LoadReport
+from gypsumfield.events import BackendTurnedCold
+from gypsumfield.events import SlotGranted
+from gypsumfield.events import SlotReturned
+from gypsumfield.messages import ControlMessage
+from gypsumfield.messages import LeaseReport
+from gypsumfield.messages import SlotGrant
+from gypsumfield.messages import SlotProgress
+from gypsumfield.messages import SlotRefused
+from gypsumfield.messages import SlotRequest
+from gypsumfield.messages import SlotReturn
+from gypsumfield.ports import EmitEvent
+from gypsumfield.ports import SlotLease
+from gypsumfield.ports import SlotOutcome
+from gypsumfield.ports import SlotPort
+from gypsumfield.ports import SlotRefusal
+from gypsumfield.ports import SlotUse
+
+TICK_INTERVAL_MS = 250.0
+ACQUIRE_TIMEOUT_MS = 200.0
+RETRY_AFTER_SILENT_OWNER_MS = 500.0
+RENEWALS_PER_LEASE = 3
+# A message stays well below the size that a slow link carries at once.
+LEASES_PER_MESSAGE = 64
+
+
+class BackendDescription(NamedTuple):
+    """What the owner must know of a backend server beforehand.
+
+    Attributes:
+        zone: Its availability zone.
+        boot_id: Its boot as the membership list says; empty if unknown.
+        is_reporting: Whether it answers with load reports.
+    """
+
+    zone: str
+    boot_id: str = ""
+    is_reporting: bool = False
+
+
+class SlotSources(NamedTuple):
+    """What the service reads, at every tick and request.
+
+    Attributes:
+        read_view: Entry hosts of this host's zone, for ownership.
+        read_hosts: Live entry hosts by zone, to find the owner to ask.
+        describe_backend: Describes a backend server; None if it is unknown.
+        may_admit: Judges a candidate by predicted memory.
+    """
+
+    read_view: Callable[[], ZoneView]
+    read_hosts: Callable[[], Mapping[str, frozenset[str]]]
+    describe_backend: Callable[[str], BackendDescription | None]
+    may_admit: MayAdmit
+
+
+class _Holding(NamedTuple):
+    lease: HeldLease
+    backend_server: str
+    owner: str
+
+
+class SlotService:
+    """Grants, holds and returns leases on one entry host.
+
+    Args:
+        loop: Control loop of this host.
+        clock: Clock of this host.
+        zone: Availability zone of this host.
+        sources: Membership and admission.
+        emit: Takes events.
+        hold_down_ms: Wait of a new owner; longer than a lease.
+        lease_ms: How long a lease lasts unless it is renewed.
+    """
+
+    def __init__(
+        self,
+        loop: ControlLoop,
+        clock: Clock,
+        zone: str,
+        sources: SlotSources,
+        emit: EmitEvent,
+        hold_down_ms: float = HOLD_DOWN_MS,
+        lease_ms: float = LEASE_MS,
+    ) -> None:
+        if hold_down_ms <= lease_ms:
+            raise ValueError(
+                f"hold-down of {hold_down_ms:g} ms is not longer than a lease "
+                f"of {lease_ms:g} ms"
+            )
+        self._loop = loop
+        self._clock = clock
+        self._zone = zone
+        self._sources = sources
+        self._emit = emit
+        self._lease_ms = lease_ms
+        self._ownership = Ownership(loop.host_id, clock.monotonic_ms(), hold_down_ms)
+        self._backends: dict[str, BackendSlots] = {}
+        self._holdings: dict[str, _Holding] = {}
+        self._lease_count = 0
+        self._renewed_at_ms = clock.monotonic_ms()
+
+    def start(self) -> None:
+        """Register with the control loop."""
+        self._loop.register(SlotRequest, self._handle_request)
+        self._loop.register(SlotProgress, self._handle_progress)
+        self._loop.register(SlotReturn, self._handle_return)
+        self._loop.add_tick(TICK_INTERVAL_MS, self._tick)
+        self._tick(self._clock.monotonic_ms())
+
+    def port(self) -> SlotPort:
+        """Return the port for the serving code."""
+        return SlotPort(
+            acquire=self.acquire,
+            report_progress=self.report_progress,
+            release=self.release,
+        )
+
+    def acquire(
+        self, backend_server: str, demand: GenerationDemand
+    ) -> SlotLease | SlotRefusal:
+        """Ask the owner of ``backend_server`` for a slot."""
+        owner = self._owner_of(backend_server)
+        if owner is None:
+            return SlotRefusal(
+                f"{backend_server}: no entry host of its zone is known",
+                RETRY_AFTER_SILENT_OWNER_MS,
+            )
+        asked_at_ms = self._clock.monotonic_ms()
+        self._lease_count += 1
+        lease_id = f"{self._loop.host_id}/{self._loop.boot_id}/{self._lease_count}"
+        wanted = HeldLease(lease_id, self._loop.host_id, "", demand)
+        if owner == self._loop.host_id:
+            answer = self._grant(backend_server, wanted)
+        else:
+            answer = self._ask_owner(owner, backend_server, wanted)
+        if isinstance(answer, SlotRefusal):
+            return answer
+        self._holdings[lease_id] = _Holding(answer, backend_server, owner)
+        send_before_ms = asked_at_ms + self._lease_ms
+        return SlotLease(
+            lease_id, backend_server, answer.boot_id, owner, send_before_ms
+        )
+
+    def report_progress(self, lease: SlotLease, generated_tokens: int) -> None:
+        """Note how many tokens the answer has; told with the next renewal."""
+        holding = self._holdings.get(lease.lease_id)
+        if holding is not None:
+            held = holding.lease._replace(generated_tokens=generated_tokens)
+            self._holdings[lease.lease_id] = holding._replace(lease=held)
+
+    def release(self, lease: SlotLease, use: SlotUse) -> None:
+        """Return a lease with its evidence; a second return does nothing."""
+        holding = self._holdings.pop(lease.lease_id, None)
+        if holding is None:
+            return
+        # The owner may have changed; whoever granted the lease counts it too.
+        owners = {holding.owner, self._owner_of(lease.backend_server)}
+        for owner in owners - {None}:
+            self._return(str(owner), lease.backend_server, lease.lease_id, use)
+
+    def observe_load(
+        self, backend_server: str, report: LoadReport, requested_at_ms: float
+    ) -> None:
+        """Take in a load report that was asked for at ``requested_at_ms``."""
+        slots = self._slots_of(backend_server)
+        if slots is None:
+            return
+        observation = LoadObservation(
+            boot_id=report.boot_id,
+            is_cold=report.is_cold,
+            running_count=report.running_count,
+            waiting_count=report.waiting_count,
+            memory_limit_tokens=report.memory_limit_tokens,
+            taken_at_ms=requested_at_ms - report.report_age_ms,
+        )
+        was_cold = slots.is_cold
+        slots.observe(observation, self._clock.monotonic_ms())
+        self._tell_cold(backend_server, slots, was_cold)
+
+    def is_owner(self, backend_server: str) -> bool:
+        """Return whether this host is, or waits to be, the owner."""
+        return self._owner_of(backend_server) == self._loop.host_id
+
+    def free_count(self, backend_server: str) -> int:
+        """Return how many slots this owner could grant now, memory aside."""
+        slots = self._backends.get(backend_server)
+        now_ms = self._clock.monotonic_ms()
+        if slots is None or not self._ownership.owns(_resource(backend_server), now_ms):
+            return 0
+        return slots.free_count(now_ms)
+
+    def _tick(self, now_ms: float) -> None:
+        if self._ownership.update(self._sources.read_view(), now_ms):
+            # What this host knew as owner may be out of date.
+            self._backends.clear()
+        for backend_server in list(self._backends):
+            if not self.is_owner(backend_server):
+                del self._backends[backend_server]
+        if now_ms - self._renewed_at_ms >= self._lease_ms / RENEWALS_PER_LEASE:
+            self._renewed_at_ms = now_ms
+            self._renew()
+
+    def _renew(self) -> None:
+        by_owner: dict[str, list[LeaseReport]] = {}
+        for holding in self._holdings.values():
+            owner = self._owner_of(holding.backend_server)
+            if owner is not None:
+                by_owner.setdefault(owner, []).append(_report_of(holding))
+        for owner, reports in by_owner.items():
+            for start in range(0, len(reports), LEASES_PER_MESSAGE):
+                batch = tuple(reports[start : start + LEASES_PER_MESSAGE])
+                self._deliver(owner, SlotProgress(leases=batch))
+
+    def _deliver(self, owner: str, message: SlotProgress | SlotReturn) -> None:
+        if owner != self._loop.host_id:
+            self._loop.send(owner, message)
+        elif isinstance(message, SlotProgress):
+            self._handle_progress(owner, message)
+        else:
+            self._handle_return(owner, message)
+
+    def _return(
+        self, owner: str, backend_server: str, lease_id: str, use: SlotUse
+    ) -> None:
+        message = SlotReturn(
+            lease_id=lease_id,
+            backend_server=backend_server,
+            outcome=use.outcome.value,
+            generated_tokens=use.generated_tokens,
+            first_token_ms=use.first_token_ms,
+        )
+        self._deliver(owner, message)
+
+    def _ask_owner(
+        self, owner: str, backend_server: str, wanted: HeldLease
+    ) -> HeldLease | SlotRefusal:
+        demand = wanted.demand
+        request = SlotRequest(
+            request_id=demand.request_id,
+            backend_server=backend_server,
+            service=demand.service,
+            profile=demand.profile,
+            account=demand.account,
+            prompt_tokens=demand.prompt_tokens,
+            max_tokens=demand.max_tokens,
+            priority=demand.priority,
+            lease_id=wanted.lease_id,
+        )
+        result = self._loop.request(owner, request, ControlMessage, ACQUIRE_TIMEOUT_MS)
+        answer = result.unwrap() if isinstance(result, Success) else None
+        if isinstance(answer, SlotRefused):
+            return SlotRefusal(answer.reason, answer.retry_after_ms)
+        if isinstance(answer, SlotGrant) and answer.lease_id == wanted.lease_id:
+            return wanted._replace(boot_id=answer.boot_id)
+        # The owner may have granted it all the same.
+        use = SlotUse(SlotOutcome.NOT_SENT)
+        self._return(owner, backend_server, wanted.lease_id, use)
+        return SlotRefusal(
+            f"{backend_server}: its owner {owner} did not answer",
+            RETRY_AFTER_SILENT_OWNER_MS,
+        )
+
+    def _grant(self, backend_server: str, wanted: HeldLease) -> HeldLease | SlotRefusal:
+        now_ms = self._clock.monotonic_ms()
+        resource = _resource(backend_server)
+        slots = self._slots_of(backend_server)
+        if slots is None or not self._ownership.owns(resource, now_ms):
+            wait_ms = self._ownership.wait_ms(resource, now_ms)
+            return SlotRefusal(
+                f"{backend_server}: {self._loop.host_id} is not its owner yet",
+                max(wait_ms, RETRY_AFTER_SILENT_OWNER_MS),
+            )
+        answer = slots.request(wanted, now_ms)
+        if isinstance(answer, HeldLease):
+            self._emit(
+                SlotGranted(
+                    backend_server=backend_server, holder=wanted.holder, slot_count=1
+                )
+            )
+        return answer
+
+    def _handle_request(
+        self, sender: str, message: SlotRequest
+    ) -> SlotGrant | SlotRefused:
+        demand = GenerationDemand(
+            message.request_id,
+            message.service,
+            message.profile,
+            message.account,
+            message.prompt_tokens,
+            message.max_tokens,
+            message.priority,
+        )
+        backend_server = message.backend_server
+        wanted = HeldLease(message.lease_id, sender, "", demand)
+        answer = self._grant(backend_server, wanted)
+        if isinstance(answer, SlotRefusal):
+            return SlotRefused(
+                backend_server=backend_server,
+                reason=answer.reason,
+                retry_after_ms=answer.retry_after_ms,
+            )
+        return SlotGrant(
+            lease_id=answer.lease_id,
+            backend_server=backend_server,
+            boot_id=answer.boot_id,
+            lease_ms=self._lease_ms,
+        )
+
+    def _handle_progress(self, sender: str, message: SlotProgress) -> None:
+        now_ms = self._clock.monotonic_ms()
+        for report in message.leases:
+            slots = self._slots_of(report.backend_server)
+            if slots is not None:
+                slots.renew(_lease_of(sender, report), now_ms)
+
+    def _handle_return(self, sender: str, message: SlotReturn) -> None:
+        slots = self._slots_of(message.backend_server)
+        if slots is None:
+            return
+        outcome = SlotOutcome(message.outcome)
+        use = SlotUse(outcome, message.generated_tokens, message.first_token_ms)
+        was_cold = slots.is_cold
+        slots.give_back(message.lease_id, use, self._clock.monotonic_ms())
+        self._emit(
+            SlotReturned(
+                backend_server=message.backend_server, holder=sender, slot_count=1
+            )
+        )
+        self._tell_cold(message.backend_server, slots, was_cold)
+
+    def _slots_of(self, backend_server: str) -> BackendSlots | None:
+        """Return the record of a backend server that this host may come to own."""
+        description = self._sources.describe_backend(backend_server)
+        if description is None or description.zone != self._zone:
+            return None
+        slots = self._backends.get(backend_server)
+        if slots is None:
+            slots = BackendSlots(
+                self._sources.may_admit,
+                description.is_reporting,
+                lease_ms=self._lease_ms,
+            )
+            self._backends[backend_server] = slots
+        if description.boot_id and not description.is_reporting:
+            slots.observe_boot(description.boot_id, self._clock.monotonic_ms())
+        return slots
+
+    def _owner_of(self, backend_server: str) -> str | None:
+        description = self._sources.describe_backend(backend_server)
+        if description is None:
+            return None
+        hosts = self._sources.read_hosts().get(description.zone, frozenset())
+        if description.zone == self._zone:
+            hosts |= {self._loop.host_id}
+        return owner_of(_resource(backend_server), hosts)
+
+    def _tell_cold(
+        self, backend_server: str, slots: BackendSlots, was_cold: bool
+    ) -> None:
+        if slots.is_cold and not was_cold:
+            self._emit(
+                BackendTurnedCold(
+                    backend_server=backend_server, reason=slots.cold_reason
+                )
+            )
+
+
+def _resource(backend_server: str) -> str:
+    return f"slots/{backend_server}"
+
+
+def _report_of(holding: _Holding) -> LeaseReport:
+    lease = holding.lease
+    demand = lease.demand
+    return LeaseReport(
+        lease_id=lease.lease_id,
+        backend_server=holding.backend_server,
+        boot_id=lease.boot_id,
+        generated_tokens=lease.generated_tokens,
+        request_id=demand.request_id,
+        service=demand.service,
+        profile=demand.profile,
+        account=demand.account,
+        prompt_tokens=demand.prompt_tokens,
+        max_tokens=demand.max_tokens,
+        priority=demand.priority,
+    )
+
+
+def _lease_of(holder: str, report: LeaseReport) -> HeldLease:
+    demand = GenerationDemand(
+        report.request_id,
+        report.service,
+        report.profile,
+        report.account,
+        report.prompt_tokens,
+        report.max_tokens,
+        report.priority,
+    )
+    return HeldLease(
+        report.lease_id, holder, report.boot_id, demand, report.generated_tokens
+    )
