--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,346 @@
+import pytest
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import run_state_machine_as_test
+
+import quota_fleet
+from gypsumfield.decisions.ownership import Ownership
+from gypsumfield.decisions.quotas import AccountLimit
+from gypsumfield.decisions.quotas import AccountPool
+from gypsumfield.decisions.quotas import Loan
+from quota_fleet import HOLD_DOWN_MS
+from quota_fleet import PLATFORM
+from quota_fleet import Published
+from quota_fleet import QuotaFleet
+
+QUICK = AccountLimit(rate_per_s=100.0, burst=12.0)
+SLOW = AccountLimit(rate_per_s=5.0, burst=12.0)
+HOSTS = ["a-1", "a-2", "b-1", "b-2"]
+NODES = [*HOSTS, "c-1", PLATFORM]
+EXACT_TOKENS = 1e-3
+WAITS_MS = st.sampled_from([0.0, 300.0, 1_900.0, 2_800.0, 9_000.0])
+MACHINE_SETTINGS = settings(
+    max_examples=40,
+    stateful_step_count=12,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class SharedRate(RuleBasedStateMachine):
+    """No window of any history holds more than burst plus rate times window."""
+
+    @initialize(seed=st.integers(0, 1_000), limit=st.sampled_from([QUICK, SLOW]))
+    def start(self, seed, limit):
+        self.fleet = QuotaFleet("ab", limit, seed)
+        for host_id in HOSTS:
+            self.fleet.start_host(host_id, host_id[0])
+        self.fleet.network.advance(2 * HOLD_DOWN_MS)
+
+    def ask_all(self):
+        """Ask each host for more than there is."""
+        for host_id in self.fleet.hosts:
+            self.fleet.request(host_id, 15)
+
+    def drain(self):
+        self.ask_all()
+        self.fleet.network.advance(200.0)
+
+    @rule(wait_ms=WAITS_MS)
+    def drain_later(self, wait_ms):
+        self.fleet.network.advance(wait_ms)
+        self.drain()
+
+    @rule(host_id=st.sampled_from(HOSTS), count=st.integers(1, 12))
+    def request(self, host_id, count):
+        if host_id in self.fleet.hosts:
+            self.fleet.request(host_id, count)
+            self.fleet.network.advance(20.0)
+
+    @rule(
+        host_id=st.sampled_from(HOSTS),
+        refund_after_ms=st.sampled_from([1.0, 2_900.0]),
+        wait_ms=WAITS_MS,
+    )
+    def request_and_return(self, host_id, refund_after_ms, wait_ms):
+        if host_id in self.fleet.hosts:
+            self.fleet.request(host_id, 3, refund_after_ms)
+            self.fleet.network.advance(wait_ms)
+            self.drain()
+            self.drain()
+
+    @rule(
+        drop=st.sampled_from([0.0, 0.3]),
+        duplicate=st.sampled_from([0.0, 0.5]),
+        delay_ms=st.sampled_from([2.0, 20.0, 400.0]),
+    )
+    def change_links(self, drop, duplicate, delay_ms):
+        self.fleet.network.drop_probability = drop
+        self.fleet.network.duplicate_probability = duplicate
+        self.fleet.network.delay_limit_ms = delay_ms
+
+    @rule(
+        group=st.one_of(
+            st.sampled_from([{host_id} for host_id in HOSTS]),
+            st.sampled_from([{"a-1", "a-2"}, {"b-1", "b-2"}]),
+            st.sets(st.sampled_from(NODES), min_size=1),
+        ),
+        wait_ms=WAITS_MS,
+    )
+    def part(self, group, wait_ms):
+        self.fleet.network.part([group])
+        self.fleet.network.advance(wait_ms)
+        self.drain()
+
+    @rule()
+    def heal(self):
+        self.fleet.network.heal()
+
+    @rule(host_id=st.sampled_from(HOSTS), wait_ms=WAITS_MS)
+    def replace(self, host_id, wait_ms):
+        self.drain()
+        self.fleet.start_host(host_id, host_id[0])
+        self.fleet.network.advance(wait_ms)
+        self.drain()
+
+    @rule(host_id=st.sampled_from(HOSTS))
+    def kill(self, host_id):
+        if host_id in self.fleet.hosts:
+            self.fleet.kill_host(host_id)
+
+    @rule(host_id=st.sampled_from(HOSTS), wait_ms=WAITS_MS)
+    def pause(self, host_id, wait_ms):
+        if host_id in self.fleet.hosts:
+            self.fleet.pause_host(host_id)
+            self.fleet.network.advance(wait_ms)
+            self.ask_all()
+            self.fleet.wake_host(host_id)
+            self.fleet.network.advance(200.0)
+
+    @rule(limit=st.sampled_from([QUICK, SLOW]))
+    def publish_limit(self, limit):
+        self.fleet.publish(self.fleet.published._replace(limit=limit))
+
+    @rule(is_parted=st.booleans())
+    def publish_third_zone(self, is_parted):
+        if is_parted:
+            self.fleet.network.part([{"b-1", "b-2"}])
+        self.fleet.publish(Published(frozenset("abc"), self.fleet.published.limit))
+        if "c-1" not in self.fleet.hosts:
+            self.fleet.start_host("c-1", "c")
+        self.fleet.network.advance(2 * HOLD_DOWN_MS)
+        self.drain()
+
+    @invariant()
+    def no_window_is_above_the_bound(self):
+        if hasattr(self, "fleet"):
+            assert self.fleet.excess_tokens() <= EXACT_TOKENS
+
+    @invariant()
+    def held_and_borrowed_tokens_fit_the_burst(self):
+        if hasattr(self, "fleet"):
+            burst = max(limit.burst for limit in self.fleet.limits)
+            assert self.fleet.available_tokens() <= burst + EXACT_TOKENS
+
+
+def run(machine):
+    run_state_machine_as_test(machine, settings=MACHINE_SETTINGS)
+
+
+def test_bound_holds_through_faults():
+    run(SharedRate)
+
+
+def _without_hold_down(monkeypatch):
+    monkeypatch.setattr(
+        Ownership, "_forget_departed", lambda self, now_ms: self._departed_at_ms.clear()
+    )
+
+
+def _without_fence(monkeypatch):
+    real = QuotaFleet.view_of
+
+    def view_of(self, host):
+        view = real(self, host)
+        return view._replace(zone_view=view.zone_view._replace(is_confirmed=True))
+
+    monkeypatch.setattr(QuotaFleet, "view_of", view_of)
+
+
+def _full_at_start(monkeypatch):
+    def start_anew(self, now_ms):
+        self.tokens = self.capacity_tokens
+
+    monkeypatch.setattr(AccountPool, "start_anew", start_anew)
+    monkeypatch.setattr(quota_fleet, "HOLD_DOWN_MS", 0.0)
+
+
+def _without_subtraction(monkeypatch):
+    def lend(self, wanted_tokens, now_ms):
+        return Loan(min(wanted_tokens, self.tokens), self.tokens, 1.0, 1.0)
+
+    monkeypatch.setattr(AccountPool, "lend", lend)
+
+
+def _without_room_for_loans(monkeypatch):
+    monkeypatch.setattr(AccountPool, "_room", lambda self: self.capacity_tokens)
+
+
+def _with_full_refunds(monkeypatch):
+    def give_back(self):
+        self.tokens += 1.0
+
+    monkeypatch.setattr(AccountPool, "give_back", give_back)
+
+
+def _without_agreement_on_zones(monkeypatch):
+    monkeypatch.setattr(QuotaFleet, "_are_zones_agreed", lambda self, host: True)
+
+
+def _without_pause_check(monkeypatch):
+    monkeypatch.setattr(Ownership, "is_paused", lambda self, now_ms: False)
+
+
+@pytest.mark.parametrize(
+    "switch_off",
+    [
+        _without_hold_down,
+        _without_fence,
+        _full_at_start,
+        _without_subtraction,
+        _without_agreement_on_zones,
+        _without_pause_check,
+    ],
+)
+def test_bound_breaks_without_a_mechanism(switch_off, monkeypatch):
+    switch_off(monkeypatch)
+    with pytest.raises(AssertionError):
+        run(SharedRate)
+
+
+def full_pool(rate_per_s=100.0, capacity_tokens=3.0):
+    pool = AccountPool(0.0)
+    pool.mint_per_s = rate_per_s
+    pool.refresh(rate_per_s, capacity_tokens, 60_000.0)
+    assert pool.tokens == capacity_tokens
+    return pool
+
+
+def lend_and_refill():
+    """A lender that refills while its loan is out; both hold two bursts of 3."""
+    lender, borrower = full_pool(), full_pool()
+    loan = lender.lend(2.0, 60_000.0)
+    lender.refresh(100.0, 3.0, 60_050.0)
+    assert borrower.borrow("lender", loan, 60_000.0, 60_050.0)
+    assert lender.available_tokens() + borrower.available_tokens() <= 6.0
+
+
+def refund_after_refill():
+    """A refund that comes when the pool was full in between adds nothing."""
+    pool = full_pool()
+    assert pool.take()
+    pool.refresh(100.0, 3.0, 61_000.0)
+    assert [pool.take() for _ in range(4)] == [True, True, True, False]
+    pool.give_back()
+    assert not pool.take()
+
+
+def refund_at_once():
+    pool = full_pool(rate_per_s=0.001)
+    assert [pool.take() for _ in range(4)] == [True, True, True, False]
+    pool.give_back()
+    pool.give_back()
+    assert [pool.take() for _ in range(3)] == [True, True, False]
+
+
+@pytest.mark.parametrize(
+    "scenario", [lend_and_refill, refund_after_refill, refund_at_once]
+)
+def test_pool_keeps_its_bound(scenario):
+    scenario()
+
+
+@pytest.mark.parametrize(
+    ("scenario", "switch_off"),
+    [
+        (lend_and_refill, _without_room_for_loans),
+        (refund_after_refill, _with_full_refunds),
+    ],
+)
+def test_pool_breaks_its_bound_without_a_mechanism(scenario, switch_off, monkeypatch):
+    switch_off(monkeypatch)
+    with pytest.raises(AssertionError):
+        scenario()
+
+
+def test_late_loan_is_dropped():
+    pool = full_pool()
+    late_ms = 60_000.0 + quotas.LOAN_LIFETIME_MS
+    assert not pool.borrow("lender", Loan(1.0, 0.0, 3.0, 1.0), 60_000.0, late_ms)
+    assert pool.available_tokens() == 3.0
+
+
+def test_plan_asks_the_richest_and_refuses_in_vain():
+    pool = full_pool()
+    pool.borrow("poor", Loan(0.0, 0.2, 3.0, 0.0), 60_000.0, 60_001.0)
+    pool.borrow("rich", Loan(0.0, 2.0, 3.0, 0.0), 60_000.0, 60_001.0)
+    plan = pool.plan(1.0, ["poor", "rich"], QUICK, 60_002.0)
+    assert plan.asks == (Ask("rich", 1.0),)
+    plan = pool.plan(3.2, ["poor", "rich"], QUICK, 60_002.0)
+    assert plan.asks == ()
+    assert plan.retry_after_ms == pytest.approx(10.0)
+
+
+def settled_fleet(limit, zones="abcd"):
+    fleet = QuotaFleet(zones, limit)
+    for zone in zones:
+        for number in (1, 2):
+            fleet.start_host(f"{zone}-{number}", zone)
+    fleet.network.advance(6 * HOLD_DOWN_MS)
+    return fleet
+
+
+def test_shares_add_up_to_one_and_one_host_can_use_them_all():
+    fleet = settled_fleet(AccountLimit(5.0, 10.0))
+    now_ms = fleet.network.now_ms
+    shares = [host.ledger.share_of(ACCOUNT, now_ms) for host in fleet.hosts.values()]
+    assert sum(shares) == pytest.approx(1.0)
+    fleet.request("a-1", 10)
+    fleet.network.advance(300.0)
+    assert [decision.is_granted for _, decision in fleet.decisions] == [True] * 10
+    fleet.request("a-1")
+    fleet.network.advance(300.0)
+    refusal = fleet.decisions[-1][1]
+    assert not refusal.is_granted
+    assert 0.0 < refusal.retry_after_ms <= 1_000.0 / 5.0
+
+
+def test_new_host_starts_empty_and_a_zone_cut_off_keeps_its_part():
+    fleet = settled_fleet(AccountLimit(4.0, 8.0))
+    fleet.start_host("a-1", "a")
+    now_ms = fleet.network.now_ms
+    assert fleet.hosts["a-1"].ledger.share_of(ACCOUNT, now_ms) == 0.0
+    fleet.network.part([["a-1", "a-2"]])
+    fleet.network.advance(20_000.0)
+    fleet.request("a-1", 8)
+    fleet.network.advance(300.0)
+    granted = [decision.is_granted for _, decision in fleet.decisions]
+    assert granted.count(True) == 2
+
+
+def test_account_that_comes_back_finds_no_second_burst():
+    fleet = settled_fleet(AccountLimit(1.0, 8.0))
+    ledger = fleet.hosts["a-1"].ledger
+    assert fleet.hosts["a-1"].pool().tokens > 0.0
+    ledger.forget_except([], fleet.network.now_ms)
+    assert fleet.hosts["a-1"].pool().tokens == 0.0
