--- a/src/gypsumfield/decisions/borrowing.py
+++ b/src/gypsumfield/decisions/borrowing.py
@@ -10,16 +10,17 @@
 from typing import NamedTuple
 
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.decisions.quotas import AccountLimit
-from gypsumfield.decisions.quotas import AccountPool
-from gypsumfield.decisions.quotas import Ask
-from gypsumfield.decisions.quotas import BorrowingPlan
-from gypsumfield.decisions.quotas import Loan
+from gypsumfield.decisions.token_pools import AccountLimit
+from gypsumfield.decisions.token_pools import AccountPool
+from gypsumfield.decisions.token_pools import Ask
+from gypsumfield.decisions.token_pools import BorrowingPlan
+from gypsumfield.decisions.token_pools import Loan
 from gypsumfield.ports import QuotaDecision
 
 WAIT_LIMIT_MS = 60.0
 ASK_TIMEOUT_MS = 40.0
 SHORTEST_WAIT_MS = 1.0
+LOAN_POLL_MS = 2.0
 
 
 class AskPeers(NamedTuple):
@@ -69,7 +70,7 @@
     """
     pool = refresh_pool()
     if not pool.is_anybody_waiting() and pool.take():
-        return QuotaDecision(is_granted=True)
+        return QuotaDecision(is_granted=True, token_epoch=pool.epoch)
     ticket = pool.join_queue()
     try:
         return (yield from _borrow(refresh_pool, limit, peers, clock_ms, ticket))
@@ -89,12 +90,17 @@
         now_ms = clock_ms()
         pool = refresh_pool()
         if pool.take():
-            return QuotaDecision(is_granted=True)
+            return QuotaDecision(is_granted=True, token_epoch=pool.epoch)
         missing_tokens = pool.missing_tokens(ticket)
         plan = pool.plan(missing_tokens, peers, limit, now_ms)
         left_ms = deadline_ms - now_ms
-        if plan.retry_after_ms > left_ms or left_ms <= 0.0:
+        is_hopeless = plan.retry_after_ms > left_ms
+        if left_ms <= 0.0 or (is_hopeless and not pool.is_expecting(missing_tokens)):
             return _refuse(missing_tokens, limit, plan)
+        if is_hopeless:
+            # Another request's loan is on its way and may serve this one too.
+            yield Sleep(min(LOAN_POLL_MS, left_ms))
+            continue
         if not plan.asks:
             wait_ms = max(plan.retry_after_ms, SHORTEST_WAIT_MS)
             yield Sleep(min(wait_ms, left_ms))
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -141,6 +141,8 @@
         level_tokens: Tokens that the sender has left.
         capacity_tokens: Tokens that the sender can hold at most.
         mint_per_s: Tokens a second that the sender mints.
+        availability_zone: Zone of the sender.
+        zone_share: Part of every rate that the sender takes for its zone's.
     """
 
     transfer_id: str = ""
@@ -150,6 +152,8 @@
     level_tokens: float = 0.0
     capacity_tokens: float = 0.0
     mint_per_s: float = 0.0
+    availability_zone: str = ""
+    zone_share: float = 0.0
 
 
 class SlotRequest(ControlMessage, frozen=True, tag=20):
--- a/src/gypsumfield/ports.py
+++ b/src/gypsumfield/ports.py
@@ -22,11 +22,13 @@
         is_granted: Whether one rate token was taken for the request.
         retry_after_ms: When a refused caller should come back.
         reason: Why it was refused, for the caller and the log.
+        token_epoch: Tells `QuotaPort.give_back` when the token was taken.
     """
 
     is_granted: bool
     retry_after_ms: float = 0.0
     reason: str = ""
+    token_epoch: int = 0
 
 
 class QuotaPort(NamedTuple):
@@ -35,11 +37,12 @@
     Attributes:
         take: Takes one rate token of the named account; may wait a few ms for
             a transfer from a peer.
-        give_back: Returns the token of a request that has not run.
+        give_back: Returns the token of a request that has not run; takes the
+            account and the decision that granted it.
     """
 
     take: Callable[[str], QuotaDecision]
-    give_back: Callable[[str], None]
+    give_back: Callable[[str, QuotaDecision], None]
 
 
 class SlotLease(NamedTuple):
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -17,13 +17,13 @@
 from gypsumfield.decisions.borrowing import BorrowingStep
 from gypsumfield.decisions.borrowing import take_token
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
-from gypsumfield.decisions.quotas import AccountLimit
-from gypsumfield.decisions.quotas import AccountPool
-from gypsumfield.decisions.quotas import Ask
 from gypsumfield.decisions.quotas import holders_of
-from gypsumfield.decisions.quotas import Loan
 from gypsumfield.decisions.quotas import QuotaLedger
 from gypsumfield.decisions.quotas import QuotaView
+from gypsumfield.decisions.token_pools import AccountLimit
+from gypsumfield.decisions.token_pools import AccountPool
+from gypsumfield.decisions.token_pools import Ask
+from gypsumfield.decisions.token_pools import Loan
 from gypsumfield.events import ShareMoved
 from gypsumfield.messages import TokenRequest
 from gypsumfield.messages import TokenTransfer
@@ -77,6 +77,7 @@
         self._sources = sources
         self._emit = emit
         self._ledger = QuotaLedger(loop.host_id, clock.monotonic_ms(), hold_down_ms)
+        self._zone = ""
         self._hosts: Mapping[str, frozenset[str]] = {}
         self._peers: dict[str, tuple[str, ...]] = {}
         self._request_count = 0
@@ -114,11 +115,11 @@
                 return stop.value  # type: ignore[no-any-return]
             answers = self._carry_out(account, step)
 
-    def give_back(self, account: str) -> None:
+    def give_back(self, account: str, decision: QuotaDecision) -> None:
         """Return the token of a request that has not run."""
         limit = self._sources.read_limits().get(account)
         if limit is not None:
-            self._pool(account, limit).give_back()
+            self._pool(account, limit).give_back(decision.token_epoch)
 
     def shares(self) -> Mapping[str, float]:
         """Return this host's share of each account's rate, for the status page."""
@@ -129,7 +130,9 @@
         }
 
     def _tick(self, now_ms: float) -> None:
-        self._ledger.update(self._sources.read_view(), now_ms)
+        view = self._sources.read_view()
+        self._zone = view.zone
+        self._ledger.update(view, now_ms)
         self._ledger.forget_except(self._sources.read_limits(), now_ms)
         hosts = self._sources.read_hosts()
         if hosts != self._hosts:
@@ -180,6 +183,9 @@
         is_for_this_boot = transfer.receiver_boot_id == self._loop.boot_id
         if not is_for_this_boot or transfer.transfer_id != request.request_id:
             return None
+        if transfer.availability_zone == self._zone:
+            now_ms = self._clock.monotonic_ms()
+            self._ledger.hear_zone_share(transfer.zone_share, now_ms)
         return Loan(
             transfer.token_count,
             transfer.level_tokens,
@@ -187,17 +193,8 @@
             transfer.mint_per_s,
         )
 
-    def _lend(self, sender: str, request: TokenRequest) -> TokenTransfer | None:
-        limit = self._sources.read_limits().get(request.account)
-        if limit is None:
-            return TokenTransfer(
-                transfer_id=request.request_id,
-                account=request.account,
-                receiver_boot_id=self._loop.boot_id_of(sender),
-            )
-        now_ms = self._clock.monotonic_ms()
-        pool = self._ledger.pool_of(request.account, limit, now_ms)
-        loan = pool.lend(request.token_count, now_ms)
+    def _lend(self, sender: str, request: TokenRequest) -> TokenTransfer:
+        loan = self._loan_for(request)
         if loan.tokens > 0.0:
             self._emit(
                 ShareMoved(
@@ -215,4 +212,14 @@
             level_tokens=loan.level_tokens,
             capacity_tokens=loan.capacity_tokens,
             mint_per_s=loan.mint_per_s,
+            availability_zone=self._zone,
+            zone_share=self._ledger.zone_share,
         )
+
+    def _loan_for(self, request: TokenRequest) -> Loan:
+        limit = self._sources.read_limits().get(request.account)
+        if limit is None:
+            return Loan(0.0, 0.0, 0.0, 0.0)
+        now_ms = self._clock.monotonic_ms()
+        pool = self._ledger.pool_of(request.account, limit, now_ms)
+        return pool.lend(request.token_count, now_ms)
--- a/src/gypsumfield/serving.py
+++ b/src/gypsumfield/serving.py
@@ -46,6 +46,7 @@
 from gypsumfield.plain_calls import PlainAnswer
 from gypsumfield.plain_calls import PlainCall
 from gypsumfield.plain_calls import PlainPorts
+from gypsumfield.ports import QuotaDecision
 from gypsumfield.ports import QuotaPort
 from gypsumfield.verdicts import RunVerdict
 
@@ -379,11 +380,13 @@
     def __init__(self, ports: ServingPorts, job: Job) -> None:
         self._ports = ports
         self._job = job
+        self._decision: QuotaDecision | None = None
 
     def __enter__(self) -> None:
         job = self._job
         if job.identity is not None:
             decision = self._ports.quotas.take(job.account)
+            self._decision = decision
             if not decision.is_granted:
                 refusal = Refusal(
                     429,
@@ -405,8 +408,8 @@
         if not isinstance(error, RefusedError):
             return
         self._name(error)
-        if self._job.identity is not None and is_refund_due(error.refusal.verdict):
-            self._ports.quotas.give_back(self._job.account)
+        if self._decision is not None and is_refund_due(error.refusal.verdict):
+            self._ports.quotas.give_back(self._job.account, self._decision)
 
     def _name(self, error: RefusedError) -> RefusedError:
         error.account = self._job.account
--- a/src/gypsumfield/static_limits.py
+++ b/src/gypsumfield/static_limits.py
@@ -55,7 +55,7 @@
         wait_ms = (1.0 - bucket.tokens) / rate_per_s * MS_PER_S
         return QuotaDecision(False, wait_ms, f"account {account!r} is over its rate")
 
-    def give_back(account: str) -> None:
+    def give_back(account: str, _decision: QuotaDecision) -> None:
         if account in buckets:
             buckets[account].tokens += 1.0
 
