--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
@@ -99,20 +100,36 @@
         self._shares_since_ms = now_ms
         self._forgotten_at_ms = now_ms
 
-    def update(self, view: QuotaView, now_ms: float) -> None:
-        """Follow membership and the list of zones; called at every tick."""
+    def update(
+        self, view: QuotaView, limits: Mapping[str, AccountLimit], now_ms: float
+    ) -> None:
+        """Follow membership and configuration; called at every tick.
+
+        Args:
+            view: Hosts of the zone and list of zones.
+            limits: Rate and burst by account.
+            now_ms: Monotonic time.
+        """
         self._zone = view.zone
         if self._ownership.update(view.zone_view, now_ms):
             self._split.start_anew(now_ms)
             for pool in self._pools.values():
                 pool.start_anew(now_ms)
         self._split.update(view, now_ms)
+        self._forget_except(limits, now_ms)
+        self._follow_shares(limits, now_ms)
+
+    def _follow_shares(self, limits: Mapping[str, AccountLimit], now_ms: float) -> None:
+        """Settle what each pool minted when shares may have changed."""
         unchanged_since_ms = max(
             self._ownership.unchanged_since_ms, self._split.unchanged_since_ms
         )
-        if unchanged_since_ms != self._shares_since_ms:
-            self._shares.clear()
-            self._shares_since_ms = unchanged_since_ms
+        if unchanged_since_ms == self._shares_since_ms:
+            return
+        self._shares.clear()
+        self._shares_since_ms = unchanged_since_ms
+        for account, limit in limits.items():
+            self.pool_of(account, limit, now_ms)
 
     @property
     def zone_share(self) -> float:
@@ -150,7 +167,7 @@
         pool.refresh(mint_per_s, capacity_tokens, self._shares_since_ms, now_ms)
         return pool
 
-    def forget_except(self, accounts: Iterable[str], now_ms: float) -> None:
+    def _forget_except(self, accounts: Iterable[str], now_ms: float) -> None:
         """Drop the pools of accounts that are gone from the configuration."""
         gone = self._pools.keys() - frozenset(accounts)
         for account in gone:
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -132,8 +132,7 @@
     def _tick(self, now_ms: float) -> None:
         view = self._sources.read_view()
         self._zone = view.zone
-        self._ledger.update(view, now_ms)
-        self._ledger.forget_except(self._sources.read_limits(), now_ms)
+        self._ledger.update(view, self._sources.read_limits(), now_ms)
         hosts = self._sources.read_hosts()
         if hosts != self._hosts:
             self._hosts = dict(hosts)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -149,7 +149,8 @@
     def _tick(self) -> None:
         self.fleet.hear(self)
         view = self.fleet.view_of(self)
-        self.ledger.update(view, self.fleet.network.now_ms)
+        limits = {ACCOUNT: self.published.limit}
+        self.ledger.update(view, limits, self.fleet.network.now_ms)
         self._later(TICK_MS, self._tick)
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -181,10 +181,13 @@
 
 
 def _full_at_start(monkeypatch):
-    def start_anew(self, now_ms):
-        self.tokens = self.capacity_tokens
+    real = AccountPool.__init__
 
-    monkeypatch.setattr(AccountPool, "start_anew", start_anew)
+    def start_full(self, now_ms):
+        real(self, now_ms)
+        self.tokens = SLOW.burst
+
+    monkeypatch.setattr(AccountPool, "__init__", start_full)
     monkeypatch.setattr(quota_fleet, "HOLD_DOWN_MS", 0.0)
 
 
@@ -214,21 +217,85 @@
     monkeypatch.setattr(Ownership, "is_paused", lambda self, now_ms: False)
 
 
-@pytest.mark.parametrize(
-    "switch_off",
-    [
-        _without_hold_down,
-        _without_fence,
-        _full_at_start,
-        _without_subtraction,
-        _without_agreement_on_zones,
-        _without_pause_check,
-    ],
-)
-def test_bound_breaks_without_a_mechanism(switch_off, monkeypatch):
+def short_pause(fleet):
+    """Others drop a host that wakes before it must notice its pause."""
+    fleet.pause_host("a-1")
+    fleet.network.advance(1_900.0)
+    fleet.wake_host("a-1")
+
+
+def lonely_host(fleet):
+    """A host is cut off from its zone and the platform."""
+    fleet.network.part([{"a-1"}])
+    fleet.network.advance(9_000.0)
+
+
+def long_pause(fleet):
+    """A host wakes with a burst in hand when others hold its share."""
+    fleet.pause_host("a-1")
+    fleet.network.advance(9_000.0)
+    fleet.request("a-1", 15)
+    for host_id in HOSTS[1:]:
+        fleet.request(host_id, 15)
+    fleet.wake_host("a-1")
+    fleet.network.advance(200.0)
+
+
+def third_zone(fleet):
+    """A zone is added while another one is cut off from the configuration."""
+    fleet.network.part([{"b-1", "b-2"}])
+    fleet.publish(Published(frozenset("abc"), fleet.published.limit))
+    fleet.start_host("c-1", "c")
+    fleet.network.advance(9_000.0)
+
+
+def replaced_hosts(fleet):
+    """All hosts are replaced just after the burst was used."""
+    for host_id in HOSTS:
+        fleet.request(host_id, 15)
+    fleet.network.advance(200.0)
+    for host_id in HOSTS:
+        fleet.start_host(host_id, host_id[0])
+    fleet.network.advance(300.0)
+    for host_id in HOSTS:
+        fleet.request(host_id, 15)
+    fleet.network.advance(200.0)
+
+
+def loans(fleet):
+    """One host uses the whole burst."""
+    fleet.request("a-1", 40)
+    fleet.network.advance(200.0)
+
+
+def replay(history):
+    machine = SharedRate()
+    machine.start(seed=0, limit=SLOW)
+    history(machine.fleet)
+    machine.no_window_is_above_the_bound()
+    machine.held_and_borrowed_tokens_fit_the_burst()
+
+
+HISTORIES = [
+    (short_pause, _without_hold_down),
+    (lonely_host, _without_fence),
+    (long_pause, _without_pause_check),
+    (third_zone, _without_agreement_on_zones),
+    (replaced_hosts, _full_at_start),
+    (loans, _without_subtraction),
+]
+
+
+@pytest.mark.parametrize("history", [history for history, _ in HISTORIES])
+def test_bound_holds_in_history(history):
+    replay(history)
+
+
+@pytest.mark.parametrize(("history", "switch_off"), HISTORIES)
+def test_bound_breaks_without_a_mechanism(history, switch_off, monkeypatch):
     switch_off(monkeypatch)
     with pytest.raises(AssertionError):
-        run(SharedRate)
+        replay(history)
 
 
 def full_pool(rate_per_s=100.0):
@@ -352,7 +419,7 @@
 
 def test_account_that_comes_back_finds_no_second_burst():
     fleet = settled_fleet(AccountLimit(1.0, 8.0))
-    ledger = fleet.hosts["a-1"].ledger
-    assert fleet.hosts["a-1"].pool().tokens > 0.0
-    ledger.forget_except([], fleet.network.now_ms)
-    assert fleet.hosts["a-1"].pool().tokens == 0.0
+    host = fleet.hosts["a-1"]
+    assert host.pool().tokens > 0.0
+    host.ledger.update(fleet.view_of(host), {}, fleet.network.now_ms)
+    assert host.pool().tokens == 0.0
