--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -185,6 +185,10 @@
                 borne_count = min(load.running_count, self._warm_limit)
                 self.limit = max(self.limit, borne_count)
 
+    def observe_silence(self, now_ms: float) -> None:
+        """Take in that the server did not answer: it may be restarting."""
+        self._turn_cold("it did not answer", now_ms)
+
     def in_flight_count(self, now_ms: float) -> int:
         """Return the most requests that may run on the server now."""
         own_count = sum(
@@ -194,7 +198,13 @@
 
     def free_count(self, now_ms: float) -> int:
         """Return how many slots could be granted now, memory aside."""
-        return max(0, self.limit - self.in_flight_count(now_ms))
+        return max(0, self._limit_now(now_ms) - self.in_flight_count(now_ms))
+
+    def _limit_now(self, now_ms: float) -> int:
+        # Without reports a restart would go unnoticed.
+        if self._is_reporting and not self._has_report(now_ms):
+            return COLD_LIMIT
+        return self.limit
 
     def _find_refusal(
         self, demand: GenerationDemand, now_ms: float
@@ -203,7 +213,7 @@
             return SlotRefusal(
                 "the backend server has not reported its load", RETRY_AFTER_COLD_MS
             )
-        if self.in_flight_count(now_ms) >= self.limit:
+        if self.in_flight_count(now_ms) >= self._limit_now(now_ms):
             return self._refuse_full()
         if not self._has_memory_for(demand, now_ms):
             return SlotRefusal(
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -205,11 +205,13 @@
         backend_server: Host id of the backend server.
         reason: Why.
         retry_after_ms: When to ask again.
+        lease_id: Name that the lease should have had.
     """
 
     backend_server: str = ""
     reason: str = ""
     retry_after_ms: float = 0.0
+    lease_id: str = ""
 
 
 class SlotReturn(ControlMessage, frozen=True, tag=23):
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -205,6 +205,15 @@
         slots.observe(observation, self._clock.monotonic_ms())
         self._tell_cold(backend_server, slots, was_cold)
 
+    def observe_silence(self, backend_server: str) -> None:
+        """Take in that a backend server did not answer the load request."""
+        slots = self._slots_of(backend_server)
+        if slots is None:
+            return
+        was_cold = slots.is_cold
+        slots.observe_silence(self._clock.monotonic_ms())
+        self._tell_cold(backend_server, slots, was_cold)
+
     def is_owner(self, backend_server: str) -> bool:
         """Return whether this host is, or waits to be, the owner."""
         return self._owner_of(backend_server) == self._loop.host_id
@@ -327,6 +336,7 @@
                 backend_server=backend_server,
                 reason=answer.reason,
                 retry_after_ms=answer.retry_after_ms,
+                lease_id=message.lease_id,
             )
         return SlotGrant(
             lease_id=answer.lease_id,
--- /dev/null
+++ b/tests/fake_fleet.py
@@ -0,0 +1,118 @@
+"""Hosts that hear each other over `FakeNetwork`, can be paused and replaced."""
+
+from collections.abc import Callable
+
+from fake_network import FakeNetwork
+from gypsumfield.decisions.ownership import ZoneView
+
+HOLD_DOWN_MS = 3_000.0
+TICK_MS = 100.0
+SILENT_MS = 500.0
+LIST_LAG_MS = 1_000.0
+PLATFORM = "platform"
+
+
+class FakeHost:
+    """One boot of one entry host; ``backlog`` is what waits while it is paused."""
+
+    def __init__(self, fleet: "FakeFleet", host_id: str, boot_id: str):
+        self.fleet = fleet
+        self.network = fleet.network
+        self.host_id = host_id
+        self.zone = zone_of(host_id)
+        self.boot_id = boot_id
+        self.is_running = True
+        self.backlog: list[Callable[[], None]] | None = None
+        self.heard_ms = {host_id: fleet.network.now_ms}
+        self.listed: frozenset[str] = frozenset()
+        self.list_contact_ms = float("-inf")
+
+    def run(self, function: Callable[[], None]) -> None:
+        """Run ``function`` now, or at waking when the process is paused."""
+        if not self.is_running:
+            return
+        if self.backlog is not None:
+            self.backlog.append(function)
+        else:
+            function()
+
+    def later(self, delay_ms: float, function: Callable[[], None]) -> None:
+        self.network.call_at(self.network.now_ms + delay_ms, lambda: self.run(function))
+
+
+class FakeFleet:
+    """Hosts, a platform list that lags, and who hears whom.
+
+    A host drops another one only when a fresh list lacks it and it is silent;
+    it is confirmed by a fresh list that names it, or by all peers of its zone.
+    """
+
+    def __init__(self, seed: int = 0):
+        self.network = FakeNetwork(seed)
+        self.hosts: dict[str, FakeHost] = {}
+        self._boots = 0
+        self._seen_ms: dict[str, float] = {}
+
+    def next_boot_id(self, host_id: str) -> str:
+        """Return the name of a new boot; an earlier one of the host ends."""
+        if host_id in self.hosts:
+            self.hosts[host_id].is_running = False
+        self._boots += 1
+        return f"{host_id}/{self._boots}"
+
+    def kill_host(self, host_id: str) -> None:
+        self.hosts.pop(host_id).is_running = False
+        self.network.detach(host_id)
+
+    def pause_host(self, host_id: str) -> None:
+        host = self.hosts[host_id]
+        host.backlog = host.backlog if host.backlog is not None else []
+
+    def wake_host(self, host_id: str) -> None:
+        host = self.hosts[host_id]
+        backlog, host.backlog = host.backlog or [], None
+        for function in backlog:
+            host.run(function)
+
+    def hear(self, host: FakeHost) -> None:
+        """Let a host hear its peers, and the platform; called at every tick."""
+        now_ms = self.network.now_ms
+        for other in self.hosts.values():
+            is_awake = other.backlog is None
+            if is_awake and self.network.is_connected(host.host_id, other.host_id):
+                host.heard_ms[other.host_id] = now_ms
+        if not self.network.is_connected(host.host_id, PLATFORM):
+            return
+        self._seen_ms[host.host_id] = now_ms
+        host.list_contact_ms = now_ms
+        host.listed = frozenset(
+            name
+            for name, seen_ms in self._seen_ms.items()
+            if now_ms - seen_ms < LIST_LAG_MS
+        )
+
+    def heard_hosts(self, host: FakeHost, zone: str) -> frozenset[str]:
+        now_ms = self.network.now_ms
+        return frozenset(
+            name
+            for name, heard_ms in host.heard_ms.items()
+            if zone_of(name) == zone and now_ms - heard_ms < SILENT_MS
+        )
+
+    def zone_view(self, host: FakeHost) -> ZoneView:
+        """Return what the host makes of what it heard."""
+        now_ms = self.network.now_ms
+        has_list = now_ms - host.list_contact_ms < SILENT_MS
+        if has_list:
+            for name in host.heard_ms.keys() - host.listed - {host.host_id}:
+                if now_ms - host.heard_ms[name] >= SILENT_MS:
+                    del host.heard_ms[name]
+        known = {*host.heard_ms, *host.listed}
+        peers = frozenset(name for name in known if zone_of(name) == host.zone)
+        are_peers_heard = peers <= self.heard_hosts(host, host.zone)
+        is_listed = has_list and host.host_id in host.listed
+        return ZoneView(peers, is_confirmed=is_listed or are_peers_heard)
+
+
+def zone_of(host_id: str) -> str:
+    return host_id.split("-")[0]
