--- a/src/gypsumfield/adapters/callers.py
+++ b/src/gypsumfield/adapters/callers.py
@@ -85,11 +85,13 @@
         encode: Callable[[Delivery], bytes],
         watch: CallerWatch,
         request_id: str,
-        on_failed: Callable[[Refusal], None],
+        serving: Serving,
     ) -> None:
         self._rest = rest
         self._watch = watch
-        self._events = self._encode_all(first, encode, request_id, on_failed)
+        self._request_id = request_id
+        self._serving = serving
+        self._events = self._encode_all(first, encode)
 
     def __iter__(self) -> Any:
         return self._events
@@ -100,22 +102,21 @@
         self._events.close()
         self._rest.close()  # type: ignore[attr-defined]
 
-    def _encode_all(
-        self,
-        first: Delivery,
-        encode: Callable[[Delivery], bytes],
-        request_id: str,
-        on_failed: Callable[[Refusal], None],
-    ) -> Any:
+    def _encode_all(self, first: Delivery, encode: Callable[[Delivery], bytes]) -> Any:
         try:
             yield encode(first)
             for delivery in self._rest:
                 yield encode(delivery)
         except RefusedError as error:
-            if not self._watch.is_gone:
-                on_failed(error.refusal)
-                yield error_event(error.refusal, request_id)
+            if self._watch.is_gone:
+                self._serving.note_gone(self._request_id)
+                return
+            self._serving.note_failed(self._request_id, error.refusal)
+            yield error_event(error.refusal, self._request_id)
             return
+        except GeneratorExit:
+            self._serving.note_gone(self._request_id)
+            raise
         yield DONE_EVENT
 
 
@@ -177,7 +178,7 @@
             encode,
             watch,
             ask.request_id,
-            lambda refusal: self._serving.note_failed(ask.request_id, refusal),
+            self._serving,
         )
 
     def _collect(
@@ -225,7 +226,7 @@
             encode,
             watch,
             request_id,
-            lambda refusal: self._serving.note_failed(request_id, refusal),
+            self._serving,
         )
 
 
--- a/src/gypsumfield/attempts.py
+++ b/src/gypsumfield/attempts.py
@@ -133,7 +133,7 @@
     try:
         return perform(attempt)
     except BackendError as error:
-        use = SlotUse(_outcome_of(error))
+        use = SlotUse(outcome_of(error))
         ports.dispatcher.release(job, attempt.placement, use)
         ports.emit(
             AttemptFailed(
@@ -207,7 +207,8 @@
     return other if one is RunVerdict.NOT_RUN else one
 
 
-def _outcome_of(error: BackendError) -> SlotOutcome:
+def outcome_of(error: BackendError) -> SlotOutcome:
+    """Return what a failed exchange is evidence of."""
     if error.code in (NOT_SENT_CODE, ABORTED_CODE):
         return SlotOutcome.NOT_SENT
     is_refused = error.verdict is RunVerdict.NOT_RUN and error.code != "unreachable"
--- a/src/gypsumfield/generations.py
+++ b/src/gypsumfield/generations.py
@@ -8,6 +8,7 @@
 from gypsumfield.adapters.engines import start_generation
 from gypsumfield.attempts import Attempt
 from gypsumfield.attempts import AttemptPorts
+from gypsumfield.attempts import outcome_of
 from gypsumfield.attempts import run_attempts
 from gypsumfield.cursors import open_writer_if_any
 from gypsumfield.cursors import StreamOrigin
@@ -213,7 +214,7 @@
             yield delivery
     except BackendError as error:
         _abandon(ports, request, primed)
-        _release(ports, request, primed, SlotOutcome.FAILED)
+        _release(ports, request, primed, outcome_of(error))
         raise RefusedError(broken_refusal(error.code, str(error))) from error
     except BaseException:
         # The caller left, the deadline passed or the key was withdrawn: no
