--- a/src/gypsumfield/serving.py
+++ b/src/gypsumfield/serving.py
@@ -29,6 +29,7 @@
 from gypsumfield.plain_calls import PlainAnswer
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.ports import EmitEvent
+from gypsumfield.ports import QuotaDecision
 from gypsumfield.ports import QuotaPort
 from gypsumfield.relay import Delivery
 
@@ -207,11 +208,12 @@
     def __init__(self, ports: ServingPorts, job: Job) -> None:
         self._ports = ports
         self._job = job
+        self._token: QuotaDecision | None = None
 
     def __enter__(self) -> None:
         job = self._job
         if job.identity is not None:
-            self._take_token(job.account)
+            self._token = self._take_token(job.account)
         admitted = RequestAdmitted(
             request_id=job.request_id, account=job.account, service=job.service_name
         )
@@ -223,13 +225,13 @@
         if isinstance(error, RefusedError):
             self._name(error)
             is_refund = is_refund_due(error.refusal.verdict)
-        if is_refund and self._job.identity is not None:
-            self._ports.quotas.give_back(self._job.account)
+        if is_refund and self._token is not None:
+            self._ports.quotas.give_back(self._job.account, self._token)
 
-    def _take_token(self, account: str) -> None:
+    def _take_token(self, account: str) -> QuotaDecision:
         decision = self._ports.quotas.take(account)
         if decision.is_granted:
-            return
+            return decision
         refusal = Refusal(
             429,
             "account_over_rate",
--- /dev/null
+++ b/tests/quota_fleet.py
@@ -0,0 +1,228 @@
+"""Entry hosts that share account rates over `FakeNetwork`, in virtual time."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from fake_fleet import FakeFleet
+from fake_fleet import FakeHost
+from fake_fleet import HOLD_DOWN_MS
+from fake_fleet import PLATFORM
+from fake_fleet import TICK_MS
+from fake_fleet import zone_of
+from gypsumfield.decisions.borrowing import Answer
+from gypsumfield.decisions.borrowing import AskPeers
+from gypsumfield.decisions.borrowing import take_token
+from gypsumfield.decisions.quotas import holders_of
+from gypsumfield.decisions.quotas import QuotaLedger
+from gypsumfield.decisions.quotas import QuotaView
+from gypsumfield.decisions.token_pools import AccountLimit
+from gypsumfield.decisions.token_pools import Loan
+from gypsumfield.messages import TokenRequest
+from gypsumfield.messages import TokenTransfer
+from gypsumfield.ports import QuotaDecision
+
+ACCOUNT = "vendors"
+
+
+class Published(NamedTuple):
+    """Configuration that a host uses."""
+
+    zones: frozenset[str]
+    limit: AccountLimit
+
+
+class QuotaHost(FakeHost):
+    """One boot of one entry host."""
+
+    def __init__(self, fleet: "QuotaFleet", host_id: str, boot_id: str):
+        super().__init__(fleet, host_id, boot_id)
+        self.published = fleet.published
+        self.ledger = QuotaLedger(host_id, fleet.network.now_ms, HOLD_DOWN_MS)
+        self._waiting: dict[str, Callable[[Loan | None], None]] = {}
+        self._request_count = 0
+        fleet.network.attach(host_id, self._deliver)
+        self._tick()
+
+    def pool(self):
+        now_ms = self.network.now_ms
+        return self.ledger.pool_of(ACCOUNT, self.published.limit, now_ms)
+
+    def take(self, done: Callable[[QuotaDecision], None]) -> None:
+        peers = set()
+        for zone in self.fleet.zone_names:
+            live = self.fleet.heard_hosts(self, zone)
+            peers |= holders_of(ACCOUNT, zone, live)
+        steps = take_token(
+            self.pool,
+            self.published.limit,
+            sorted(peers - {self.host_id}),
+            lambda: self.network.now_ms,
+        )
+        self._step(steps, None, done)
+
+    def _step(self, steps, answers, done) -> None:
+        try:
+            step = next(steps) if answers is None else steps.send(answers)
+        except StopIteration as stop:
+            done(stop.value)
+            return
+        if isinstance(step, AskPeers):
+            self._ask(step, lambda answers: self._step(steps, answers, done))
+        else:
+            self.later(step.duration_ms, lambda: self._step(steps, (), done))
+
+    def _ask(self, step: AskPeers, done) -> None:
+        answers: dict[str, Answer] = {}
+
+        def settle(request_id: str, peer: str, loan: Loan | None) -> None:
+            if self._waiting.pop(request_id, None) is None:
+                return
+            answers[peer] = Answer(peer, loan)
+            if len(answers) == len(step.asks):
+                done(tuple(answers.values()))
+
+        for ask in step.asks:
+            self._request_count += 1
+            name = f"{self.boot_id}/{self._request_count}"
+            self._waiting[name] = lambda loan, n=name, p=ask.peer: settle(n, p, loan)
+            request = TokenRequest(
+                request_id=name, account=ACCOUNT, token_count=ask.tokens
+            )
+            self.network.send(self.host_id, ask.peer, request)
+            self.later(step.timeout_ms, lambda n=name, p=ask.peer: settle(n, p, None))
+
+    def _deliver(self, sender: str, message) -> None:
+        self.run(lambda: self._handle(sender, message))
+
+    def _handle(self, sender: str, message) -> None:
+        if isinstance(message, TokenRequest):
+            now_ms = self.network.now_ms
+            loan = self.pool().lend(message.token_count, now_ms)
+            answer = TokenTransfer(
+                transfer_id=message.request_id,
+                token_count=loan.tokens,
+                level_tokens=loan.level_tokens,
+                capacity_tokens=loan.capacity_tokens,
+                mint_per_s=loan.mint_per_s,
+                availability_zone=self.zone,
+                zone_share=self.ledger.zone_share,
+            )
+            self.network.send(self.host_id, sender, answer)
+            return
+        waiting = self._waiting.get(message.transfer_id)
+        if waiting is not None:
+            if message.availability_zone == self.zone:
+                now_ms = self.network.now_ms
+                self.ledger.hear_zone_share(message.zone_share, now_ms)
+            waiting(
+                Loan(
+                    message.token_count,
+                    message.level_tokens,
+                    message.capacity_tokens,
+                    message.mint_per_s,
+                )
+            )
+
+    def _tick(self) -> None:
+        self.fleet.hear(self)
+        if self.network.is_connected(self.host_id, PLATFORM):
+            self.published = self.fleet.published
+        view = self.fleet.view_of(self)
+        limits = {ACCOUNT: self.published.limit}
+        self.ledger.update(view, limits, self.network.now_ms)
+        self.later(TICK_MS, self._tick)
+
+
+class QuotaFleet(FakeFleet):
+    """Hosts that share one account's rate, and what they admitted."""
+
+    def __init__(self, zones, limit, seed=0):
+        super().__init__(seed)
+        self.published = Published(frozenset(zones), limit)
+        self.zone_names = sorted(zones)
+        self.limits = [limit]
+        self.admitted_ms: dict[int, float] = {}
+        self.decisions: list[tuple[float, QuotaDecision]] = []
+
+    def start_host(self, host_id: str) -> None:
+        """Start a host, or replace it by a new boot with the same name."""
+        boot_id = self.next_boot_id(host_id)
+        if zone_of(host_id) not in self.zone_names:
+            self.zone_names.append(zone_of(host_id))
+        self.hosts[host_id] = QuotaHost(self, host_id, boot_id)
+
+    def publish(self, published: Published) -> None:
+        """Change the configuration; every host adopts it when it can."""
+        self.published = published
+        self.limits.append(published.limit)
+
+    def view_of(self, host: QuotaHost) -> QuotaView:
+        return QuotaView(
+            zone=host.zone,
+            zones=host.published.zones,
+            zone_view=self.zone_view(host),
+            are_zones_agreed=self._are_zones_agreed(host),
+        )
+
+    def _are_zones_agreed(self, host: QuotaHost) -> bool:
+        """Every listed zone is heard, and all that are heard use one list."""
+        for zone in host.published.zones:
+            heard = self.heard_hosts(host, zone)
+            if not heard or any(
+                name in self.hosts
+                and self.hosts[name].published.zones != host.published.zones
+                for name in heard
+            ):
+                return False
+        return True
+
+    def request(self, host_id: str, count: int = 1, refund_after_ms=None) -> None:
+        """Send requests of the account to a host, which may return tokens."""
+        host = self.hosts[host_id]
+
+        def done(decision: QuotaDecision) -> None:
+            now_ms = self.network.now_ms
+            self.decisions.append((now_ms, decision))
+            if not decision.is_granted:
+                return
+            number = len(self.decisions)
+            self.admitted_ms[number] = now_ms
+            if refund_after_ms is not None:
+                host.later(refund_after_ms, lambda: give_back(number, decision))
+
+        def give_back(number: int, decision: QuotaDecision) -> None:
+            del self.admitted_ms[number]
+            host.pool().give_back(decision.token_epoch)
+
+        for _ in range(count):
+            host.run(lambda: host.take(done))
+
+    def available_tokens(self) -> float:
+        """Return what all hosts that are awake could admit at once."""
+        awake = [host for host in self.hosts.values() if host.backlog is None]
+        return sum(host.pool().available_tokens() for host in awake)
+
+    def excess_tokens(self) -> float:
+        """Return by how much admissions broke the bound in the worst window.
+
+        The widest limit that was ever published counts: a host that is cut off
+        cannot know of a later one.
+        """
+        burst = max(limit.burst for limit in self.limits)
+        rate_per_s = max(limit.rate_per_s for limit in self.limits)
+        return worst_excess(self.admitted_ms.values(), burst, rate_per_s)
+
+
+def worst_excess(admitted_ms, burst: float, rate_per_s: float) -> float:
+    """Largest count above ``burst + rate * window`` over all windows.
+
+    A bucket that starts full and never refuses sinks below zero by as much.
+    """
+    level = burst
+    last_ms = 0.0
+    worst = 0.0
+    for at_ms in sorted(admitted_ms):
+        level = min(burst, level + (at_ms - last_ms) / 1_000.0 * rate_per_s) - 1.0
+        last_ms = at_ms
+        worst = max(worst, -level)
+    return worst
