--- a/tests/processes.py
+++ b/tests/processes.py
@@ -17,9 +17,8 @@
     """One running program and the line it printed when it was ready."""
 
     def __init__(self, name: str, *arguments: str) -> None:
-        path = Path(sys.executable).parent / name
         self.process = subprocess.Popen(
-            [str(path), *arguments],
+            [program_path(name), *arguments],
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
             env=os.environ | {"PYTHONUNBUFFERED": "1"},
@@ -43,6 +42,21 @@
         self.process.stdout.close()
 
 
+def program_path(name: str) -> str:
+    return str(Path(sys.executable).parent / name)
+
+
+def run_to_end(name: str, *arguments: str) -> tuple[int, str]:
+    """Run a program to its end; return its exit status and error text."""
+    done = subprocess.run(
+        [program_path(name), *arguments],
+        capture_output=True,
+        text=True,
+        timeout=WAIT_LIMIT_S,
+    )
+    return done.returncode, done.stderr
+
+
 @contextlib.contextmanager
 def program(name: str, *arguments: str) -> Iterator[Program]:
     running = Program(name, *arguments)
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -1,14 +1,12 @@
 import json
 import signal
-import subprocess
-import sys
-from pathlib import Path
 
 import pytest
 
 from httpcalls import call
 from httpcalls import open_call
 from processes import program
+from processes import run_to_end
 from small_fleet import expected_text
 from small_fleet import stream_events
 from small_fleet import stream_text
@@ -100,10 +98,7 @@
 
 
 def test_a_bad_option_names_itself():
-    path = Path(sys.executable).parent / "gypsumfield-local"
-    done = subprocess.run(
-        [str(path), "--entry-hosts", "none"], capture_output=True, text=True, timeout=30
-    )
-    assert done.returncode == 2
-    assert "--entry-hosts" in done.stderr
-    assert "expected 1 to 64" in done.stderr
+    status, errors = run_to_end("gypsumfield-local", "--entry-hosts", "none")
+    assert status == 2
+    assert "--entry-hosts" in errors
+    assert "expected 1 to 64" in errors
