Close the connection after a body whose end is not known

Cause: after a badly chunked or oversized body the entry host answered 400 or 413 and read on; what the caller had put behind could pass as the next request of the connection, and a huge stated length was read to its end. Change: the answer says Connection: close, the rest is dropped for at most a second so that the caller can read the answer, and the connection ends.

--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -19,6 +19,9 @@
 CALLER_SILENCE_LIMIT_S = 60.0
 CALLER_SOCKET_KEY = "gypsumfield.socket"
 RAW_PATH_KEY = "gypsumfield.raw_path"
+ABANDON_BODY_KEY = "gypsumfield.abandon_body"
+LINGER_LIMIT_S = 1.0
+LINGER_READ_SIZE_BYTES = 65_536
 PEEK_SIZE_BYTES = 1
 
 _TOKEN_CHARACTERS = frozenset(
@@ -53,17 +56,23 @@
         environ: dict[str, Any] = super().get_environ()
         environ[CALLER_SOCKET_KEY] = self.socket
         environ[RAW_PATH_KEY] = self.path
+        environ[ABANDON_BODY_KEY] = self._abandon_body
         if self.server.gate.is_draining:
             self.close_connection = True
         return environ
 
     def finalize_headers(self) -> None:
         """Tell the caller when this is the connection's last answer."""
-        if self.server.gate.is_draining:
+        is_abandoned = isinstance(self.wsgi_input, _AbandonedBody)
+        if self.server.gate.is_draining or is_abandoned:
             self.response_headers.append((b"Connection", b"close"))
             self.close_connection = True
         super().finalize_headers()
 
+    def _abandon_body(self) -> None:
+        """Leave the rest of the body unread and close after this answer."""
+        self.wsgi_input = _AbandonedBody(self.socket)
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         reason = str(ex) if isinstance(ex, BadRequestError) else "malformed request"
         status = "431 Request Header Fields Too Large"
@@ -72,6 +81,23 @@
         return status, _raw_error(status, reason)
 
 
+class _AbandonedBody:
+    """Rest of a body whose end is not known or too far away.
+
+    Nothing behind it may be taken for the next request.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+
+    def _discard(self) -> None:
+        """Let the caller read the answer before the close resets it."""
+        with gevent.Timeout(LINGER_LIMIT_S, exception=False):
+            self._sock.shutdown(socket.SHUT_WR)
+            while self._sock.recv(LINGER_READ_SIZE_BYTES):
+                continue
+
+
 class WorkGate:
     """Counts requests in progress and knows whether the host drains.
 
--- a/src/gypsumfield/adapters/callers.py
+++ b/src/gypsumfield/adapters/callers.py
@@ -11,6 +11,7 @@
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.access import bearer_key
+from gypsumfield.adapters.caller_server import ABANDON_BODY_KEY
 from gypsumfield.adapters.caller_server import CALLER_SOCKET_KEY
 from gypsumfield.adapters.caller_server import CallerWatch
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
@@ -325,6 +326,15 @@
 
 
 def _read_body(req: falcon.Request, limit_bytes: int) -> bytes:
+    try:
+        return _read_bounded_body(req, limit_bytes)
+    except RefusedError:
+        # Where this body ends is not known, nor where a next request begins.
+        req.env[ABANDON_BODY_KEY]()
+        raise
+
+
+def _read_bounded_body(req: falcon.Request, limit_bytes: int) -> bytes:
     too_large = Refusal(413, "body_too_large", f"the body is above {limit_bytes} bytes")
     if (req.content_length or 0) > limit_bytes:
         raise RefusedError(too_large)
