--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,6 +10,10 @@
 from pathlib import Path
 from typing import Any
 
+from httpcalls import call
+from small_fleet import base_values
+from small_fleet import wait_for
+
 WAIT_LIMIT_S = 30.0
 
 
@@ -64,3 +68,71 @@
         yield running
     finally:
         running.end()
+
+
+class Processes:
+    """One process for each of platform, two engines, ledger, two entry hosts."""
+
+    def __init__(self, folder, stack: contextlib.ExitStack) -> None:
+        self._folder = folder
+        self._stack = stack
+        self.platform = self.stand_in("platform", values=base_values())
+        self.engines = [
+            self.stand_in("engine", f"engine-{i}", engine={"step_base_ms": 5.0})
+            for i in range(2)
+        ]
+        self.ledger = self.stand_in("plain")
+        self.publish_members()
+        self.entries = [self.entry(i) for i in range(2)]
+        for one in self.entries:
+            wait_for(lambda one=one: self.knows_all(one.ready["url"]))
+
+    def run(self, name: str, file_name: str, settings: dict) -> Program:
+        path = self._folder / f"{file_name}.json"
+        path.write_text(json.dumps(settings))
+        return self._stack.enter_context(program(name, "--settings", str(path)))
+
+    def stand_in(self, kind: str, name: str = "", **settings) -> Program:
+        return self.run("gypsumfield-standin", name or kind, {"kind": kind} | settings)
+
+    def entry(self, number: int) -> Program:
+        settings = {
+            "host_id": f"entry-{number}",
+            "availability_zone": ("manta", "salinas")[number],
+            "platform_url": self.platform.ready["url"],
+            "log_path": str(self._folder / f"entry-{number}.log"),
+        }
+        return self.run("gypsumfield-entry", settings["host_id"], settings)
+
+    def publish_members(self) -> None:
+        backends = [
+            ("engine-0", "manta", "assistant", self.engines[0]),
+            ("engine-1", "salinas", "assistant", self.engines[1]),
+            ("ledger-0", "manta", "ledger", self.ledger),
+        ]
+        hosts = [
+            {
+                "host_id": host_id,
+                "role": "backend",
+                "availability_zone": zone,
+                "address": one.ready["url"].removeprefix("http://"),
+                "services": [service],
+            }
+            for host_id, zone, service, one in backends
+        ]
+        url = f"{self.platform.ready['url']}/standin/members"
+        assert call("PUT", url, {"hosts": hosts}).status == 200
+
+    def knows_all(self, url: str) -> bool:
+        page = call("GET", f"{url}/statusz").json
+        is_ready = call("GET", f"{url}/readyz").status == 200
+        return is_ready and page["member_version"] > 0
+
+    def generations(self) -> dict:
+        return {
+            name: run
+            for engine in self.engines
+            for name, run in call("GET", f"{engine.ready['url']}/standin/runs")
+            .json["generations"]
+            .items()
+        }
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -180,6 +180,10 @@
     def choice(self) -> Any:
         return json.loads(self.data)["choices"][0]
 
+    @property
+    def text(self) -> str:
+        return self.choice["text"]
+
 
 def stream_events(body: bytes) -> list[StreamEvent]:
     blocks = body.decode().split("\n\n")
