Learn the members from heartbeats and the platform's list

Measured: the state machine passes (40 examples, derandomized). Seen failing first: hold-down 0, no majority check and no rejoin after a pause each broke the invariant that hosts that act know each other; without refutation, or without telling a silent host, the fleet did not agree after healing. Leaving out the probe of silent hosts or the freshness of the peer's word was not noticed by these examples. Conclusion: the invariant holds over crash, replacement, pause, partition, loss, delay and duplicates in these runs.

--- a/src/gypsumfield/adapters/peers.py
+++ b/src/gypsumfield/adapters/peers.py
@@ -20,6 +20,7 @@
 QUEUE_LIMIT = 256
 SOCKET_QUEUE_LIMIT = 64
 FLUSH_INTERVAL_MS = 20.0
+IDLE_LIMIT_MS = 30_000.0
 MESSAGE_LIMIT_BYTES = 64 * 1_048_576
 BACKLOG_CONNECTIONS = 512
 _ZAP_ENDPOINT = "inproc://zeromq.zap.01"
@@ -41,6 +42,7 @@
         self.public_key = public_key
         self.socket: Any = None
         self.waiting: deque[bytes] = deque(maxlen=QUEUE_LIMIT)
+        self.idle_ms = 0.0
 
 
 class PeerTransport:
@@ -115,13 +117,6 @@
         if peer and peer.socket is not None:
             peer.socket.close(linger=0)
 
-    def disconnect_peer(self, host_id: str) -> None:
-        """Close an idle connection; the next frame opens it again."""
-        peer = self._peers.get(host_id)
-        if peer and peer.socket is not None and not peer.waiting:
-            peer.socket.close(linger=0)
-            peer.socket = None
-
     def is_key_of(self, host_id: str, public_key: str) -> bool:
         """Return whether a frame of ``host_id`` may come with ``public_key``."""
         if not self._credentials.public_key:
@@ -142,6 +137,7 @@
         if len(peer.waiting) == QUEUE_LIMIT:
             self.dropped_count += 1
         peer.waiting.append(frame)
+        peer.idle_ms = 0.0
         self._flush(peer)
         return True
 
@@ -191,6 +187,15 @@
             for peer in list(self._peers.values()):
                 if peer.waiting:
                     self._flush(peer)
+                elif peer.socket is not None:
+                    self._close_idle(peer)
+
+    def _close_idle(self, peer: _Peer) -> None:
+        """Close a connection that is no longer used; a frame opens it again."""
+        peer.idle_ms += FLUSH_INTERVAL_MS
+        if peer.idle_ms >= IDLE_LIMIT_MS:
+            peer.socket.close(linger=0)
+            peer.socket = None
 
     def _receive_all(self, receive: Callable[[bytes, str], None]) -> None:
         while True:
--- a/src/gypsumfield/control_loop.py
+++ b/src/gypsumfield/control_loop.py
@@ -111,6 +111,10 @@
         """Messages and bytes carried since the start."""
         return self._traffic
 
+    def now_ms(self) -> float:
+        """Return the monotonic time."""
+        return self._clock.monotonic_ms()
+
     def register(self, message_type: type[MessageT], handler: Handler) -> None:
         """Let ``handler(sender_host_id, message)`` take one type of message."""
         self._handlers[message_type] = handler
--- /dev/null
+++ b/src/gypsumfield/decisions/membership.py
@@ -0,0 +1,503 @@
+"""Membership of entry hosts: the platform's lagging list and direct heartbeats.
+
+Each host sends heartbeats to its two neighbours on a ring of its zone, to one
+random host of the zone and now and then to one of another zone. Neighbours
+report a silent host; reports travel with the heartbeats. A host that hears of
+its own silence refutes it with a higher incarnation.
+"""
+
+from collections.abc import Iterable
+from random import Random
+from typing import NamedTuple
+
+import xxhash
+
+from gypsumfield.decisions.backend_membership import BackendMembership
+from gypsumfield.decisions.rumours import RumourQueue
+from gypsumfield.messages import ControlMessage
+from gypsumfield.messages import Heartbeat
+from gypsumfield.messages import MemberNews
+from gypsumfield.messages import ViewAnswer
+from gypsumfield.messages import ViewRequest
+from gypsumfield.platform_api import Member
+
+NEWS_LIMIT = 6
+FORGET_AFTER_MS = 600_000.0
+_STATE_ORDER = {"live": 0, "silent": 1, "leaving": 2}
+
+
+class MembershipTimes(NamedTuple):
+    """Times of the membership protocol.
+
+    Attributes:
+        heartbeat_interval_ms: Time between two heartbeats to a neighbour.
+        silent_after_ms: Silence after which a neighbour is reported.
+        first_heard_within_ms: Silence after which a new neighbour is reported.
+        hold_down_ms: Wait before anybody's share may grow.
+        confirmed_within_ms: Age of evidence that this host is heard.
+        cross_zone_every: Heartbeat rounds between two to another zone.
+        view_request_interval_ms: Shortest time between two requests for a view.
+    """
+
+    heartbeat_interval_ms: float = 1_000.0
+    silent_after_ms: float = 3_500.0
+    first_heard_within_ms: float = 2_500.0
+    hold_down_ms: float = 10_000.0
+    confirmed_within_ms: float = 3_500.0
+    cross_zone_every: int = 3
+    view_request_interval_ms: float = 2_000.0
+
+
+DEFAULT_TIMES = MembershipTimes()
+
+
+class Outgoing(NamedTuple):
+    """Message to be sent to an entry host."""
+
+    host_id: str
+    message: ControlMessage
+
+
+class SpreadPosition(NamedTuple):
+    """What a heartbeat tells of the values that its sender holds."""
+
+    configuration_revision: int = 0
+    members_version: int = 0
+
+
+class _Entry:
+    """One entry host as this host sees it."""
+
+    def __init__(self, news: MemberNews, now_ms: float) -> None:
+        self.news = news
+        self.joined_ms = now_ms
+        self.ended_ms: float | None = None
+        self.heard_ms: float | None = None
+        self.watched_since_ms: float | None = None
+
+
+class Membership:
+    """Entry hosts as one host sees them; a new boot counts as a new host.
+
+    Attributes:
+        host_id: This host.
+        availability_zone: Zone of this host.
+        times: Times of the protocol.
+        backends: Backend servers as this host sees them.
+        view_version: Rises whenever a host joins, changes or is forgotten.
+    """
+
+    def __init__(
+        self,
+        self_news: MemberNews,
+        now_ms: float,
+        times: MembershipTimes = DEFAULT_TIMES,
+        seeds: Iterable[str] = (),
+    ) -> None:
+        """Start with nobody known but this host.
+
+        Args:
+            self_news: This host; its incarnation is the wall time of its boot,
+                so that a later boot of the same host wins.
+            now_ms: Monotonic time.
+            times: Times of the protocol.
+            seeds: Host ids that settings name, to reach others at the start.
+        """
+        self.host_id = self_news.host_id
+        self.availability_zone = self_news.availability_zone
+        self.times = times
+        self.backends = BackendMembership(self.availability_zone)
+        self._entries = {self.host_id: _Entry(self_news, now_ms)}
+        self._rumours: RumourQueue[str, MemberNews] = RumourQueue()
+        self.view_version = 0
+        self._seeds = tuple(seed for seed in seeds if seed != self.host_id)
+        self._listed: frozenset[str] = frozenset()
+        self._round = 0
+        self._heard_by_peer_ms: float | None = None
+        self._platform_contact_ms: float | None = None
+        self._view_requested_ms = float("-inf")
+        self._rumours.add(self.host_id, self_news)
+
+    @property
+    def self_news(self) -> MemberNews:
+        """This host, as it tells the others."""
+        return self._entries[self.host_id].news
+
+    def known_news(self) -> list[MemberNews]:
+        """Return the latest news of each host that is not forgotten."""
+        return [entry.news for entry in self._entries.values()]
+
+    def live_hosts(self, zone: str | None = None) -> frozenset[str]:
+        """Return the hosts of a zone, or of all, that are believed live now."""
+        return frozenset(
+            entry.news.host_id
+            for entry in self._in_zone(zone)
+            if entry.news.state == "live"
+        )
+
+    def members_for_shrinking(
+        self, now_ms: float, zone: str | None = None
+    ) -> frozenset[str]:
+        """Return every host that may still act: live, or ended a short time ago.
+
+        Dividing by their number never gives a host more than its part.
+        """
+        hold_down_ms = self.times.hold_down_ms
+        return frozenset(
+            entry.news.host_id
+            for entry in self._in_zone(zone)
+            if entry.ended_ms is None or now_ms - entry.ended_ms < hold_down_ms
+        )
+
+    def members_for_growing(
+        self, now_ms: float, zone: str | None = None
+    ) -> frozenset[str]:
+        """Return the hosts that have been live throughout the hold-down."""
+        return frozenset(
+            entry.news.host_id
+            for entry in self._in_zone(zone)
+            if entry.ended_ms is None
+            and now_ms - entry.joined_ms >= self.times.hold_down_ms
+        )
+
+    def is_confirmed(self, now_ms: float) -> bool:
+        """Return whether the others of the zone cannot have dropped this host.
+
+        More than half of the zone's known hosts must be live, and a peer must
+        have said a short time ago that it hears this host. Exactly half are
+        enough with fresh contact to the platform, so that one of two hosts
+        goes on when the other dies.
+        """
+        has_platform = self._is_fresh(self._platform_contact_ms, now_ms)
+        live_count = len(self.live_hosts(self.availability_zone))
+        known_count = live_count + self._missing_count()
+        if known_count <= 1:
+            return has_platform or not self._seeds
+        if 2 * live_count == known_count:
+            return has_platform
+        is_heard = self._is_fresh(self._heard_by_peer_ms, now_ms)
+        return 2 * live_count > known_count and is_heard
+
+    def note_platform_contact(self, now_ms: float) -> None:
+        """Record that the platform has just answered this host."""
+        self._platform_contact_ms = now_ms
+
+    def take_platform_list(self, hosts: Iterable[Member], now_ms: float) -> None:
+        """Merge the platform's list; what hosts say themselves goes before it."""
+        hosts = tuple(hosts)
+        entry_hosts = [member for member in hosts if member.role == "entry"]
+        self.backends.take_platform_list(hosts)
+        listed = frozenset(member.host_id for member in entry_hosts)
+        for member in entry_hosts:
+            self._take_listed(member, now_ms)
+        for host_id in self._listed - listed:
+            self._drop_unlisted(host_id, now_ms)
+        self._listed = listed
+
+    def take_heartbeat(self, heartbeat: Heartbeat, now_ms: float) -> list[Outgoing]:
+        """Merge a heartbeat and return what is to be sent because of it."""
+        sender = heartbeat.self_news
+        self._merge(sender, now_ms)
+        entry = self._entries.get(sender.host_id)
+        if entry is not None and entry.news.boot_id == sender.boot_id:
+            entry.heard_ms = now_ms
+        for news in heartbeat.news:
+            self._merge(news, now_ms)
+        for backend_news in heartbeat.backend_news:
+            self.backends.take_news(backend_news)
+        if 0 <= heartbeat.heard_age_ms < self.times.silent_after_ms:
+            self._heard_by_peer_ms = now_ms - heartbeat.heard_age_ms
+        if entry is not None and entry.news.state == "silent":
+            # The sender must hear of it to refute it.
+            return [Outgoing(sender.host_id, ViewAnswer(news=(entry.news,)))]
+        return self._compare_views(heartbeat, now_ms)
+
+    def take_view(self, answer: ViewAnswer, now_ms: float) -> None:
+        """Merge all news of a zone."""
+        for news in answer.news:
+            self._merge(news, now_ms)
+
+    def answer_view(self, request: ViewRequest) -> ViewAnswer:
+        """Return all news of the zone that is asked for."""
+        zone = request.availability_zone or None
+        return ViewAnswer(news=tuple(entry.news for entry in self._in_zone(zone)))
+
+    def tick(
+        self, now_ms: float, random: Random, position: SpreadPosition
+    ) -> list[Outgoing]:
+        """Report silent neighbours and return this round's heartbeats.
+
+        Args:
+            now_ms: Monotonic time; to be called each heartbeat interval.
+            random: Chooses the random peers.
+            position: What this host's heartbeats tell of its values.
+        """
+        self._round += 1
+        self._report_silent(now_ms)
+        self._forget(now_ms)
+        return [
+            Outgoing(host_id, self._heartbeat(host_id, now_ms, position))
+            for host_id in self._choose_targets(random)
+        ]
+
+    def leave(self, now_ms: float) -> None:
+        """Tell all others that this host takes no new work."""
+        self._announce(self.self_news.incarnation + 1, "leaving", now_ms)
+
+    def rejoin(self, now_ms: float) -> None:
+        """Start anew after a pause: wait out the hold-down, judge nobody yet."""
+        entry = self._entries[self.host_id]
+        entry.joined_ms = now_ms
+        self._heard_by_peer_ms = None
+        self._platform_contact_ms = None
+        for other in self._entries.values():
+            other.heard_ms = None
+            other.watched_since_ms = None
+        if entry.news.state == "live":
+            self._announce(entry.news.incarnation + 1, "live", now_ms)
+
+    def _in_zone(self, zone: str | None) -> list[_Entry]:
+        return [
+            entry
+            for entry in self._entries.values()
+            if zone is None or entry.news.availability_zone == zone
+        ]
+
+    def _missing_count(self) -> int:
+        """Return how many hosts of the zone are silent and not known as gone."""
+        return sum(
+            entry.news.state == "silent"
+            and (not self._listed or entry.news.host_id in self._listed)
+            for entry in self._in_zone(self.availability_zone)
+        )
+
+    def _is_fresh(self, at_ms: float | None, now_ms: float) -> bool:
+        return at_ms is not None and now_ms - at_ms <= self.times.confirmed_within_ms
+
+    def _announce(self, incarnation: int, state: str, now_ms: float) -> None:
+        news = self.self_news
+        self._adopt(
+            MemberNews(
+                news.host_id,
+                news.boot_id,
+                news.availability_zone,
+                incarnation,
+                "leaving" if state == "leaving" else "live",
+                news.control_address,
+                news.control_public_key,
+            ),
+            now_ms,
+        )
+
+    def _merge(self, news: MemberNews, now_ms: float) -> None:
+        if news.host_id == self.host_id:
+            self._refute(news, now_ms)
+            return
+        entry = self._entries.get(news.host_id)
+        if entry is None or _is_newer(news, entry.news):
+            self._adopt(news, now_ms)
+
+    def _refute(self, news: MemberNews, now_ms: float) -> None:
+        own = self.self_news
+        if not _is_newer(news, own):
+            return
+        is_told_to_leave = news.state == "leaving" and news.boot_id == own.boot_id
+        state = "leaving" if is_told_to_leave else own.state
+        self._announce(news.incarnation + 1, state, now_ms)
+
+    def _adopt(self, news: MemberNews, now_ms: float) -> None:
+        entry = self._entries.get(news.host_id)
+        if entry is None:
+            entry = self._entries[news.host_id] = _Entry(news, now_ms)
+        elif entry.news.boot_id != news.boot_id:
+            entry.joined_ms = now_ms
+            entry.heard_ms = entry.watched_since_ms = None
+        self._note_end(entry, news, now_ms)
+        if not news.control_public_key:
+            key = entry.news.control_public_key
+            news = _with_key(news, key)
+        entry.news = news
+        self.view_version += 1
+        self._rumours.add(news.host_id, news)
+
+    def _note_end(self, entry: _Entry, news: MemberNews, now_ms: float) -> None:
+        if news.state != "live":
+            if entry.ended_ms is None:
+                entry.ended_ms = now_ms
+            return
+        if entry.ended_ms is not None:
+            # Within the hold-down nobody has taken over what it held.
+            if now_ms - entry.ended_ms >= self.times.hold_down_ms:
+                entry.joined_ms = now_ms
+            entry.heard_ms = entry.watched_since_ms = None
+        entry.ended_ms = None
+
+    def _take_listed(self, member: Member, now_ms: float) -> None:
+        if member.host_id == self.host_id:
+            return
+        entry = self._entries.get(member.host_id)
+        if entry is not None and entry.news.incarnation > 0:
+            if member.state == "leaving" and member.boot_id == entry.news.boot_id:
+                self._adopt(_with_state(entry.news, "leaving"), now_ms)
+            return
+        news = MemberNews(
+            member.host_id,
+            member.boot_id,
+            member.availability_zone,
+            0,
+            member.state,
+            member.control_address,
+            member.control_public_key,
+        )
+        is_other_boot = entry is not None and entry.news.boot_id != news.boot_id
+        if entry is None or is_other_boot or _is_newer(news, entry.news):
+            self._adopt(news, now_ms)
+
+    def _drop_unlisted(self, host_id: str, now_ms: float) -> None:
+        """End a host that left the list and of which nobody hears any more."""
+        entry = self._entries.get(host_id)
+        if entry is None or host_id == self.host_id or entry.news.state != "live":
+            return
+        is_other_zone = entry.news.availability_zone != self.availability_zone
+        if is_other_zone or not self._was_heard(entry, now_ms):
+            self._adopt(_with_state(entry.news, "silent"), now_ms)
+
+    def _was_heard(self, entry: _Entry, now_ms: float) -> bool:
+        if entry.heard_ms is None:
+            return False
+        return now_ms - entry.heard_ms <= self.times.silent_after_ms
+
+    def _compare_views(self, heartbeat: Heartbeat, now_ms: float) -> list[Outgoing]:
+        zone = heartbeat.self_news.availability_zone
+        since_ms = now_ms - self._view_requested_ms
+        if since_ms < self.times.view_request_interval_ms:
+            return []
+        if heartbeat.view_digest == self._view_digest(zone):
+            return []
+        self._view_requested_ms = now_ms
+        request = ViewRequest(availability_zone=zone)
+        return [Outgoing(heartbeat.self_news.host_id, request)]
+
+    def _view_digest(self, zone: str) -> int:
+        lines = sorted(
+            f"{news.host_id} {news.boot_id} {news.incarnation} {news.state}"
+            for news in (entry.news for entry in self._in_zone(zone))
+            if news.state == "live"
+        )
+        return xxhash.xxh3_64_intdigest("\n".join(lines).encode())
+
+    def _ring_neighbours(self) -> list[str]:
+        hosts = self.live_hosts(self.availability_zone) | {self.host_id}
+        ring = sorted(hosts, key=_ring_position)
+        at = ring.index(self.host_id)
+        neighbours = {ring[at - 1], ring[(at + 1) % len(ring)]}
+        return sorted(neighbours - {self.host_id})
+
+    def _report_silent(self, now_ms: float) -> None:
+        neighbours = set(self._ring_neighbours())
+        for host_id, entry in list(self._entries.items()):
+            if host_id not in neighbours:
+                entry.watched_since_ms = None
+                continue
+            if entry.watched_since_ms is None:
+                entry.watched_since_ms = now_ms
+            if self._is_silent(entry, entry.watched_since_ms, now_ms):
+                self._adopt(_with_state(entry.news, "silent"), now_ms)
+
+    def _is_silent(self, entry: _Entry, watched_since_ms: float, now_ms: float) -> bool:
+        heard_ms = entry.heard_ms
+        if heard_ms is None or heard_ms < watched_since_ms:
+            # A ring that closes over several lost hosts must not take the full
+            # time for each of them.
+            return now_ms - watched_since_ms > self.times.first_heard_within_ms
+        return now_ms - heard_ms > self.times.silent_after_ms
+
+    def _forget(self, now_ms: float) -> None:
+        for host_id, entry in list(self._entries.items()):
+            if entry.ended_ms is None or host_id == self.host_id:
+                continue
+            if now_ms - entry.ended_ms >= FORGET_AFTER_MS:
+                del self._entries[host_id]
+                self.view_version += 1
+
+    def _choose_targets(self, random: Random) -> list[str]:
+        targets = self._ring_neighbours()
+        own_zone = self.live_hosts(self.availability_zone) - {self.host_id}
+        targets += _choose(random, own_zone.difference(targets))
+        if self._round % self.times.cross_zone_every == 0:
+            elsewhere = self.live_hosts() - own_zone - {self.host_id}
+            targets += _choose(random, elsewhere)
+            # A host that was given up is tried now and then: it may be parted
+            # from this one and not dead.
+            targets += _choose(random, self._silent_hosts())
+        unknown_seeds = set(self._seeds) - set(self._entries)
+        return targets + _choose(random, unknown_seeds)
+
+    def _silent_hosts(self) -> set[str]:
+        return {
+            entry.news.host_id
+            for entry in self._entries.values()
+            if entry.news.state == "silent" and entry.news.host_id != self.host_id
+        }
+
+    def _heartbeat(
+        self, host_id: str, now_ms: float, position: SpreadPosition
+    ) -> Heartbeat:
+        entry = self._entries.get(host_id)
+        heard_ms = entry.heard_ms if entry else None
+        repeats = _repeat_count(len(self._entries))
+        return Heartbeat(
+            self_news=_with_key(self.self_news, ""),
+            heard_age_ms=-1 if heard_ms is None else int(now_ms - heard_ms),
+            configuration_revision=position.configuration_revision,
+            members_version=position.members_version,
+            view_digest=self._view_digest(self.availability_zone),
+            news=tuple(self._rumours.take(NEWS_LIMIT, repeats)),
+            backend_news=tuple(self.backends.rumours.take(NEWS_LIMIT, repeats)),
+        )
+
+
+def _is_newer(news: MemberNews, known: MemberNews) -> bool:
+    if news.incarnation != known.incarnation:
+        return news.incarnation > known.incarnation
+    if news.boot_id != known.boot_id:
+        return news.boot_id > known.boot_id
+    return _STATE_ORDER[news.state] > _STATE_ORDER[known.state]
+
+
+def _with_state(news: MemberNews, state: str) -> MemberNews:
+    return MemberNews(
+        news.host_id,
+        news.boot_id,
+        news.availability_zone,
+        news.incarnation,
+        "leaving" if state == "leaving" else "silent",
+        news.control_address,
+        news.control_public_key,
+    )
+
+
+def _with_key(news: MemberNews, public_key: str) -> MemberNews:
+    return MemberNews(
+        news.host_id,
+        news.boot_id,
+        news.availability_zone,
+        news.incarnation,
+        news.state,
+        news.control_address,
+        public_key,
+    )
+
+
+def _ring_position(host_id: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(host_id.encode()), host_id
+
+
+def _choose(random: Random, hosts: Iterable[str]) -> list[str]:
+    ordered = sorted(hosts)
+    return [random.choice(ordered)] if ordered else []
+
+
+def _repeat_count(host_count: int) -> int:
+    """Return how often news is passed on so that every host hears of it."""
+    return 3 * max(1, host_count.bit_length())
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -50,22 +50,40 @@
     control_public_key: str = ""
 
 
+class BackendNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an engine's own answers said of it, ahead of the platform's list.
+
+    Attributes:
+        host_id: The backend server.
+        boot_id: The boot it concerns.
+        state: Whether that boot is leaving.
+    """
+
+    host_id: str
+    boot_id: str
+    state: HostState
+
+
 class Heartbeat(ControlMessage, frozen=True, tag=1):
     """Sign of life, with digests and the latest news of members.
 
     Attributes:
         self_news: The sender itself.
+        heard_age_ms: How long ago the sender heard the receiver; -1 is never.
         configuration_revision: Revision in force at the sender.
         members_version: Version of the platform's member list at the sender.
         view_digest: Digest of the entry hosts that the sender's zone knows.
-        news: Latest news, a bounded number.
+        news: Latest news of entry hosts, a bounded number.
+        backend_news: Latest news of backend servers, a bounded number.
     """
 
     self_news: MemberNews = MemberNews("", "", "", 0, "live")
+    heard_age_ms: int = -1
     configuration_revision: int = 0
     members_version: int = 0
     view_digest: int = 0
     news: tuple[MemberNews, ...] = ()
+    backend_news: tuple[BackendNews, ...] = ()
 
 
 class ViewRequest(ControlMessage, frozen=True, tag=2):
--- /dev/null
+++ b/tests/fake_members.py
@@ -0,0 +1,99 @@
+"""Entry hosts of a fake fleet, each running the membership decisions."""
+
+from random import Random
+
+from fake_network import FakeNetwork
+from gypsumfield.decisions.membership import DEFAULT_TIMES
+from gypsumfield.decisions.membership import Membership
+from gypsumfield.decisions.membership import SpreadPosition
+from gypsumfield.messages import Heartbeat
+from gypsumfield.messages import MemberNews
+from gypsumfield.messages import ViewAnswer
+from gypsumfield.messages import ViewRequest
+from gypsumfield.platform_api import Member
+
+WALL_START_MS = 1_700_000_000_000
+
+
+class FakeMember:
+    """One boot of an entry host; paused, it neither ticks nor reads."""
+
+    def __init__(self, network: FakeNetwork, host_id, zone, boot, times=DEFAULT_TIMES):
+        self.network = network
+        self.zone = zone
+        self.boot = boot
+        self.random = Random(f"{host_id} {boot}")
+        self.is_up = True
+        self.paused_since_ms = None
+        self.late = []
+        incarnation = WALL_START_MS + int(network.now_ms)
+        news = MemberNews(
+            host_id, f"{host_id}-b{boot}", zone, incarnation, "live", "127.0.0.1:1"
+        )
+        self.membership = Membership(news, network.now_ms, times)
+        network.attach(host_id, self.deliver)
+        self._tick()
+
+    @property
+    def host_id(self):
+        return self.membership.host_id
+
+    @property
+    def is_running(self):
+        return self.is_up and self.paused_since_ms is None
+
+    def is_acting(self, now_ms):
+        """Whether it may act for what it would own."""
+        growing = self.membership.members_for_growing(now_ms, self.zone)
+        is_confirmed = self.membership.is_confirmed(now_ms)
+        return self.is_running and is_confirmed and self.host_id in growing
+
+    def as_listed(self, state="live"):
+        return Member(
+            self.host_id,
+            "entry",
+            self.zone,
+            "127.0.0.1:2",
+            state,
+            self.membership.self_news.boot_id,
+            control_address="127.0.0.1:1",
+        )
+
+    def crash(self):
+        self.is_up = False
+        self.network.detach(self.host_id)
+
+    def pause(self):
+        self.paused_since_ms = self.network.now_ms
+
+    def resume(self):
+        self.paused_since_ms = None
+        self.membership.rejoin(self.network.now_ms)
+        late, self.late = self.late, []
+        for sender, message in late:
+            self.deliver(sender, message)
+
+    def deliver(self, sender, message):
+        if self.paused_since_ms is not None:
+            self.late.append((sender, message))
+            return
+        now_ms = self.network.now_ms
+        if isinstance(message, Heartbeat):
+            for outgoing in self.membership.take_heartbeat(message, now_ms):
+                self.network.send(self.host_id, *outgoing)
+        elif isinstance(message, ViewRequest):
+            answer = self.membership.answer_view(message)
+            self.network.send(self.host_id, sender, answer)
+        elif isinstance(message, ViewAnswer):
+            self.membership.take_view(message, now_ms)
+
+    def _tick(self):
+        if not self.is_up:
+            return
+        now_ms = self.network.now_ms
+        interval_ms = self.membership.times.heartbeat_interval_ms
+        self.network.call_at(now_ms + interval_ms, self._tick)
+        if self.is_running:
+            outgoing = self.membership.tick(now_ms, self.random, SpreadPosition())
+            for host_id, message in outgoing:
+                self.network.send(self.host_id, host_id, message)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,167 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from fake_members import FakeMember
+from fake_network import FakeNetwork
+
+ZONES = {f"m{i}": "manta" for i in range(5)} | {f"s{i}": "salinas" for i in range(2)}
+HOSTS = st.sampled_from(sorted(ZONES))
+SETTLE_MS = 60_000
+
+
+def start_fleet(network, zones):
+    fleet = {host: FakeMember(network, host, zone, 1) for host, zone in zones.items()}
+    publish(fleet)
+    return fleet
+
+
+def publish(fleet, hosts=None):
+    """Give every running host the platform's list."""
+    listed = [member.as_listed() for member in fleet.values() if member.is_up]
+    if hosts is not None:
+        listed = hosts
+    for member in fleet.values():
+        if member.is_running:
+            member.membership.take_platform_list(listed, member.network.now_ms)
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Hosts that act believe in each other, whatever the network does."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.network = FakeNetwork(seed)
+        self.fleet = start_fleet(self.network, ZONES)
+        self.boot = 1
+        self.network.advance(15_000)
+
+    @rule(duration_ms=st.sampled_from([300, 2_000, 7_000, 16_000]))
+    def wait(self, duration_ms):
+        # In steps, so that the invariant is looked at on the way.
+        for _ in range(max(1, duration_ms // 1_000)):
+            self.network.advance(min(duration_ms, 1_000))
+            self.acting_hosts_know_each_other()
+
+    @rule(host=HOSTS)
+    def crash(self, host):
+        self.fleet[host].crash()
+
+    @rule(host=HOSTS)
+    def replace(self, host):
+        self.fleet[host].crash()
+        self.boot += 1
+        self.fleet[host] = FakeMember(self.network, host, ZONES[host], self.boot)
+        self.fleet[host].membership.take_platform_list(
+            [member.as_listed() for member in self.fleet.values()], self.network.now_ms
+        )
+
+    @rule(host=HOSTS)
+    def pause(self, host):
+        if self.fleet[host].is_running:
+            self.fleet[host].pause()
+
+    @rule(host=HOSTS)
+    def resume(self, host):
+        if self.fleet[host].is_up and not self.fleet[host].is_running:
+            self.fleet[host].resume()
+
+    @rule(group=st.sets(HOSTS, min_size=1, max_size=4))
+    def part(self, group):
+        self.network.part([group])
+
+    @rule()
+    def heal(self):
+        self.network.heal()
+
+    @rule(drop=st.sampled_from([0.0, 0.05]), duplicate=st.sampled_from([0.0, 0.3]))
+    def fault(self, drop, duplicate):
+        self.network.drop_probability = drop
+        self.network.duplicate_probability = duplicate
+        self.network.delay_limit_ms = 200.0
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @invariant()
+    def acting_hosts_know_each_other(self):
+        now_ms = self.network.now_ms
+        acting = [member for member in self.fleet.values() if member.is_acting(now_ms)]
+        for member in acting:
+            view = member.membership.members_for_shrinking(now_ms, member.zone)
+            rivals = {other.host_id for other in acting if other.zone == member.zone}
+            assert rivals <= view, (member.host_id, rivals - view)
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        self.network.heal()
+        self.network.drop_probability = 0.0
+        for member in self.fleet.values():
+            if member.is_up and not member.is_running:
+                member.resume()
+        publish(self.fleet)
+        self.network.advance(SETTLE_MS)
+        truth = {member.host_id for member in self.fleet.values() if member.is_up}
+        for host in truth:
+            membership = self.fleet[host].membership
+            now_ms = self.network.now_ms
+            assert membership.live_hosts() == truth
+            assert membership.members_for_growing(now_ms) == truth
+
+
+MembershipMachine.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=30, derandomize=True, deadline=None
+)
+TestMembershipMachine = MembershipMachine.TestCase
+
+
+def listed_backend(boot_id, state="live"):
+    return Member("e1", "backend", "manta", "127.0.0.1:9", state, boot_id, ("tags",))
+
+
+@pytest.mark.parametrize(
+    ("listed", "news", "is_live"),
+    [
+        (listed_backend("b1"), [], True),
+        (listed_backend("b1", "leaving"), [], False),
+        (listed_backend("b1"), [("b1", "leaving")], False),
+        (listed_backend("b1"), [("b1", "leaving"), ("b1", "live")], False),
+        (listed_backend("b2"), [("b1", "leaving")], True),
+        (listed_backend("b1", "leaving"), [("b1", "leaving"), ("b2", "live")], True),
+        (listed_backend("b1"), [("b1", "live"), ("b2", "live"), ("b1", "leaving")], 1),
+    ],
+)
+def test_leaving_backend_is_known_before_the_list_says_so(listed, news, is_live):
+    backends = BackendMembership("manta")
+    backends.take_platform_list([listed])
+    for boot_id, state in news:
+        backends.take_news(BackendNews("e1", boot_id, state))
+    assert bool(backends.live("tags")) == is_live
+    assert backends.live("other") == []
+
+
+def test_host_that_the_list_calls_leaving_says_so_itself():
+    network = FakeNetwork()
+    fleet = start_fleet(network, {"m0": "manta", "m1": "manta", "m2": "manta"})
+    listed = [fleet["m0"].as_listed("leaving")]
+    listed += [fleet[host].as_listed() for host in ("m1", "m2")]
+    fleet["m1"].membership.take_platform_list(listed, network.now_ms)
+    network.advance(10_000)
+    for member in fleet.values():
+        assert member.membership.live_hosts() == {"m1", "m2"}
+    assert fleet["m0"].membership.self_news.state == "leaving"
+
+
+def test_lone_survivor_of_two_needs_the_platform():
+    network = FakeNetwork()
+    fleet = start_fleet(network, {"m0": "manta", "m1": "manta"})
+    network.advance(15_000)
+    assert fleet["m0"].is_acting(network.now_ms)
+    fleet["m1"].crash()
+    network.advance(10_000)
+    assert not fleet["m0"].is_acting(network.now_ms)
+    fleet["m0"].membership.note_platform_contact(network.now_ms)
+    assert fleet["m0"].is_acting(network.now_ms)
