Let leaving hosts hear of it and stay informed

Change: a host is told what is said of it; a live host answers the heartbeats of a leaving one. BackendMembership gains listed, is_leaving and is_empty.

--- a/src/gypsumfield/decisions/backend_membership.py
+++ b/src/gypsumfield/decisions/backend_membership.py
@@ -68,6 +68,11 @@
         self._news[news.host_id] = news
         self.rumours.add(news.host_id, news)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the platform has listed no backend server yet."""
+        return not self._listed
+
     def boot_id_of(self, host_id: str) -> str:
         """Return the latest boot heard of, or an empty text."""
         news = self._news.get(host_id)
@@ -80,6 +85,10 @@
         """Return the platform's entry of a backend server."""
         return self._listed.get(host_id)
 
+    def listed(self) -> list[Member]:
+        """Return every backend server on the platform's list."""
+        return list(self._listed.values())
+
     def live(self, service: str | None = None) -> list[LiveBackendServer]:
         """Return the backend servers of a service, or all, that are not leaving."""
         return [
@@ -91,10 +100,11 @@
             )
             for member in self._listed.values()
             if (service is None or service in member.services)
-            and not self._is_leaving(member)
+            and not self.is_leaving(member)
         ]
 
-    def _is_leaving(self, member: Member) -> bool:
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether a listed backend server must get no new work."""
         news = self._news.get(member.host_id)
         if news is None:
             return member.state == "leaving"
--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -112,7 +112,9 @@
         self.view_version = 0
         self._seeds = tuple(seed for seed in seeds if seed != self.host_id)
         self._listed: frozenset[str] = frozenset()
+        self._told_to_leave: dict[str, str] = {}
         self._round = 0
+        self._position = SpreadPosition()
         self._heard_by_peer_ms: float | None = None
         self._platform_contact_ms: float | None = None
         self._view_requested_ms = float("-inf")
@@ -188,6 +190,11 @@
         entry_hosts = [member for member in hosts if member.role == "entry"]
         self.backends.take_platform_list(hosts)
         listed = frozenset(member.host_id for member in entry_hosts)
+        self._told_to_leave = {
+            member.host_id: member.boot_id
+            for member in entry_hosts
+            if member.state == "leaving"
+        }
         for member in entry_hosts:
             self._take_listed(member, now_ms)
         for host_id in self._listed - listed:
@@ -207,9 +214,14 @@
             self.backends.take_news(backend_news)
         if 0 <= heartbeat.heard_age_ms < self.times.silent_after_ms:
             self._heard_by_peer_ms = now_ms - heartbeat.heard_age_ms
-        if entry is not None and entry.news.state == "silent":
-            # The sender must hear of it to refute it.
+        if entry is not None and entry.news.state != sender.state:
+            # The sender must hear what is said of it.
             return [Outgoing(sender.host_id, ViewAnswer(news=(entry.news,)))]
+        if sender.state == "leaving" and self.self_news.state == "live":
+            # Nobody watches it any more, but it still serves its answers and
+            # must hear of configuration.
+            answer = self._heartbeat(sender.host_id, now_ms, self._position)
+            return [Outgoing(sender.host_id, answer)]
         return self._compare_views(heartbeat, now_ms)
 
     def take_view(self, answer: ViewAnswer, now_ms: float) -> None:
@@ -233,7 +245,9 @@
             position: What this host's heartbeats tell of its values.
         """
         self._round += 1
-        self._report_silent(now_ms)
+        self._position = position
+        if self.self_news.state == "live":
+            self._report_silent(now_ms)
         self._forget(now_ms)
         return [
             Outgoing(host_id, self._heartbeat(host_id, now_ms, position))
@@ -294,8 +308,14 @@
             self._refute(news, now_ms)
             return
         entry = self._entries.get(news.host_id)
-        if entry is None or _is_newer(news, entry.news):
-            self._adopt(news, now_ms)
+        if entry is not None and not _is_newer(news, entry.news):
+            return
+        self._adopt(news, now_ms)
+        if news.state == "live" and self._is_told_to_leave(news):
+            self._adopt(_with_state(news, "leaving"), now_ms)
+
+    def _is_told_to_leave(self, news: MemberNews) -> bool:
+        return self._told_to_leave.get(news.host_id) == news.boot_id
 
     def _refute(self, news: MemberNews, now_ms: float) -> None:
         own = self.self_news
@@ -337,7 +357,7 @@
             return
         entry = self._entries.get(member.host_id)
         if entry is not None and entry.news.incarnation > 0:
-            if member.state == "leaving" and member.boot_id == entry.news.boot_id:
+            if entry.news.state == "live" and self._is_told_to_leave(entry.news):
                 self._adopt(_with_state(entry.news, "leaving"), now_ms)
             return
         news = MemberNews(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize
@@ -8,6 +9,9 @@
 
 from fake_members import FakeMember
 from fake_network import FakeNetwork
+from gypsumfield.decisions.backend_membership import BackendMembership
+from gypsumfield.messages import BackendNews
+from gypsumfield.platform_api import Member
 
 ZONES = {f"m{i}": "manta" for i in range(5)} | {f"s{i}": "salinas" for i in range(2)}
 HOSTS = st.sampled_from(sorted(ZONES))
@@ -155,6 +159,19 @@
     assert fleet["m0"].membership.self_news.state == "leaving"
 
 
+def test_leaving_hosts_do_not_answer_each_other_without_end():
+    network = FakeNetwork()
+    fleet = start_fleet(network, {f"m{i}": "manta" for i in range(4)})
+    network.advance(5_000)
+    for host in ("m0", "m1", "m2"):
+        fleet[host].membership.leave(network.now_ms)
+    network.advance(5_000)
+    sent_before = network.sent_count
+    network.advance(10_000)
+    heartbeats_per_host_s = (network.sent_count - sent_before) / 4 / 10
+    assert heartbeats_per_host_s < 8
+
+
 def test_lone_survivor_of_two_needs_the_platform():
     network = FakeNetwork()
     fleet = start_fleet(network, {"m0": "manta", "m1": "manta"})
