--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -10,6 +10,10 @@
 from small_fleet import expected_text
 from small_fleet import stream_events
 from small_fleet import stream_text
+from small_fleet import wait_for
+
+# Not imported: the program's module patches the standard library.
+EXIT_ANSWERS_CUT = 3
 
 
 @pytest.fixture(scope="module")
@@ -102,3 +106,26 @@
     assert status == 2
     assert "--entry-hosts" in errors
     assert "expected 1 to 64" in errors
+
+
+def test_a_second_signal_ends_at_once_and_the_status_says_so():
+    arguments = ("--entry-hosts", "1", "--availability-zones", "1")
+    with program("gypsumfield-local", *arguments) as local:
+        body = {"model": "assistant", "prompt": "x [tokens=9000]", "stream": True}
+        url = f"{local.ready['entry_hosts'][0]['url']}/v1/completions"
+        data = json.dumps(body).encode()
+        headers = authorization(local.ready)
+        with open_call("POST", url, data, headers) as response:
+            assert response.read(16)
+            local.signal(signal.SIGTERM)
+            url = f"{local.ready['entry_hosts'][0]['url']}/healthz"
+            wait_for(lambda: is_refused_or_503(url))
+            local.signal(signal.SIGTERM)
+            assert local.wait() == EXIT_ANSWERS_CUT
+
+
+def is_refused_or_503(url: str) -> bool:
+    try:
+        return call("GET", url).status == 503
+    except OSError:
+        return True
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,182 @@
+"""Invariants over the whole path: keys, zones, resumes, repeats, leaving hosts."""
+
+import json
+
+import gevent
+import msgspec
+import pytest
+from geventhttpclient import HTTPClient
+
+from gypsumfield.standins.faults import Fault
+from gypsumfield.standins.faults import FaultOrder
+from httpcalls import call
+from httpcalls import open_call
+from small_fleet import base_values
+from small_fleet import bearer
+from small_fleet import complete
+from small_fleet import expected_text
+from small_fleet import KEY
+from small_fleet import OTHER_KEY
+from small_fleet import small_fleet
+from small_fleet import stream_events
+from small_fleet import stream_text
+from small_fleet import wait_for
+
+IDEMPOTENT_NOTES = ["PUT /notes/{name}", "DELETE /notes/{name}"]
+
+
+@pytest.fixture
+def fleet():
+    with small_fleet(entry_count=2) as running:
+        yield running
+
+
+def withdraw(fleet, account: str) -> None:
+    value = base_values()[f"client_accounts/{account}"] | {"key_digests": []}
+    fleet.publish_and_wait(f"client_accounts/{account}", value)
+
+
+def keep_one_ledger(fleet) -> None:
+    fleet.states["ledger-1"] = "leaving"
+    version = fleet.status(fleet.urls[0])["member_version"]
+    fleet.publish_members()
+    for url in fleet.urls:
+        wait_for(lambda url=url: fleet.status(url)["member_version"] > version)
+
+
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+@pytest.mark.parametrize("idempotent_routes", [[], IDEMPOTENT_NOTES])
+def test_no_second_send_hides_in_a_reused_connection(fleet, method, idempotent_routes):
+    routes = ["GET /balances/{cart}", *idempotent_routes]
+    service = base_values()["services/ledger"] | {"idempotent_routes": routes}
+    fleet.publish_and_wait("services/ledger", service)
+    keep_one_ledger(fleet)
+    ledger = fleet.ledgers[0]
+    url = f"{fleet.urls[0]}/services/ledger"
+    assert call("GET", f"{url}/balances/c1", headers=bearer()).status == 200
+    if idempotent_routes:
+        assert call("PUT", f"{url}/notes/b", {}, bearer()).status == 200
+    before = sum(ledger.note_changes.values())
+    # The server reads the whole request, runs it and closes.
+    ledger.server.arm((Fault("crash", "body-sent"),))
+    answer = call(method, f"{url}/notes/a", {}, bearer())
+    assert answer.status == 502
+    assert answer.json["error"]["run"] == "may-have-run"
+    assert sum(ledger.note_changes.values()) == before + 1
+
+
+def test_a_withdrawn_key_stops_on_a_connection_that_is_kept(fleet):
+    client = HTTPClient.from_url(fleet.urls[0], concurrency=1)
+    path = "/services/ledger/balances/c1"
+    answer = client.get(path, headers=bearer())
+    assert (answer.status_code, len(answer.read()) > 0) == (200, True)
+    withdraw(fleet, "carts")
+    assert client.get(path, headers=bearer()).status_code == 401
+    client.close()
+
+
+@pytest.mark.parametrize("policy", ["finish", "cut"])
+def test_a_running_answer_follows_its_profile_when_the_key_goes(fleet, policy):
+    profile = base_values()["profiles/briefing"] | {"on_key_withdrawn": policy}
+    fleet.publish_and_wait("profiles/briefing", profile)
+    body = {"model": "assistant", "prompt": "x [tokens=600]", "stream": True}
+    url = f"{fleet.urls[0]}/v1/completions"
+    with open_call("POST", url, json.dumps(body).encode(), bearer()) as response:
+        got = response.read(16)
+        withdraw(fleet, "carts")
+        events = stream_events(got + response.read())
+    if policy == "finish":
+        assert events[-1].data == "[DONE]"
+        assert stream_text(events) == expected_text(600)
+    else:
+        assert events[-1].kind == "error"
+        assert json.loads(events[-1].data)["error"]["code"] == "key_withdrawn"
+        wait_for(lambda: all(engine.model.is_idle for engine in fleet.engines))
+    resume = f"{fleet.urls[1]}/v1/generations/resume"
+    headers = bearer() | {"Last-Event-ID": events[0].cursor}
+    assert call("GET", resume, headers=headers).status == 401
+
+
+def test_two_resumes_at_once_get_each_the_whole_rest(fleet):
+    events = stream_events(complete(fleet.urls[0], "x [tokens=50]", stream=True).body)
+    headers = bearer() | {"Last-Event-ID": events[9].cursor}
+    resumes = [
+        gevent.spawn(call, "GET", f"{url}/v1/generations/resume", b"", headers)
+        for url in fleet.urls
+    ]
+    for resume in resumes:
+        rest = stream_events(resume.get(timeout=20).body)
+        assert [event.data for event in rest] == [event.data for event in events[10:]]
+
+
+def test_a_cursor_reveals_no_address_and_no_generation(fleet):
+    events = stream_events(complete(fleet.urls[0], "x [tokens=3]", stream=True).body)
+    names = [engine.address for engine in fleet.engines]
+    names += [name for engine in fleet.engines for name in engine.runs]
+    names += ["engine-0", "engine-1", "127.0.0.1", "carts"]
+    for event in events[:-1]:
+        assert not any(name in event.cursor for name in names)
+
+
+def test_a_retry_does_not_enter_a_zone_that_is_out(fleet):
+    fleet.publish_and_wait("availability_zones/salinas", {"status": "out"})
+    fault = Fault("crash", "headers-sent", count=-1, path_prefix="/v1/generations")
+    fleet.engines[0].server.arm((fault,))
+    answer = complete(fleet.urls[0], "x [tokens=2]")
+    assert (answer.status, answer.json["error"]["run"]) == (502, "may-have-run")
+    assert fleet.engines[1].runs == {}
+
+
+def test_a_leaving_backend_server_gets_no_new_work_and_ends_its_streams(fleet):
+    body = {"model": "assistant", "prompt": "x [tokens=400]", "stream": True}
+    url = f"{fleet.urls[0]}/v1/completions"
+    with open_call("POST", url, json.dumps(body).encode(), bearer()) as response:
+        got = response.read(16)
+        carrier = next(i for i, one in enumerate(fleet.engines) if one.runs)
+        fleet.states[f"engine-{carrier}"] = "leaving"
+        version = fleet.status(fleet.urls[0])["member_version"]
+        fleet.publish_members()
+        wait_for(lambda: fleet.status(fleet.urls[0])["member_version"] > version)
+        for _ in range(6):
+            assert complete(fleet.urls[0], "x [tokens=1]").status == 200
+        assert len(fleet.engines[carrier].runs) == 1
+        events = stream_events(got + response.read())
+    assert stream_text(events) == expected_text(400)
+
+
+def test_late_and_crossed_answers_reach_nobody_else(fleet):
+    for engine in fleet.engines:
+        engine.settings = msgspec.structs.replace(engine.settings, is_text_marked=True)
+    fleet.engines[0].apply_faults(FaultOrder(late_answer_ms=700.0))
+    fleet.engines[1].apply_faults(FaultOrder(crossed_answer_count=2))
+    calls = [
+        gevent.spawn(complete, fleet.urls[i % 2], f"caller {i} [tokens=5]")
+        for i in range(8)
+    ]
+    for one in calls:
+        answer = one.get(timeout=20)
+        if answer.status == 200:
+            request_id = answer.headers["x-request-id"]
+            words = answer.json["choices"][0]["text"].split()
+            assert {word.rpartition("-")[0] for word in words} == {request_id}
+            assert len(words) == 5
+        else:
+            assert answer.json["error"]["run"] in ("may-have-run", "not-run")
+
+
+def test_no_key_is_logged_or_told(fleet):
+    sale = {"cart": "c1", "amount": 1}
+    url = f"{fleet.urls[0]}/services/ledger"
+    answers = [
+        call("POST", f"{url}/sales?key={KEY}", sale, bearer()),
+        call("POST", f"{url}/sales", sale | {"cart": KEY}, bearer()),
+        call("GET", f"{url}/balances/{KEY}", headers=bearer()),
+        call("GET", f"{url}/balances/c", headers=bearer(OTHER_KEY)),
+        complete(fleet.urls[0], f"my key is {KEY} [tokens=1]"),
+    ]
+    assert {answer.status for answer in answers} >= {201, 400, 403}
+    told = b"".join(answer.body for answer in answers)
+    logged = repr(fleet.events)
+    for key in (KEY, OTHER_KEY):
+        assert key not in logged
+        assert key.encode() not in told
