Split the engine stand-in by job

Change: routes, the record of runs and the routes shared with the plain service are modules of their own; no behaviour changes.

--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -3,15 +3,13 @@
 The decode model runs in real time. A generation whose reader goes away runs
 on, so that it can be resumed; only a cancel stops it. Routes of its own:
 
-- ``GET /standin/runs`` answers `EngineRuns`.
+- ``GET /standin/runs`` answers `gypsumfield.standins.engine_runs.EngineRuns`.
 - ``PUT /standin/faults`` (`gypsumfield.standins.faults.FaultOrder`).
 """
 
 import uuid
 from collections.abc import Iterator
-from typing import Literal
 
-import falcon
 import gevent
 import msgspec
 from gevent.event import Event
@@ -19,35 +17,20 @@
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.clock import system_clock
-from gypsumfield.engine_api import EngineError
-from gypsumfield.engine_api import EngineRefusal
 from gypsumfield.engine_api import FinishReason
-from gypsumfield.engine_api import Inventory
 from gypsumfield.engine_api import Order
 from gypsumfield.engine_api import OrderOutcome
-from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.engine_api import StartGeneration
 from gypsumfield.engine_api import TokenEvent
 from gypsumfield.standins.engine_model import EngineModel
 from gypsumfield.standins.engine_model import EngineModelSettings
 from gypsumfield.standins.engine_model import Submission
 from gypsumfield.standins.engine_model import token_text
-from gypsumfield.standins.faults import FaultHitCount
+from gypsumfield.standins.engine_routes import build_engine_app
+from gypsumfield.standins.engine_runs import EngineRun
 from gypsumfield.standins.faults import FaultOrder
-from gypsumfield.standins.server import make_app
-from gypsumfield.standins.server import read_body
-from gypsumfield.standins.server import respond
 from gypsumfield.standins.server import StandinServer
 
-_STATUS_BY_CODE = {
-    "engine_cold": 503,
-    "engine_full": 429,
-    "prompt_too_long": 400,
-    "duplicate_generation": 400,
-    "unknown_model": 400,
-    "bad_request": 400,
-}
-_RETRY_AFTER_MS = 500.0
 _PAUSE_CHECK_MS = 10.0
 
 
@@ -76,40 +59,6 @@
     engine: EngineModelSettings = EngineModelSettings()
 
 
-class EngineRun(msgspec.Struct):
-    """What became of one generation id.
-
-    Attributes:
-        request_id: Request id of its first start.
-        start_count: How often it was really started; refusals do not count.
-        generated_tokens: Tokens it made.
-        state: How it stands.
-    """
-
-    request_id: str
-    start_count: int = 1
-    generated_tokens: int = 0
-    state: Literal["running", "finished", "cancelled", "lost"] = "running"
-
-
-class EngineRuns(msgspec.Struct, frozen=True):
-    """Answer of ``GET /standin/runs``.
-
-    Attributes:
-        generations: Runs by generation id, over all boots.
-        header_names: Lower-case names of the headers it ever saw.
-        boot_id: The current boot.
-        orders: Orders it accepted, oldest first.
-        refused_count: Generations it refused.
-    """
-
-    generations: dict[str, EngineRun]
-    header_names: list[str]
-    boot_id: str
-    orders: list[Order]
-    refused_count: int
-
-
 class _Generation:
     """Events of one generation and the readers that wait for more."""
 
@@ -177,18 +126,8 @@
         self.orders: list[Order] = []
         self.refused_count = 0
         self._boot()
-        app = make_app()
-        app.add_route("/v1/generations", _Start(self))
-        app.add_route("/v1/generations/{generation_id}", _Continue(self))
-        app.add_route("/v1/load", _Load(self))
-        app.add_route("/v1/cache-events", _CacheEvents(self))
-        app.add_route("/v1/orders", _Orders(self))
-        app.add_route("/v1/inventory", _Inventory(self))
-        app.add_route("/healthz", _Health())
-        app.add_route("/standin/runs", _Runs(self))
-        app.add_route("/standin/faults", _Faults(self))
         self.server = StandinServer(
-            app,
+            build_engine_app(self),
             self.settings.listen_address,
             self.settings.listen_port,
             on_fatal=self.restart,
@@ -361,144 +300,3 @@
 def _encode_event(event: TokenEvent) -> bytes:
     data = msgspec.json.encode(event)
     return b"id: %d\ndata: %s\n\n" % (event.sequence, data)
-
-
-def _refuse(resp: falcon.Response, code: str, message: str) -> None:
-    status = _STATUS_BY_CODE[code]
-    retry_after_ms = None if status == 400 else _RETRY_AFTER_MS
-    error = EngineError(code, message, retry_after_ms=retry_after_ms)
-    respond(resp, EngineRefusal(error), status)
-
-
-class _Start:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        engine = self._engine
-        engine.header_names.update(name.lower() for name in req.headers)
-        request_id = req.get_header(REQUEST_ID_HEADER) or ""
-        if engine.faults.late_answer_ms > 0:
-            gevent.sleep(engine.faults.late_answer_ms / MS_PER_S)
-        try:
-            start = msgspec.json.decode(req.bounded_stream.read(), type=StartGeneration)
-        except msgspec.MsgspecError as error:
-            _refuse(resp, "bad_request", str(error))
-            return
-        refusal = engine.submit(start, request_id)
-        if refusal is not None:
-            _refuse(resp, refusal, f"generation {start.generation_id}: {refusal}")
-            return
-        _stream(engine, req, resp, start.generation_id, 0)
-
-
-class _Continue:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(
-        self, req: falcon.Request, resp: falcon.Response, generation_id: str
-    ) -> None:
-        self._engine.header_names.update(name.lower() for name in req.headers)
-        if generation_id not in self._engine.generations:
-            resp.status = falcon.HTTP_404
-            return
-        after_sequence = req.get_param_as_int("after", min_value=0) or 0
-        _stream(self._engine, req, resp, generation_id, after_sequence)
-
-    def on_delete(
-        self, _req: falcon.Request, resp: falcon.Response, generation_id: str
-    ) -> None:
-        is_known = self._engine.cancel(generation_id)
-        resp.status = falcon.HTTP_204 if is_known else falcon.HTTP_404
-
-
-def _stream(
-    engine: EngineStandin,
-    req: falcon.Request,
-    resp: falcon.Response,
-    generation_id: str,
-    after_sequence: int,
-) -> None:
-    request_id = req.get_header(REQUEST_ID_HEADER) or ""
-    resp.set_header(REQUEST_ID_HEADER, engine.answered_request_id(request_id))
-    resp.content_type = "text/event-stream"
-    resp.stream = engine.events(generation_id, after_sequence)
-
-
-class _Load:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        engine = self._engine
-        respond(resp, engine.model.load_report(engine.clock.monotonic_ms()))
-
-
-class _CacheEvents:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        after_sequence = req.get_param_as_int("after", min_value=0) or 0
-        now_ms = self._engine.clock.monotonic_ms()
-        respond(resp, self._engine.model.cache_events(after_sequence, now_ms))
-
-
-class _Orders:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        outcome = self._engine.take_order(read_body(req, Order))
-        respond(resp, outcome, 200 if outcome.is_accepted else 409)
-
-
-class _Inventory:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        engine = self._engine
-        inventory = Inventory(
-            boot_id=engine.model.boot_id,
-            role=engine.role,
-            models=engine.models,
-            adapters=tuple(engine.adapters),
-        )
-        respond(resp, inventory)
-
-
-class _Health:
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        resp.text = "ok"
-
-
-class _Runs:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        engine = self._engine
-        runs = EngineRuns(
-            generations=engine.runs,
-            header_names=sorted(engine.header_names),
-            boot_id=engine.model.boot_id,
-            orders=engine.orders,
-            refused_count=engine.refused_count,
-        )
-        respond(resp, runs)
-
-
-class _Faults:
-    def __init__(self, engine: EngineStandin) -> None:
-        self._engine = engine
-
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        respond(resp, FaultHitCount(self._engine.server.faults.hits))
-
-    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
-        faults: FaultOrder = read_body(req, FaultOrder)
-        # After a listener fault this connection may be the last that passes.
-        respond(resp, faults)
-        gevent.spawn(self._engine.apply_faults, faults)
--- a/src/gypsumfield/standins/plain.py
+++ b/src/gypsumfield/standins/plain.py
@@ -19,7 +19,7 @@
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.engine_api import REQUEST_ID_HEADER
-from gypsumfield.standins.faults import FaultHitCount
+from gypsumfield.standins.common_routes import add_common_routes
 from gypsumfield.standins.faults import FaultOrder
 from gypsumfield.standins.server import make_app
 from gypsumfield.standins.server import read_body
@@ -112,9 +112,8 @@
         app.add_route("/balances/{cart}", _Balances(self))
         app.add_route("/notes/{name}", _Notes(self))
         app.add_route("/prices", _Prices(self))
-        app.add_route("/healthz", _Health())
         app.add_route("/standin/runs", _Runs(self))
-        app.add_route("/standin/faults", _Faults(self))
+        add_common_routes(app, self)
         self.server = StandinServer(app, settings.listen_address, settings.listen_port)
 
     @property
@@ -209,11 +208,6 @@
         respond(resp, Prices(_PRICES_CENTS))
 
 
-class _Health:
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        resp.text = "ok"
-
-
 class _Runs:
     def __init__(self, ledger: PlainStandin) -> None:
         self._ledger = ledger
@@ -226,17 +220,3 @@
             header_names=sorted(ledger.header_names),
         )
         respond(resp, runs)
-
-
-class _Faults:
-    def __init__(self, ledger: PlainStandin) -> None:
-        self._ledger = ledger
-
-    def on_get(self, _req: falcon.Request, resp: falcon.Response) -> None:
-        respond(resp, FaultHitCount(self._ledger.server.faults.hits))
-
-    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
-        faults: FaultOrder = read_body(req, FaultOrder)
-        # After a listener fault this connection may be the last that passes.
-        respond(resp, faults)
-        gevent.spawn(self._ledger.apply_faults, faults)
