Send truly crossed answers and end streams in good order too early

Change: a crossed answer of the plain service is an earlier caller's; streams can end with a proper end of body before their finish reason; a crash can close without a reset. Conclusion: two guards had no test.

--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -238,7 +238,11 @@
     def events(self, generation_id: str, after_sequence: int) -> Iterator[bytes]:
         """Yield server-sent events of a generation, with the armed mischief."""
         for event in self.generations[generation_id].events(after_sequence):
-            if event.finish_reason is None and self.faults.gap_event_count > 0:
+            is_final = event.finish_reason is not None
+            if is_final and self.faults.early_end_count > 0:
+                self._use_up("early_end_count")
+                return
+            if not is_final and self.faults.gap_event_count > 0:
                 self._use_up("gap_event_count")
                 continue
             yield _encode_event(event)
--- a/src/gypsumfield/standins/fault_gate.py
+++ b/src/gypsumfield/standins/fault_gate.py
@@ -116,7 +116,7 @@
             self._board.hold(None)
         elif fault.is_fatal:
             self._on_fatal()
-        if fault.step != "pool-return":
+        if fault.has_reset and fault.step != "pool-return":
             # A reset would also destroy what the reader has yet to read of an
             # answer that is complete.
             connection.reset_on_close()
--- a/src/gypsumfield/standins/faults.py
+++ b/src/gypsumfield/standins/faults.py
@@ -40,6 +40,7 @@
         has_run: Whether a request that meets the fault at ``body-sent`` is run
             first.
         is_fatal: Whether a crash takes the whole process state with it.
+        has_reset: Whether a crash resets the connection instead of closing it.
         path_prefix: Only requests whose path starts so; empty is all.
     """
 
@@ -49,6 +50,7 @@
     duration_ms: float = 60_000.0
     has_run: bool = True
     is_fatal: bool = False
+    has_reset: bool = True
     path_prefix: str = ""
 
 
@@ -63,7 +65,10 @@
         is_decoding_paused: Whether an engine decodes nothing.
         duplicate_event_count: Next token events that are sent twice.
         gap_event_count: Next token events that are left out.
-        crossed_answer_count: Next answers that carry another's request id.
+        early_end_count: Next streams that end in good order before the event
+            that has the finish reason.
+        crossed_answer_count: Next answers that carry another's request id, and
+            from a plain service another's body.
         late_answer_ms: Delay before every answer.
     """
 
@@ -74,6 +79,7 @@
     is_decoding_paused: bool = False
     duplicate_event_count: int = 0
     gap_event_count: int = 0
+    early_end_count: int = 0
     crossed_answer_count: int = 0
     late_answer_ms: float = 0.0
 
--- a/src/gypsumfield/standins/plain.py
+++ b/src/gypsumfield/standins/plain.py
@@ -12,6 +12,7 @@
 import uuid
 from collections import Counter
 from typing import Any
+from typing import NamedTuple
 
 import falcon
 import gevent
@@ -94,6 +95,11 @@
     header_names: list[str]
 
 
+class _SentAnswer(NamedTuple):
+    request_id: str
+    message: msgspec.Struct
+
+
 class PlainStandin:
     """One plain service on one port."""
 
@@ -107,6 +113,7 @@
         self.runs: Counter[str] = Counter()
         self.request_ids: list[str] = []
         self.header_names: set[str] = set()
+        self._latest = _SentAnswer("nobody", Balance("nobody", 0.0))
         app = make_app()
         app.add_route("/sales", _Sales(self))
         app.add_route("/balances/{cart}", _Balances(self))
@@ -139,18 +146,29 @@
         self.faults = faults
         self.server.arm(faults.faults)
 
-    def record(self, route: str, req: falcon.Request, resp: falcon.Response) -> None:
-        """Count one run and answer with its request id, unless crossed."""
+    def answer(
+        self,
+        route: str,
+        req: falcon.Request,
+        resp: falcon.Response,
+        message: msgspec.Struct,
+        status: int = 200,
+    ) -> None:
+        """Count one run and answer it; a fault may send an earlier answer."""
         request_id = req.get_header(REQUEST_ID_HEADER) or ""
         self.runs[route] += 1
         self.request_ids.append(request_id)
         self.header_names.update(name.lower() for name in req.headers)
+        earlier = self._latest
+        self._latest = _SentAnswer(request_id, message)
+        respond(resp, message, status)
         if self.faults.crossed_answer_count > 0:
             remaining = self.faults.crossed_answer_count - 1
             self.faults = msgspec.structs.replace(
                 self.faults, crossed_answer_count=remaining
             )
-            resp.set_header(REQUEST_ID_HEADER, f"crossed-{request_id}")
+            respond(resp, earlier.message, status)
+            resp.set_header(REQUEST_ID_HEADER, earlier.request_id)
         if self.faults.late_answer_ms > 0:
             gevent.sleep(self.faults.late_answer_ms / MS_PER_S)
 
@@ -165,8 +183,7 @@
         ledger.sales.append(sale)
         ledger.balances[sale.cart] += sale.amount  # type: ignore[assignment]
         answer = SaleAnswer(len(ledger.sales), ledger.balances[sale.cart])
-        ledger.record("POST /sales", req, resp)
-        respond(resp, answer, 201)
+        ledger.answer("POST /sales", req, resp, answer, 201)
 
 
 class _Balances:
@@ -174,8 +191,8 @@
         self._ledger = ledger
 
     def on_get(self, req: falcon.Request, resp: falcon.Response, cart: str) -> None:
-        self._ledger.record("GET /balances/{cart}", req, resp)
-        respond(resp, Balance(cart, self._ledger.balances[cart]))
+        balance = Balance(cart, self._ledger.balances[cart])
+        self._ledger.answer("GET /balances/{cart}", req, resp, balance)
 
 
 class _Notes:
@@ -195,8 +212,7 @@
         ledger = self._ledger
         ledger.note_changes[name] += 1
         answer = NoteAnswer(name, ledger.note_changes[name])
-        ledger.record(f"{method} /notes/{{name}}", req, resp)
-        respond(resp, answer)
+        ledger.answer(f"{method} /notes/{{name}}", req, resp, answer)
 
 
 class _Prices:
@@ -204,8 +220,7 @@
         self._ledger = ledger
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        self._ledger.record("GET /prices", req, resp)
-        respond(resp, Prices(_PRICES_CENTS))
+        self._ledger.answer("GET /prices", req, resp, Prices(_PRICES_CENTS))
 
 
 class _Runs:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -73,12 +73,16 @@
 class Processes:
     """One process for each of platform, two engines, ledger, two entry hosts."""
 
-    def __init__(self, folder, stack: contextlib.ExitStack) -> None:
+    def __init__(
+        self, folder: Path, stack: contextlib.ExitStack, engine_step_ms: float = 5.0
+    ) -> None:
         self._folder = folder
         self._stack = stack
         self.platform = self.stand_in("platform", values=base_values())
         self.engines = [
-            self.stand_in("engine", f"engine-{i}", engine={"step_base_ms": 5.0})
+            self.stand_in(
+                "engine", f"engine-{i}", engine={"step_base_ms": engine_step_ms}
+            )
             for i in range(2)
         ]
         self.ledger = self.stand_in("plain")
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -84,9 +84,10 @@
         position=st.integers(0, 1),
         count=st.integers(1, 2),
         has_run=st.booleans(),
+        has_reset=st.booleans(),
     )
-    def arm(self, kind, step, position, count, has_run):
-        fault = Fault(kind, step, count, has_run=has_run)
+    def arm(self, kind, step, position, count, has_run, has_reset):
+        fault = Fault(kind, step, count, has_run=has_run, has_reset=has_reset)
         self.fleet.ledgers[position].server.arm((fault,))
 
     @rule(position=st.integers(0, 1))
@@ -153,9 +154,16 @@
         step=st.sampled_from(STEPS),
         position=st.integers(0, 1),
         is_fatal=st.booleans(),
+        has_reset=st.booleans(),
     )
-    def arm(self, kind, step, position, is_fatal):
-        fault = Fault(kind, step, is_fatal=is_fatal, path_prefix="/v1/generations")
+    def arm(self, kind, step, position, is_fatal, has_reset):
+        fault = Fault(
+            kind,
+            step,
+            is_fatal=is_fatal,
+            has_reset=has_reset,
+            path_prefix="/v1/generations",
+        )
         if step == "connected":
             fault = msgspec.structs.replace(fault, path_prefix="")
         self.fleet.engines[position].server.arm((fault,))
@@ -164,12 +172,14 @@
         position=st.integers(0, 1),
         duplicates=st.integers(0, 3),
         gaps=st.integers(0, 2),
+        early_ends=st.integers(0, 5),
         crossed=st.integers(0, 1),
     )
-    def spoil_events(self, position, duplicates, gaps, crossed):
+    def spoil_events(self, position, duplicates, gaps, early_ends, crossed):
         order = FaultOrder(
             duplicate_event_count=duplicates,
             gap_event_count=gaps,
+            early_end_count=early_ends,
             crossed_answer_count=crossed,
         )
         self.fleet.engines[position].apply_faults(order)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -164,6 +164,29 @@
             assert answer.json["error"]["run"] in ("may-have-run", "not-run")
 
 
+@pytest.mark.parametrize(("early_ends", "is_whole"), [(2, True), (50, False)])
+def test_an_end_without_a_finish_reason_is_never_passed_off_as_the_end(
+    fleet, early_ends, is_whole
+):
+    for engine in fleet.engines:
+        engine.apply_faults(FaultOrder(early_end_count=early_ends))
+    events = stream_events(complete(fleet.urls[0], "x [tokens=9]", stream=True).body)
+    assert stream_text(events) == expected_text(9)
+    assert (events[-1].data == "[DONE]") is is_whole
+    assert (events[-1].kind == "error") is not is_whole
+
+
+@pytest.mark.parametrize("step", ["first-byte", "mid-stream", "end-marker"])
+def test_an_answer_that_is_closed_early_is_never_passed_off_as_whole(fleet, step):
+    for ledger in fleet.ledgers:
+        ledger.server.arm((Fault("crash", step, has_reset=False),))
+    sale = {"cart": "c1", "amount": 1}
+    url = f"{fleet.urls[0]}/services/ledger/sales"
+    answer = call("POST", url, sale, bearer())
+    assert answer.status == 502
+    assert answer.json["error"]["run"] == "may-have-run"
+
+
 def test_no_key_is_logged_or_told(fleet):
     sale = {"cart": "c1", "amount": 1}
     url = f"{fleet.urls[0]}/services/ledger"
