--- a/src/gypsumfield/configuration.py
+++ b/src/gypsumfield/configuration.py
@@ -128,10 +128,13 @@
     Attributes:
         revision: Revision that is reached when all values are applied.
         values: Raw values by key; None is a removal.
+        key_revisions: Revision of the change of a key, where it is known and
+            lower than ``revision``.
     """
 
     revision: int
     values: dict[str, Any]
+    key_revisions: dict[str, int] = {}
 
 
 class Configuration(NamedTuple):
@@ -276,7 +279,8 @@
         if after_revision > self.revision or delta.revision <= self.revision:
             return False
         for key, raw in delta.values.items():
-            self._apply_value(key, raw, delta.revision)
+            changed = delta.key_revisions.get(key, delta.revision)
+            self._apply_value(key, raw, changed)
         self.revision = delta.revision
         self.current = self._build_view()
         return True
@@ -288,7 +292,12 @@
             for key, changed in self._revisions.items()
             if changed > revision
         }
-        return ConfigurationDelta(self.revision, values)
+        key_revisions = {
+            key: self._revisions[key]
+            for key in values
+            if self._revisions[key] < self.revision
+        }
+        return ConfigurationDelta(self.revision, values, key_revisions)
 
     def _apply_value(self, key: str, raw: object, revision: int) -> None:
         self._revisions[key] = revision
--- a/src/gypsumfield/control_loop.py
+++ b/src/gypsumfield/control_loop.py
@@ -96,7 +96,7 @@
         self._clock = clock
         self._emit = emit
         self._lease_ms = lease_ms
-        self._handlers: dict[type[ControlMessage], Handler] = {}
+        self._handlers: dict[type[ControlMessage], list[Handler]] = {}
         self._ticks: list[tuple[float, Tick]] = []
         self._pause_handlers: list[Tick] = []
         self._greenlets: list[gevent.Greenlet] = []
@@ -116,8 +116,12 @@
         return self._clock.monotonic_ms()
 
     def register(self, message_type: type[MessageT], handler: Handler) -> None:
-        """Let ``handler(sender_host_id, message)`` take one type of message."""
-        self._handlers[message_type] = handler
+        """Let ``handler(sender_host_id, message)`` take one type of message.
+
+        Several handlers of a type are all called, in the order in which they
+        were registered.
+        """
+        self._handlers.setdefault(message_type, []).append(handler)
 
     def add_tick(self, interval_ms: float, function: Tick) -> None:
         """Call ``function(now_ms)`` every ``interval_ms`` while running."""
@@ -238,12 +242,10 @@
             if waiting is not None:
                 waiting.set(message)
                 return
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return
-        answer = self._guard(handler, envelope.sender, message)
-        if answer is not None:
-            self._send(envelope.sender, answer, reply_to=envelope.message_id)
+        for handler in self._handlers.get(type(message), ()):
+            answer = self._guard(handler, envelope.sender, message)
+            if answer is not None:
+                self._send(envelope.sender, answer, reply_to=envelope.message_id)
 
     def _refuse(self, reason: str) -> None:
         refused_count = self._traffic.refused_count + 1
--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -63,6 +63,7 @@
 
     configuration_revision: int = 0
     members_version: int = 0
+    platform_age_ms: int = -1
 
 
 class _Entry:
@@ -471,6 +472,7 @@
             heard_age_ms=-1 if heard_ms is None else int(now_ms - heard_ms),
             configuration_revision=position.configuration_revision,
             members_version=position.members_version,
+            platform_age_ms=position.platform_age_ms,
             view_digest=self._view_digest(self.availability_zone),
             news=tuple(self._rumours.take(NEWS_LIMIT, repeats)),
             backend_news=tuple(self.backends.rumours.take(NEWS_LIMIT, repeats)),
--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -34,6 +34,11 @@
     return max(hosts, key=lambda host: _score(resource, host), default=None)
 
 
+def rank_hosts(resource: str, hosts: Iterable[str]) -> list[str]:
+    """Return ``hosts`` in the order in which they would own ``resource``."""
+    return sorted(hosts, key=lambda host: _score(resource, host), reverse=True)
+
+
 def _score(resource: str, host: str) -> tuple[int, str]:
     # The name breaks a tie, so that every host breaks it alike.
     return xxhash.xxh3_64_intdigest(f"{resource}\0{host}".encode()), host
--- a/src/gypsumfield/membership_service.py
+++ b/src/gypsumfield/membership_service.py
@@ -17,6 +17,7 @@
 from gypsumfield.settings import PeerAddress
 
 PositionHandler = Callable[[str, SpreadPosition], None]
+PositionSource = Callable[[SpreadPosition], SpreadPosition]
 
 
 class PeerDirectory(Protocol):
@@ -49,7 +50,7 @@
         self._loop = control_loop
         self._directory = directory
         self._random = random
-        self._position: Callable[[], SpreadPosition] = SpreadPosition
+        self._position_sources: list[PositionSource] = []
         self._position_handlers: list[PositionHandler] = []
         self._seen_version = -1
         self._known: frozenset[str] = frozenset()
@@ -62,9 +63,9 @@
         control_loop.add_tick(membership.times.heartbeat_interval_ms, self._tick)
         control_loop.on_pause(self._rejoin)
 
-    def set_position(self, position: Callable[[], SpreadPosition]) -> None:
-        """Let heartbeats carry what ``position()`` returns."""
-        self._position = position
+    def add_position_source(self, source: PositionSource) -> None:
+        """Let heartbeats carry the position that ``source(position)`` returns."""
+        self._position_sources.append(source)
 
     def on_position(self, handler: PositionHandler) -> None:
         """Call ``handler(host_id, position)`` with each heartbeat's position."""
@@ -92,7 +93,9 @@
         self._update_directory()
         self._send_all(outgoing)
         position = SpreadPosition(
-            heartbeat.configuration_revision, heartbeat.members_version
+            heartbeat.configuration_revision,
+            heartbeat.members_version,
+            heartbeat.platform_age_ms,
         )
         for handler in self._position_handlers:
             handler(sender, position)
@@ -105,7 +108,10 @@
         self._update_directory()
 
     def _tick(self, now_ms: float) -> None:
-        outgoing = self.membership.tick(now_ms, self._random, self._position())
+        position = SpreadPosition()
+        for source in self._position_sources:
+            position = source(position)
+        outgoing = self.membership.tick(now_ms, self._random, position)
         self._update_directory()
         self._send_all(outgoing)
 
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -75,6 +75,8 @@
         view_digest: Digest of the entry hosts that the sender's zone knows.
         news: Latest news of entry hosts, a bounded number.
         backend_news: Latest news of backend servers, a bounded number.
+        platform_age_ms: How long ago the platform's latest answer left it, as
+            far as the sender knows of its own or others'; -1 is never.
     """
 
     self_news: MemberNews = MemberNews("", "", "", 0, "live")
@@ -84,6 +86,7 @@
     view_digest: int = 0
     news: tuple[MemberNews, ...] = ()
     backend_news: tuple[BackendNews, ...] = ()
+    platform_age_ms: int = -1
 
 
 class ViewRequest(ControlMessage, frozen=True, tag=2):
@@ -110,7 +113,8 @@
         after_revision: Revision from which on the changes are complete.
         revision: Revision reached with the changes.
         values: Raw values by key; None is a removal.
-        key_revisions: Revision at which each key changed, where known.
+        key_revisions: Revision of the change of a key, where it is known and
+            lower than ``revision``.
     """
 
     channel: SpreadChannel = "configuration"
--- a/tests/fake_members.py
+++ b/tests/fake_members.py
@@ -73,6 +73,12 @@
         for sender, message in late:
             self.deliver(sender, message)
 
+    def position(self):
+        return SpreadPosition()
+
+    def take(self, sender, message):
+        """Take a message that is not the membership's; for subclasses."""
+
     def deliver(self, sender, message):
         if self.paused_since_ms is not None:
             self.late.append((sender, message))
@@ -86,6 +92,7 @@
             self.network.send(self.host_id, sender, answer)
         elif isinstance(message, ViewAnswer):
             self.membership.take_view(message, now_ms)
+        self.take(sender, message)
 
     def _tick(self):
         if not self.is_up:
@@ -94,6 +101,6 @@
         interval_ms = self.membership.times.heartbeat_interval_ms
         self.network.call_at(now_ms + interval_ms, self._tick)
         if self.is_running:
-            outgoing = self.membership.tick(now_ms, self.random, SpreadPosition())
+            outgoing = self.membership.tick(now_ms, self.random, self.position())
             for host_id, message in outgoing:
                 self.network.send(self.host_id, host_id, message)
