--- /dev/null
+++ b/tests/test_policy_benches.py
@@ -0,0 +1,48 @@
+"""The benches print the agreed JSON and keep what any run must keep."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+BENCH = Path(__file__).resolve().parent.parent / "bench"
+FIELDS = {
+    "preemptions",
+    "stall_ms_p99",
+    "between_tokens_ms_p99",
+    "first_token_ms_p95",
+    "tokens_per_s",
+    "worst_account_share",
+    "refused",
+}
+
+
+def run_bench(name, *arguments):
+    command = [sys.executable, str(BENCH / name), "--json", "--quick", *arguments]
+    environment = {**os.environ, "PYTHONHASHSEED": "0"}
+    output = subprocess.run(command, check=True, capture_output=True, env=environment)
+    result = json.loads(output.stdout)
+    for measures in result["policies"].values():
+        assert set(measures) >= FIELDS
+        assert measures["tokens_per_s"] > 0.0
+        assert measures["worst_account_share"] >= 0.0
+    return result
+
+
+@pytest.mark.parametrize("shape", ["heavy_tail", "two_humped"])
+def test_admission_bench(shape):
+    result = run_bench("admission.py", "--shape", shape, "--seed", "3")
+    policies = result["policies"]
+    assert result["seed"] == 3
+    assert set(policies) >= {
+        "fixed_concurrency",
+        "max_tokens",
+        "mean_length",
+        "predicted",
+        "oracle",
+    }
+    # The oracle knows every length: its engine never runs out of memory.
+    assert policies["oracle"]["preemptions"] == 0
