Learn lengths from answers that still run

Cause: after a start only short answers have ended, so the estimate was too short and the engine ran out of memory in the first 30 s. Change: hazards are counted when they happen, from progress reports as well as from ends; estimates split off into length_estimates.

--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -5,12 +5,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from gypsumfield.decisions.lengths import BUCKET_COUNT
-from gypsumfield.decisions.lengths import bucket_of
-from gypsumfield.decisions.lengths import bucket_start
+from gypsumfield.decisions.length_estimates import BUCKET_COUNT
+from gypsumfield.decisions.length_estimates import bucket_of
+from gypsumfield.decisions.length_estimates import bucket_start
+from gypsumfield.decisions.length_estimates import LARGEST_LENGTH_TOKENS
 from gypsumfield.decisions.lengths import FinishedLength
-from gypsumfield.decisions.lengths import LARGEST_LENGTH_TOKENS
 from gypsumfield.decisions.lengths import LengthModel
+from gypsumfield.decisions.lengths import LengthProgress
 from gypsumfield.decisions.lengths import LengthSettings
 from gypsumfield.decisions.workload import GenerationDemand
 
@@ -68,6 +69,33 @@
     assert taken_as_ends.remaining(demand(), 0).quantile(0.4) < 30
 
 
+def test_progress_of_running_answers_counts_before_they_end():
+    with_progress = LengthModel()
+    ends_only = LengthModel()
+    for model in (with_progress, ends_only):
+        teach(model, [20] * 50)
+    for _ in range(50):
+        for tokens in range(0, 800, 100):
+            step = LengthProgress(demand(), tokens, tokens + 100)
+            with_progress.record_progress(step)
+    assert ends_only.remaining(demand(), 0).quantile(0.7) < 50
+    assert with_progress.remaining(demand(), 0).quantile(0.7) > 800
+
+
+def test_progress_told_before_the_end_is_not_counted_twice():
+    told, untold = LengthModel(), LengthModel()
+    for length in range(100, 400):
+        told.record_progress(LengthProgress(demand(), 0, 60))
+        told.record_progress(LengthProgress(demand(), 60, 90))
+        told.record(FinishedLength(demand(), length, known_tokens=90), 0.0)
+        untold.record(FinishedLength(demand(), length), 0.0)
+    for chance in (0.2, 0.5, 0.9):
+        wanted = untold.remaining(demand(), 0).quantile(chance)
+        assert told.remaining(demand(), 0).quantile(chance) == pytest.approx(
+            wanted, 0.03
+        )
+
+
 def test_the_estimate_follows_a_drift():
     model = LengthModel()
     teach(model, [50] * 2_000)
