Hold room for others against an account that floods

Cause: a flood fills whatever an ending answer gives back, so that the others find the engine full for longer than they may wait, wherever they stand in the queue. Change: an account that holds more than twice the mean of the others leaves 15 % of the memory; the queue may pass over such an account; bench/fairness.py.

--- a/bench/engine_run.py
+++ b/bench/engine_run.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from gypsumfield.configuration import Profile
+from gypsumfield.decisions.admission import is_crowding
 from gypsumfield.decisions.admission import MayAdmit
 from gypsumfield.decisions.engine_limits import EngineSight
 from gypsumfield.decisions.engine_limits import MemoryBudget
@@ -27,6 +28,7 @@
 from workloads import BenchRequest
 
 REPORT_LAG_MS = 100.0
+
 CHARACTERS_PER_TOKEN = 4
 
 
@@ -60,6 +62,8 @@
     worst_account_share: float
     refused: int
     largest_refused_share: float
+    account_shares: dict[str, float]
+    refused_shares: dict[str, float]
     mean_batch: float
 
 
@@ -124,7 +128,7 @@
         self.lengths = LengthModel()
         by_id = {request.demand.request_id: request for request in requests}
         self.policy = make_policy(self.lengths, by_id)
-        self.queue = queue or FairQueue(profile.queue_limit)
+        self.queue = FairQueue(profile.queue_limit) if queue is None else queue
         self.engine = EngineModel(engine, 0.0)
         self.budget = MemoryBudget()
         self.step_times = StepTimeModel()
@@ -226,11 +230,19 @@
         if not self._is_view_new:
             return
         self._is_view_new = False
-        while (entry := self.queue.peek(self.now_ms)) is not None:
-            if not self._may_admit(entry.demand):
+        passed_over: set[str] = set()
+        while (entry := self.queue.peek(self.now_ms, passed_over)) is not None:
+            if self._may_admit(entry.demand):
+                self.queue.next(self.now_ms, passed_over)
+                self._submit(entry)
+            elif self._is_held_back(entry.demand.account):
+                passed_over.add(entry.demand.account)
+            else:
                 return
-            self.queue.next(self.now_ms)
-            self._submit(entry)
+
+    def _is_held_back(self, account: str) -> bool:
+        """Return whether others may pass by the entry that was not admitted."""
+        return self.policy.learns_limits and is_crowding(self._running(), account)
 
     def _may_admit(self, demand: GenerationDemand) -> bool:
         limit_tokens = self.engine.settings.memory_limit_tokens
@@ -240,15 +252,17 @@
             batch_limit = self.step_times.batch_limit(target_ms)
             if batch_limit is not None and len(self.streams) >= batch_limit:
                 return False
+        return self.policy.may_admit(self._running(), demand, limit_tokens)
+
+    def _running(self) -> list[RunningGeneration]:
         sees_present = self.policy.sees_present
-        running = [
+        return [
             RunningGeneration(
                 stream.request.demand,
                 stream.present_tokens if sees_present else stream.known_tokens,
             )
             for stream in self.streams.values()
         ]
-        return self.policy.may_admit(running, demand, limit_tokens)
 
     def _submit(self, entry: QueueEntry) -> None:
         request = self.by_id[entry.demand.request_id]
@@ -310,10 +324,11 @@
     def _result(self) -> RunResult:
         measures = self.measures
         last_ms = max(1.0, self.requests[-1].arrived_ms if self.requests else 0.0)
-        refused_shares = [
-            measures.refused.get(account, 0) / asked
-            for account, asked in measures.asked.items()
-        ]
+        refused_shares = {
+            account: round(measures.refused.get(account, 0) / asked, 4)
+            for account, asked in sorted(measures.asked.items())
+        }
+        shares = account_shares(measures.offered, measures.served)
         return RunResult(
             preemptions=self.engine.preemption_count,
             stall_ms_p99=percentile(measures.stall_ms, 0.99),
@@ -322,9 +337,11 @@
             between_tokens_ms_p99=percentile(measures.gaps_ms, 0.99),
             first_token_ms_p95=percentile(measures.first_token_ms, 0.95),
             tokens_per_s=round(measures.tokens_in_time * 1_000.0 / last_ms, 1),
-            worst_account_share=worst_share(measures.offered, measures.served),
+            worst_account_share=min(shares.values(), default=1.0),
             refused=sum(measures.refused.values()),
-            largest_refused_share=round(max(refused_shares, default=0.0), 4),
+            largest_refused_share=max(refused_shares.values(), default=0.0),
+            account_shares=shares,
+            refused_shares=refused_shares,
             mean_batch=round(measures.batch_ms / max(1.0, measures.busy_ms), 2),
         )
 
@@ -337,19 +354,22 @@
     return round(ordered[min(len(ordered) - 1, int(chance * len(ordered)))], 3)
 
 
-def worst_share(offered: dict[str, float], served: dict[str, float]) -> float:
-    """Return the smallest ratio of served to fair share over all accounts.
+def account_shares(
+    offered: dict[str, float], served: dict[str, float]
+) -> dict[str, float]:
+    """Return the ratio of served to fair share by account.
 
     The fair shares fill up all accounts alike until the served total is used
     up or an account has all that it offered.
     """
     left = sum(served.values())
-    fair: dict[str, float] = {}
+    shares = {}
     waiting = sorted(offered, key=lambda account: offered[account])
     while waiting:
         level = left / len(waiting)
         account = waiting.pop(0)
-        fair[account] = min(level, offered[account])
-        left -= fair[account]
-    ratios = [served.get(each, 0.0) / fair[each] for each in fair if fair[each] > 0]
-    return round(min(ratios, default=1.0), 4)
+        fair = min(level, offered[account])
+        left -= fair
+        if fair > 0.0:
+            shares[account] = round(served.get(account, 0.0) / fair, 4)
+    return shares
--- /dev/null
+++ b/bench/fairness.py
@@ -0,0 +1,88 @@
+"""Compares queues under the flood of one account, in virtual time.
+
+Ten accounts together ask for less than the engine serves; one of them then
+sends five times its rate over the middle half of the run. Admission is that of
+production for both queues. Prints one JSON object.
+"""
+
+import argparse
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+from admission import DURATION_MS
+from admission import ENGINE
+from admission import NOMINAL_TOKENS_PER_S
+from admission import QUICK_DURATION_MS
+from admission_policies import predicted
+from engine_run import EngineRun
+from gypsumfield.configuration import Profile
+from gypsumfield.decisions.fairness import FairQueue
+from queues import FirstComeQueue
+from workloads import Account
+from workloads import BenchRequest
+from workloads import make_requests
+from workloads import mean_length
+from workloads import SHAPES
+from workloads import usual_accounts
+
+USUAL_LOAD = 0.8
+FLOOD_FACTOR = 5.0
+FLOODING_ACCOUNT = 0
+QUEUES = {"first_come_first_served": FirstComeQueue, "ours": FairQueue}
+
+
+def requests_for(shape: str, duration_ms: float, seed: int) -> list[BenchRequest]:
+    """Return the usual arrivals and the flood among them."""
+    rate_per_s = USUAL_LOAD * NOMINAL_TOKENS_PER_S / mean_length(shape)
+    accounts = usual_accounts(rate_per_s, seed)
+    usual = make_requests(shape, accounts, duration_ms, seed)
+    flooding = accounts[FLOODING_ACCOUNT]
+    extra_rate = flooding.rate_per_s * (FLOOD_FACTOR - 1.0)
+    extra = Account(flooding.name, extra_rate, flooding.length_factor)
+    flood = make_requests(shape, [extra], duration_ms / 2, seed + 500)
+    shifted = [
+        request._replace(
+            arrived_ms=request.arrived_ms + duration_ms / 4,
+            demand=request.demand._replace(request_id=f"f{number}"),
+        )
+        for number, request in enumerate(flood)
+    ]
+    return sorted([*usual, *shifted], key=lambda request: request.arrived_ms)
+
+
+def compare(shape: str, duration_ms: float, seed: int) -> dict[str, Any]:
+    """Return the measures of all queues for one shape."""
+    profile = Profile()
+    requests = requests_for(shape, duration_ms, seed)
+    results = {}
+    for name, make_queue in QUEUES.items():
+        queue = make_queue(profile.queue_limit)
+        run = EngineRun(requests, predicted(profile), ENGINE, profile, queue)
+        results[name] = run.run()._asdict()
+    return {
+        "seed": seed,
+        "shape": shape,
+        "duration_ms": duration_ms,
+        "flooding_account": f"account-{FLOODING_ACCOUNT}",
+        "policies": results,
+    }
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Run the bench from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", action="store_true", help="print JSON (the default)")
+    parser.add_argument("--shape", choices=sorted(SHAPES), default="heavy_tail")
+    parser.add_argument("--all", action="store_true", help="one object for each shape")
+    parser.add_argument("--quick", action="store_true", help="a short run")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    duration_ms = QUICK_DURATION_MS if options.quick else DURATION_MS
+    for shape in sorted(SHAPES) if options.all else [options.shape]:
+        print(json.dumps(compare(shape, duration_ms, options.seed)))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/src/gypsumfield/decisions/admission.py
+++ b/src/gypsumfield/decisions/admission.py
@@ -28,6 +28,29 @@
 _PEAK_WIDTH_FACTOR = 4.0
 
 
+# Room that accounts far above the others leave, as a share of the memory, and
+# the multiple of the others' mean that counts as far above.
+CROWD_RESERVE_RATIO = 0.15
+CROWDING_FACTOR = 2.0
+
+
+def is_crowding(running: Sequence[RunningGeneration], account: str) -> bool:
+    """Return whether ``account`` holds far more memory than the others do.
+
+    Args:
+        running: The batch of an engine.
+        account: Name of a client account.
+    """
+    held: dict[str, int] = {}
+    for demand, generated_tokens in running:
+        used_tokens = demand.prompt_tokens + generated_tokens
+        held[demand.account] = held.get(demand.account, 0) + used_tokens
+    own = held.pop(account, 0)
+    if not held:
+        return False
+    return own > CROWDING_FACTOR * sum(held.values()) / len(held)
+
+
 class _Member(NamedTuple):
     """One generation of the batch, candidate included."""
 
@@ -56,14 +79,23 @@
 
 
 def make_admission(
-    lengths: LengthModel, look_up_profile: LookUpProfile, reserve_ratio: float = 0.0
+    lengths: LengthModel,
+    look_up_profile: LookUpProfile,
+    reserve_ratio: float = 0.0,
+    crowd_reserve_ratio: float = CROWD_RESERVE_RATIO,
 ) -> MayAdmit:
     """Return the decision whether an engine may take one more generation.
 
+    An account that holds far more memory than the others leaves some of it
+    free. Otherwise its flood would fill what every ending answer gives back,
+    and a request of another account would find the engine full however far
+    ahead it stands in the queue.
+
     Args:
         lengths: Learned output lengths.
         look_up_profile: Returns the profile of a name.
         reserve_ratio: Share of the memory that is never planned with.
+        crowd_reserve_ratio: Share that an account far above others leaves.
     """
     deviations_of = _make_deviations()
 
@@ -73,6 +105,8 @@
         memory_limit_tokens: int,
     ) -> bool:
         limit_tokens = memory_limit_tokens * (1.0 - reserve_ratio)
+        if is_crowding(running, candidate.account):
+            limit_tokens *= 1.0 - crowd_reserve_ratio
         profiles = {each.demand.profile for each in running} | {candidate.profile}
         # The engine chooses whom it preempts, so the strictest bound counts.
         bound = min(look_up_profile(p).memory_overrun_probability for p in profiles)
--- a/src/gypsumfield/decisions/fairness.py
+++ b/src/gypsumfield/decisions/fairness.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import deque
+from collections.abc import Collection
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -16,7 +17,7 @@
 SMALLEST_RETRY_AFTER_MS = 100.0
 # One pick in this many goes to the oldest entry below the highest priority.
 _LOWER_PRIORITY_TURN = 8
-_RATE_KEEP = 0.95
+_RATE_KEEP = 0.98
 _COUNTERS_KEPT = 2_048
 _FEWEST_RATE_TOKENS = 1.0
 
@@ -135,19 +136,27 @@
         retry_ms = _come_back(self.estimated_wait_ms(victim, now_ms))
         return OfferOutcome(True, (QueueRefusal(victim, "queue_full", retry_ms),))
 
-    def peek(self, now_ms: float) -> QueueEntry | None:
+    def peek(
+        self, now_ms: float, passed_over: Collection[str] = ()
+    ) -> QueueEntry | None:
         """Return the entry that is next, without taking it.
 
         Entries whose time is over are passed by; `expire` gives them out.
+
+        Args:
+            now_ms: Present time.
+            passed_over: Accounts that may not be served now.
         """
-        key = self._next_line(now_ms)
+        key = self._next_line(now_ms, passed_over)
         if key is None:
             return None
         return _first_alive(self._lines[key], now_ms)
 
-    def next(self, now_ms: float) -> QueueEntry | None:
-        """Take the entry that is next and charge its expected tokens."""
-        entry = self.peek(now_ms)
+    def next(
+        self, now_ms: float, passed_over: Collection[str] = ()
+    ) -> QueueEntry | None:
+        """Take the entry that `peek` returns and charge its expected tokens."""
+        entry = self.peek(now_ms, passed_over)
         if entry is None:
             return None
         account = entry.demand.account
@@ -258,11 +267,14 @@
             if account in backlogged or counter > floor
         }
 
-    def _next_line(self, now_ms: float) -> tuple[int, str] | None:
+    def _next_line(
+        self, now_ms: float, passed_over: Collection[str]
+    ) -> tuple[int, str] | None:
         alive = {
             key: first
             for key, line in self._lines.items()
-            if (first := _first_alive(line, now_ms)) is not None
+            if key[1] not in passed_over
+            and (first := _first_alive(line, now_ms)) is not None
         }
         if not alive:
             return None
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gypsumfield.configuration import Profile
+from gypsumfield.decisions.admission import is_crowding
 from gypsumfield.decisions.admission import make_admission
 from gypsumfield.decisions.engine_limits import EngineSight
 from gypsumfield.decisions.engine_limits import MemoryBudget
@@ -106,6 +107,38 @@
     assert len(half) == len(fill(admission(model), LIMIT // 2))
 
 
+def of_account(account, tokens):
+    return RunningGeneration(demand()._replace(account=account), tokens - 100)
+
+
+@pytest.mark.parametrize(
+    ("held", "is_far_above"),
+    [
+        ({}, False),
+        ({"flood": 9_000}, False),
+        ({"flood": 1_900, "b": 1_000}, False),
+        ({"flood": 2_100, "b": 1_000}, True),
+        ({"flood": 2_100, "b": 1_000, "c": 1_400}, False),
+        ({"b": 5_000, "c": 100}, False),
+    ],
+)
+def test_crowding_account_holds_far_more_than_others(held, is_far_above):
+    running = [of_account(account, tokens) for account, tokens in held.items()]
+    assert is_crowding(running, "flood") is is_far_above
+
+
+def test_crowding_account_leaves_room_for_others():
+    may_admit = admission(learned_model(random.Random(3)))
+    running = [of_account("b", 300), of_account("c", 300)]
+    flood = demand()._replace(account="flood")
+    while may_admit(running, flood, LIMIT):
+        running.append(RunningGeneration(flood, 0))
+    assert is_crowding(running, "flood")
+    for _ in range(3):
+        assert may_admit(running, demand()._replace(account="b"), LIMIT)
+        running.append(RunningGeneration(demand()._replace(account="b"), 0))
+
+
 def sight(used, preemptions=0, boot_id="b1"):
     return EngineSight(LIMIT, used, preemptions, boot_id)
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -69,6 +69,17 @@
     assert accounts.count("write-up") == 4
 
 
+def test_accounts_passed_over_keep_their_place():
+    queue = FairQueue(10)
+    for account in "abc":
+        queue.offer(0.0, entry(account, account))
+    second = queue.next(0.0, {"a"})
+    assert second is not None
+    assert second.demand.account == "b"
+    assert queue.peek(0.0, {"a", "c"}) is None
+    assert drain(queue, 2) == ["a", "c"]
+
+
 def test_full_queue_makes_room_at_the_largest_backlog():
     queue = FairQueue(10)
     for number in range(10):
--- a/tests/test_policy_benches.py
+++ b/tests/test_policy_benches.py
@@ -46,3 +46,13 @@
     }
     # The oracle knows every length: its engine never runs out of memory.
     assert policies["oracle"]["preemptions"] == 0
+
+
+def test_fairness_bench():
+    policies = run_bench("fairness.py", "--seed", "2")["policies"]
+    assert set(policies) == {"first_come_first_served", "ours"}
+    for measures in policies.values():
+        assert all(share >= 0.0 for share in measures["account_shares"].values())
+        assert measures["worst_account_share"] == min(
+            measures["account_shares"].values()
+        )
