--- a/src/gypsumfield/decisions/routing.py
+++ b/src/gypsumfield/decisions/routing.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from statistics import median
 from typing import NamedTuple
 
 from gypsumfield.decisions.workload import GenerationDemand
@@ -20,6 +21,9 @@
 AFFINITY_WEIGHT = 0.25
 WAITING_COST = 0.5
 COLD_COST = 0.5
+# Cost of a step that takes twice as long as the median one, up to a bound.
+SLOWNESS_WEIGHT = 0.4
+LARGEST_SLOWNESS_COST = 1.0
 # Spill begins at this load of the own zone and is certain at the second one.
 SPILL_FROM_LOAD = 0.85
 SPILL_ALL_LOAD = 1.0
@@ -46,6 +50,7 @@
         sent_tokens: Predicted memory of the requests that this host has sent
             there since the report was taken.
         cached_share: Share of the prompt that is believed to be cached there.
+        step_time_ms: Duration of its latest decode step; 0 when unknown.
     """
 
     host_id: str
@@ -59,6 +64,7 @@
     waiting_count: int = 0
     sent_tokens: float = 0.0
     cached_share: float = 0.0
+    step_time_ms: float = 0.0
 
 
 class RoutingRules(NamedTuple):
@@ -118,6 +124,8 @@
         mean = sum(known) / len(known) if known else _UNKNOWN_LOAD
         self._mistrusted_load = max(mean, _UNKNOWN_LOAD)
         self._loads = {view.host_id: self._predict(view) for view in views}
+        steps_ms = [view.step_time_ms for view in views if view.step_time_ms > 0.0]
+        self._usual_step_ms = median(steps_ms) if steps_ms else 0.0
 
     def _predict(self, view: BackendView) -> float:
         trust = math.exp2(-view.report_age_ms / REPORT_HALF_LIFE_MS)
@@ -131,6 +139,14 @@
         """Return the predicted load of one backend server."""
         return self._loads[view.host_id]
 
+    def slowness_cost(self, view: BackendView) -> float:
+        """Return the cost of steps that are slower than the median one."""
+        if view.step_time_ms <= self._usual_step_ms or self._usual_step_ms <= 0.0:
+            return 0.0
+        trust = math.exp2(-view.report_age_ms / REPORT_HALF_LIFE_MS)
+        slowness = view.step_time_ms / self._usual_step_ms - 1.0
+        return trust * min(LARGEST_SLOWNESS_COST, SLOWNESS_WEIGHT * slowness)
+
     def load_of(self, zone: Sequence[BackendView]) -> float:
         """Return the mean predicted load of a zone."""
         return sum(self.load(view) for view in zone) / len(zone)
@@ -143,7 +159,7 @@
 
 
 def _cost(view: BackendView, demand: GenerationDemand, costs: _Costs) -> float:
-    cost = costs.load(view)
+    cost = costs.load(view) + costs.slowness_cost(view)
     if view.memory_limit_tokens > 0:
         cost += demand.prompt_tokens / view.memory_limit_tokens
         cost += view.in_flight_count / _NOMINAL_IN_FLIGHT / 8
--- a/tests/test_policy_benches.py
+++ b/tests/test_policy_benches.py
@@ -56,3 +56,11 @@
         assert measures["worst_account_share"] == min(
             measures["account_shares"].values()
         )
+
+
+def test_routing_bench():
+    policies = run_bench("routing.py", "--seed", "2")["policies"]
+    wanted = {"random", "round_robin", "least_in_flight", "two_choices", "ours"}
+    assert set(policies) == wanted
+    # Light load on six engines: every policy serves all that is offered.
+    assert [measures["refused"] for measures in policies.values()] == [0] * 5
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -62,10 +62,12 @@
         {"age_ms": 60_000.0},
         {"age_ms": math.inf},
         {"sent_tokens": 5_000.0},
+        {"step_time_ms": 90.0},
     ],
 )
 def test_burdened_backend_loses_every_direct_comparison(burden):
-    assert firsts([view("good"), view("burdened", **burden)]) == {"good": 400}
+    good = [view("good", step_time_ms=12.0), view("too", step_time_ms=12.0)]
+    assert firsts([*good, view("burdened", **burden)])["burdened"] == 0
 
 
 def test_silent_engine_is_not_starved_when_all_are_silent():
