--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -156,6 +156,15 @@
     reason: str
 
 
+class BackendHealthChanged(
+    Event, frozen=True, kw_only=True, tag="backend_health_changed"
+):
+    """This host trusts a backend server more or less than before."""
+
+    health: str
+    reason: str
+
+
 class ConfigurationInForce(
     Event, frozen=True, kw_only=True, tag="configuration_in_force"
 ):
@@ -213,6 +222,13 @@
     cut_count: int
 
 
+class InternalFault(Event, frozen=True, kw_only=True, tag="internal_fault"):
+    """The program failed in a way it does not foresee."""
+
+    reason: str
+    trace: str
+
+
 class MessageSent(Event, frozen=True, kw_only=True, tag="message_sent"):
     """A control message left for a peer."""
 
--- a/src/gypsumfield/ports.py
+++ b/src/gypsumfield/ports.py
@@ -1,5 +1,6 @@
 """What the serving code needs from outside, as callables."""
 
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
@@ -21,11 +22,13 @@
         is_granted: Whether one rate token was taken for the request.
         retry_after_ms: When a refused caller should come back.
         reason: Why it was refused, for the caller and the log.
+        token_epoch: Tells `QuotaPort.give_back` when the token was taken.
     """
 
     is_granted: bool
     retry_after_ms: float = 0.0
     reason: str = ""
+    token_epoch: int = 0
 
 
 class QuotaPort(NamedTuple):
@@ -34,11 +37,12 @@
     Attributes:
         take: Takes one rate token of the named account; may wait a few ms for
             a transfer from a peer.
-        give_back: Returns the token of a request that has not run.
+        give_back: Returns the token of a request that has not run; takes the
+            account and the decision that granted it.
     """
 
     take: Callable[[str], QuotaDecision]
-    give_back: Callable[[str], None]
+    give_back: Callable[[str, QuotaDecision], None]
 
 
 class SlotLease(NamedTuple):
@@ -49,12 +53,15 @@
         backend_server: Host id of the backend server.
         boot_id: Boot of the backend server that the lease is for.
         owner: Host id of the entry host that granted it.
+        send_before_ms: Monotonic time after which the request must not be sent
+            any more; to be checked right before sending.
     """
 
     lease_id: str
     backend_server: str
     boot_id: str
     owner: str
+    send_before_ms: float = math.inf
 
 
 class SlotRefusal(NamedTuple):
