Let fractions of tokens gather where they are whole first

Cause: an account at five times its rate got a fifth of its rate: every host gathered fractions from all others, and what did not make a whole token lapsed. Change: a loan fills the borrower's own part first, a host with waiting requests lends only to a richer one, and asks back off after a refusal in vain.

--- a/src/gypsumfield/decisions/borrowing.py
+++ b/src/gypsumfield/decisions/borrowing.py
@@ -96,6 +96,7 @@
         left_ms = deadline_ms - now_ms
         is_hopeless = plan.retry_after_ms > left_ms
         if left_ms <= 0.0 or (is_hopeless and not pool.is_expecting(missing_tokens)):
+            pool.back_off(MS_PER_S / limit.rate_per_s, now_ms)
             return _refuse(missing_tokens, limit, plan)
         if is_hopeless:
             # Another request's loan is on its way and may serve this one too.
--- a/src/gypsumfield/decisions/token_pools.py
+++ b/src/gypsumfield/decisions/token_pools.py
@@ -38,10 +38,17 @@
 
 
 class Ask(NamedTuple):
-    """Tokens that a host wants from a peer."""
+    """Tokens that a host wants from a peer.
+
+    Attributes:
+        peer: The peer.
+        tokens: What this host lacks.
+        held_tokens: What this host has.
+    """
 
     peer: str
     tokens: float
+    held_tokens: float = 0.0
 
 
 class BorrowingPlan(NamedTuple):
@@ -84,6 +91,7 @@
         self._last_ticket = 0
         self._asked_tokens: dict[str, float] = {}
         self._taken_in_epoch = 0
+        self._ask_again_ms = 0.0
         self._minted_at_ms = now_ms
         self._lent: list[_Lapse] = []
         self._borrowed: list[_Lapse] = []
@@ -143,15 +151,26 @@
             self._taken_in_epoch -= 1
             self.tokens += 1.0
 
-    def lend(self, wanted_tokens: float, now_ms: float) -> Loan:
-        """Subtract up to ``wanted_tokens`` for a peer; own requests go first."""
-        lent = max(0.0, min(wanted_tokens, self.tokens))
-        if lent < SMALLEST_LOAN_TOKENS or self._waiting:
+    def lend(self, wanted_tokens: float, borrower_tokens: float, now_ms: float) -> Loan:
+        """Subtract up to ``wanted_tokens`` for a peer.
+
+        A host whose own requests wait lends only to a peer that is richer, so
+        that fractions gather where they make a whole token first.
+
+        Args:
+            wanted_tokens: What the peer lacks.
+            borrower_tokens: What the peer has.
+            now_ms: Monotonic time.
+        """
+        is_withheld = self._waiting and self.available_tokens() >= borrower_tokens
+        lent = 0.0 if is_withheld else max(0.0, min(wanted_tokens, self.tokens))
+        if lent < SMALLEST_LOAN_TOKENS:
             lent = 0.0
         if lent:
             self.tokens -= lent
             self._lent.append(_Lapse(now_ms + LOAN_LIFETIME_MS, lent))
-        return Loan(lent, self.tokens, self.capacity_tokens, self.mint_per_s)
+        level_tokens = 0.0 if is_withheld else self.tokens
+        return Loan(lent, level_tokens, self.capacity_tokens, self.mint_per_s)
 
     def borrow(self, peer: str, loan: Loan, asked_at_ms: float, now_ms: float) -> bool:
         """Add the loan of a peer; False when it has lapsed on the way.
@@ -167,8 +186,12 @@
         lapses_at_ms = asked_at_ms + LOAN_LIFETIME_MS
         if lapses_at_ms <= now_ms:
             return False
-        if loan.tokens > 0.0:
-            self._borrowed.append(_Lapse(lapses_at_ms, loan.tokens))
+        # What fits into this host's own part need not lapse.
+        kept = max(0.0, min(loan.tokens, self._room() - self.tokens))
+        self.tokens += kept
+        if loan.tokens > kept:
+            self._borrowed.append(_Lapse(lapses_at_ms, loan.tokens - kept))
+        self._end_epoch_if_full()
         return True
 
     def note_ask(self, ask: Ask) -> None:
@@ -182,6 +205,11 @@
         if asked_tokens > ROUNDING_TOKENS:
             self._asked_tokens[ask.peer] = asked_tokens
 
+    def back_off(self, duration_ms: float, now_ms: float) -> None:
+        """Ask nobody for a while: the account's tokens are used up everywhere."""
+        if now_ms >= self._ask_again_ms:
+            self._ask_again_ms = now_ms + duration_ms
+
     def is_expecting(self, tokens: float) -> bool:
         """Return whether asks that are on their way may bring ``tokens``."""
         return bool(self._asked_tokens) and sum(self._asked_tokens.values()) >= tokens
@@ -229,16 +257,19 @@
         A peer's last answer bounds what it can have now; a peer that has not
         answered yet may have all of the burst.
         """
+        held_tokens = self.available_tokens()
         levels = sorted(
             ((self._level_of(peer, now_ms), peer) for peer in peers),
             key=lambda entry: (-entry[0], self._asked_tokens.get(entry[1], 0.0)),
         )
+        if now_ms < self._ask_again_ms:
+            return BorrowingPlan((), self._ask_again_ms - now_ms)
         asks: list[Ask] = []
         missing = missing_tokens
         for level_tokens, peer in levels:
             if missing <= ROUNDING_TOKENS or level_tokens < SMALLEST_LOAN_TOKENS:
                 break
-            asks.append(Ask(peer, missing))
+            asks.append(Ask(peer, missing, held_tokens))
             missing -= level_tokens
         if missing <= ROUNDING_TOKENS:
             return BorrowingPlan(tuple(asks), 0.0)
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -123,11 +123,13 @@
         request_id: Unique name; a repeated request is answered once.
         account: Client account.
         token_count: Tokens wanted.
+        held_tokens: Tokens that the sender has.
     """
 
     request_id: str = ""
     account: str = ""
     token_count: float = 0.0
+    held_tokens: float = 0.0
 
 
 class TokenTransfer(ControlMessage, frozen=True, tag=11):
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -169,6 +169,7 @@
             request_id=f"{self._loop.boot_id}/{self._request_count}",
             account=account,
             token_count=ask.tokens,
+            held_tokens=ask.held_tokens,
         )
         result: Result[TokenTransfer, PeerUnavailable] = self._loop.request(
             ask.peer, request, TokenTransfer, timeout_ms
@@ -221,4 +222,4 @@
             return Loan(0.0, 0.0, 0.0, 0.0)
         now_ms = self._clock.monotonic_ms()
         pool = self._ledger.pool_of(request.account, limit, now_ms)
-        return pool.lend(request.token_count, now_ms)
+        return pool.lend(request.token_count, request.held_tokens, now_ms)
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -1,6 +1,7 @@
 """Hosts that hear each other over `FakeNetwork`, can be paused and replaced."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from fake_network import FakeNetwork
 from gypsumfield.decisions.ownership import ZoneView
@@ -47,6 +48,8 @@
     it is confirmed by a fresh list that names it, or by all peers of its zone.
     """
 
+    hold_down_ms = HOLD_DOWN_MS
+
     def __init__(self, seed: int = 0):
         self.network = FakeNetwork(seed)
         self.hosts: dict[str, FakeHost] = {}
@@ -100,7 +103,10 @@
         )
 
     def zone_view(self, host: FakeHost) -> ZoneView:
-        """Return what the host makes of what it heard."""
+        """Return what the host makes of what it heard of its zone."""
+        return self.view_of_zones(host, [host.zone])
+
+    def view_of_zones(self, host: FakeHost, zones: Iterable[str]) -> ZoneView:
         now_ms = self.network.now_ms
         has_list = now_ms - host.list_contact_ms < SILENT_MS
         if has_list:
@@ -108,8 +114,9 @@
                 if now_ms - host.heard_ms[name] >= SILENT_MS:
                     del host.heard_ms[name]
         known = {*host.heard_ms, *host.listed}
-        peers = frozenset(name for name in known if zone_of(name) == host.zone)
-        are_peers_heard = peers <= self.heard_hosts(host, host.zone)
+        peers = frozenset(name for name in known if zone_of(name) in zones)
+        heard = frozenset().union(*(self.heard_hosts(host, zone) for zone in zones))
+        are_peers_heard = peers <= heard
         is_listed = has_list and host.host_id in host.listed
         return ZoneView(peers, is_confirmed=is_listed or are_peers_heard)
 
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -5,7 +5,6 @@
 
 from fake_fleet import FakeFleet
 from fake_fleet import FakeHost
-from fake_fleet import HOLD_DOWN_MS
 from fake_fleet import PLATFORM
 from fake_fleet import TICK_MS
 from fake_fleet import zone_of
@@ -37,7 +36,7 @@
     def __init__(self, fleet: "QuotaFleet", host_id: str, boot_id: str):
         super().__init__(fleet, host_id, boot_id)
         self.published = fleet.published
-        self.ledger = QuotaLedger(host_id, fleet.network.now_ms, HOLD_DOWN_MS)
+        self.ledger = QuotaLedger(host_id, fleet.network.now_ms, fleet.hold_down_ms)
         self._waiting: dict[str, Callable[[Loan | None], None]] = {}
         self._request_count = 0
         fleet.network.attach(host_id, self._deliver)
@@ -86,7 +85,10 @@
             name = f"{self.boot_id}/{self._request_count}"
             self._waiting[name] = lambda loan, n=name, p=ask.peer: settle(n, p, loan)
             request = TokenRequest(
-                request_id=name, account=ACCOUNT, token_count=ask.tokens
+                request_id=name,
+                account=ACCOUNT,
+                token_count=ask.tokens,
+                held_tokens=ask.held_tokens,
             )
             self.network.send(self.host_id, ask.peer, request)
             self.later(step.timeout_ms, lambda n=name, p=ask.peer: settle(n, p, None))
@@ -97,7 +99,7 @@
     def _handle(self, sender: str, message) -> None:
         if isinstance(message, TokenRequest):
             now_ms = self.network.now_ms
-            loan = self.pool().lend(message.token_count, now_ms)
+            loan = self.pool().lend(message.token_count, message.held_tokens, now_ms)
             answer = TokenTransfer(
                 transfer_id=message.request_id,
                 token_count=loan.tokens,
@@ -136,6 +138,8 @@
 class QuotaFleet(FakeFleet):
     """Hosts that share one account's rate, and what they admitted."""
 
+    host_type = QuotaHost
+
     def __init__(self, zones, limit, seed=0):
         super().__init__(seed)
         self.published = Published(frozenset(zones), limit)
@@ -149,7 +153,7 @@
         boot_id = self.next_boot_id(host_id)
         if zone_of(host_id) not in self.zone_names:
             self.zone_names.append(zone_of(host_id))
-        self.hosts[host_id] = QuotaHost(self, host_id, boot_id)
+        self.hosts[host_id] = self.host_type(self, host_id, boot_id)
 
     def publish(self, published: Published) -> None:
         """Change the configuration; every host adopts it when it can."""
--- a/tests/slot_fleet.py
+++ b/tests/slot_fleet.py
@@ -7,7 +7,6 @@
 
 from fake_fleet import FakeFleet
 from fake_fleet import FakeHost
-from fake_fleet import HOLD_DOWN_MS
 from fake_fleet import TICK_MS
 from fake_fleet import zone_of
 from gypsumfield.control_loop import PeerUnavailable
@@ -149,7 +148,13 @@
         )
         clock = fleet.network.clock.as_clock()
         self.service = SlotService(
-            self.loop, clock, self.zone, sources, discard_event, HOLD_DOWN_MS, LEASE_MS
+            self.loop,
+            clock,
+            self.zone,
+            sources,
+            discard_event,
+            fleet.hold_down_ms,
+            LEASE_MS,
         )
         self._hear()
         self.service.start()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -9,7 +9,6 @@
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import run_state_machine_as_test
 
-import quota_fleet
 from fake_fleet import HOLD_DOWN_MS
 from fake_fleet import PLATFORM
 from gypsumfield.decisions.ownership import Ownership
@@ -188,11 +187,11 @@
         self.tokens = SLOW.burst
 
     monkeypatch.setattr(AccountPool, "__init__", start_full)
-    monkeypatch.setattr(quota_fleet, "HOLD_DOWN_MS", 0.0)
+    monkeypatch.setattr(QuotaFleet, "hold_down_ms", 0.0)
 
 
 def _without_subtraction(monkeypatch):
-    def lend(self, wanted_tokens, now_ms):
+    def lend(self, wanted_tokens, _borrower_tokens, now_ms):
         return Loan(min(wanted_tokens, self.tokens), self.tokens, 1.0, 1.0)
 
     monkeypatch.setattr(AccountPool, "lend", lend)
@@ -312,7 +311,7 @@
 def lend_and_refill():
     """A lender that refills while its loan is out; both hold two bursts of 3."""
     lender, borrower = full_pool(), full_pool()
-    loan = lender.lend(2.0, 120_000.0)
+    loan = lender.lend(2.0, 0.0, 120_000.0)
     lender.refresh(100.0, 3.0, 0.0, 120_050.0)
     assert borrower.borrow("lender", loan, 120_000.0, 120_050.0)
     assert lender.available_tokens() + borrower.available_tokens() <= 6.0
@@ -369,7 +368,7 @@
     pool.borrow("poor", Loan(0.0, 0.2, 3.0, 0.0), 120_000.0, 120_001.0)
     pool.borrow("rich", Loan(0.0, 2.0, 3.0, 0.0), 120_000.0, 120_001.0)
     plan = pool.plan(1.0, ["poor", "rich"], QUICK, 120_002.0)
-    assert plan.asks == (Ask("rich", 1.0),)
+    assert plan.asks == (Ask("rich", 1.0, 3.0),)
     plan = pool.plan(4.2, ["poor", "rich"], QUICK, 120_002.0)
     assert plan.asks == ()
     assert plan.retry_after_ms == pytest.approx(20.0)
