Level the pools with each loan and back off longer in a flood

Cause: pools that are full mint nothing while others are empty, and an account above its rate cost ten messages a request. Change: a loan carries up to half of what the lender has left beyond the need, as far as the borrower has room; back-offs double while refusals go on.

--- a/src/gypsumfield/decisions/token_pools.py
+++ b/src/gypsumfield/decisions/token_pools.py
@@ -10,6 +10,7 @@
 PEER_LEVEL_LIFETIME_MS = 5_000.0
 SILENT_PEER_MS = 1_000.0
 SMALLEST_LOAN_TOKENS = 0.01
+MOST_BACK_OFF_DOUBLINGS = 6
 # Sums of fractions of one token miss the whole by a rounding error.
 ROUNDING_TOKENS = 1e-6
 
@@ -44,11 +45,13 @@
         peer: The peer.
         tokens: What this host lacks.
         held_tokens: What this host has.
+        spare_tokens: What it could hold besides, if the peer has plenty.
     """
 
     peer: str
     tokens: float
     held_tokens: float = 0.0
+    spare_tokens: float = 0.0
 
 
 class BorrowingPlan(NamedTuple):
@@ -92,6 +95,7 @@
         self._asked_tokens: dict[str, float] = {}
         self._taken_in_epoch = 0
         self._ask_again_ms = 0.0
+        self._back_off_doublings = 0
         self._minted_at_ms = now_ms
         self._lent: list[_Lapse] = []
         self._borrowed: list[_Lapse] = []
@@ -142,6 +146,7 @@
                 self._borrowed.insert(0, loan._replace(tokens=loan.tokens - used))
         self.tokens = max(0.0, self.tokens - missing)
         self._taken_in_epoch += 1
+        self._back_off_doublings = max(0, self._back_off_doublings - 1)
         self._end_epoch_if_full()
         return True
 
@@ -151,19 +156,19 @@
             self._taken_in_epoch -= 1
             self.tokens += 1.0
 
-    def lend(self, wanted_tokens: float, borrower_tokens: float, now_ms: float) -> Loan:
-        """Subtract up to ``wanted_tokens`` for a peer.
+    def lend(self, ask: Ask, now_ms: float) -> Loan:
+        """Subtract what a peer asks for, as far as it is here.
 
         A host whose own requests wait lends only to a peer that is richer, so
-        that fractions gather where they make a whole token first.
-
-        Args:
-            wanted_tokens: What the peer lacks.
-            borrower_tokens: What the peer has.
-            now_ms: Monotonic time.
+        that fractions gather where they make a whole token first. Beyond what
+        the peer lacks it gets up to half of the rest, because a pool that is
+        full mints nothing more.
         """
-        is_withheld = self._waiting and self.available_tokens() >= borrower_tokens
-        lent = 0.0 if is_withheld else max(0.0, min(wanted_tokens, self.tokens))
+        is_withheld = self._waiting and self.available_tokens() >= ask.held_tokens
+        lent = 0.0
+        if not is_withheld:
+            lent = max(0.0, min(ask.tokens, self.tokens))
+            lent += max(0.0, min(ask.spare_tokens, (self.tokens - lent) / 2))
         if lent < SMALLEST_LOAN_TOKENS:
             lent = 0.0
         if lent:
@@ -205,10 +210,18 @@
         if asked_tokens > ROUNDING_TOKENS:
             self._asked_tokens[ask.peer] = asked_tokens
 
-    def back_off(self, duration_ms: float, now_ms: float) -> None:
-        """Ask nobody for a while: the account's tokens are used up everywhere."""
-        if now_ms >= self._ask_again_ms:
-            self._ask_again_ms = now_ms + duration_ms
+    def back_off(self, shortest_ms: float, now_ms: float) -> None:
+        """Ask nobody for a while: the account's tokens are used up everywhere.
+
+        Each back-off that follows without enough tokens in between is twice as
+        long, so that an account far above its rate costs few messages.
+        """
+        if now_ms < self._ask_again_ms:
+            return
+        self._ask_again_ms = now_ms + shortest_ms * 2**self._back_off_doublings
+        self._back_off_doublings = min(
+            self._back_off_doublings + 1, MOST_BACK_OFF_DOUBLINGS
+        )
 
     def is_expecting(self, tokens: float) -> bool:
         """Return whether asks that are on their way may bring ``tokens``."""
@@ -258,6 +271,7 @@
         answered yet may have all of the burst.
         """
         held_tokens = self.available_tokens()
+        spare_tokens = max(0.0, self._room() - self.tokens)
         levels = sorted(
             ((self._level_of(peer, now_ms), peer) for peer in peers),
             key=lambda entry: (-entry[0], self._asked_tokens.get(entry[1], 0.0)),
@@ -269,7 +283,7 @@
         for level_tokens, peer in levels:
             if missing <= ROUNDING_TOKENS or level_tokens < SMALLEST_LOAN_TOKENS:
                 break
-            asks.append(Ask(peer, missing, held_tokens))
+            asks.append(Ask(peer, missing, held_tokens, spare_tokens))
             missing -= level_tokens
         if missing <= ROUNDING_TOKENS:
             return BorrowingPlan(tuple(asks), 0.0)
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -124,12 +124,14 @@
         account: Client account.
         token_count: Tokens wanted.
         held_tokens: Tokens that the sender has.
+        spare_tokens: Tokens that it could hold besides those wanted.
     """
 
     request_id: str = ""
     account: str = ""
     token_count: float = 0.0
     held_tokens: float = 0.0
+    spare_tokens: float = 0.0
 
 
 class TokenTransfer(ControlMessage, frozen=True, tag=11):
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -170,6 +170,7 @@
             account=account,
             token_count=ask.tokens,
             held_tokens=ask.held_tokens,
+            spare_tokens=ask.spare_tokens,
         )
         result: Result[TokenTransfer, PeerUnavailable] = self._loop.request(
             ask.peer, request, TokenTransfer, timeout_ms
@@ -194,7 +195,7 @@
         )
 
     def _lend(self, sender: str, request: TokenRequest) -> TokenTransfer:
-        loan = self._loan_for(request)
+        loan = self._loan_for(sender, request)
         if loan.tokens > 0.0:
             self._emit(
                 ShareMoved(
@@ -216,10 +217,13 @@
             zone_share=self._ledger.zone_share,
         )
 
-    def _loan_for(self, request: TokenRequest) -> Loan:
+    def _loan_for(self, sender: str, request: TokenRequest) -> Loan:
         limit = self._sources.read_limits().get(request.account)
         if limit is None:
             return Loan(0.0, 0.0, 0.0, 0.0)
         now_ms = self._clock.monotonic_ms()
         pool = self._ledger.pool_of(request.account, limit, now_ms)
-        return pool.lend(request.token_count, request.held_tokens, now_ms)
+        ask = Ask(
+            sender, request.token_count, request.held_tokens, request.spare_tokens
+        )
+        return pool.lend(ask, now_ms)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -15,6 +15,7 @@
 from gypsumfield.decisions.quotas import QuotaLedger
 from gypsumfield.decisions.quotas import QuotaView
 from gypsumfield.decisions.token_pools import AccountLimit
+from gypsumfield.decisions.token_pools import Ask
 from gypsumfield.decisions.token_pools import Loan
 from gypsumfield.messages import TokenRequest
 from gypsumfield.messages import TokenTransfer
@@ -89,6 +90,7 @@
                 account=ACCOUNT,
                 token_count=ask.tokens,
                 held_tokens=ask.held_tokens,
+                spare_tokens=ask.spare_tokens,
             )
             self.network.send(self.host_id, ask.peer, request)
             self.later(step.timeout_ms, lambda n=name, p=ask.peer: settle(n, p, None))
@@ -99,7 +101,10 @@
     def _handle(self, sender: str, message) -> None:
         if isinstance(message, TokenRequest):
             now_ms = self.network.now_ms
-            loan = self.pool().lend(message.token_count, message.held_tokens, now_ms)
+            ask = Ask(
+                sender, message.token_count, message.held_tokens, message.spare_tokens
+            )
+            loan = self.pool().lend(ask, now_ms)
             answer = TokenTransfer(
                 transfer_id=message.request_id,
                 token_count=loan.tokens,
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -191,8 +191,8 @@
 
 
 def _without_subtraction(monkeypatch):
-    def lend(self, wanted_tokens, _borrower_tokens, now_ms):
-        return Loan(min(wanted_tokens, self.tokens), self.tokens, 1.0, 1.0)
+    def lend(self, ask, now_ms):
+        return Loan(min(ask.tokens, self.tokens), self.tokens, 1.0, 1.0)
 
     monkeypatch.setattr(AccountPool, "lend", lend)
 
@@ -311,7 +311,7 @@
 def lend_and_refill():
     """A lender that refills while its loan is out; both hold two bursts of 3."""
     lender, borrower = full_pool(), full_pool()
-    loan = lender.lend(2.0, 0.0, 120_000.0)
+    loan = lender.lend(Ask("borrower", 2.0), 120_000.0)
     lender.refresh(100.0, 3.0, 0.0, 120_050.0)
     assert borrower.borrow("lender", loan, 120_000.0, 120_050.0)
     assert lender.available_tokens() + borrower.available_tokens() <= 6.0
