--- a/src/gypsumfield/backend_choice.py
+++ b/src/gypsumfield/backend_choice.py
@@ -197,4 +197,5 @@
             is_cold=report.is_cold,
             running_count=report.running_count,
             waiting_count=report.waiting_count,
+            step_time_ms=report.step_time_ms,
         )
