Leave empty key revisions out of the platform's answers

Cause: the new field showed in answers of the platform, whose form is revision and values; tests/test_standins.py failed on it. Change: ConfigurationDelta omits defaults.

--- a/src/gypsumfield/configuration.py
+++ b/src/gypsumfield/configuration.py
@@ -122,7 +122,7 @@
 _SECRET_HEX_LENGTH = 64
 
 
-class ConfigurationDelta(msgspec.Struct, frozen=True):
+class ConfigurationDelta(msgspec.Struct, frozen=True, omit_defaults=True):
     """Changes after one revision, as the platform and peers send them.
 
     Attributes:
