Let parted hosts of a zone keep their parts only

Cause: two hosts of a zone that cannot hear each other, but both reach the platform, are both confirmed; each dropped the other after the hold-down and owned all of the zone's shares and backend servers. A request whose slot lease has run out is not sent (composition.find_hindrance).

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -236,6 +236,8 @@
     def find_hindrance(job: Job, placement: Placement) -> str:
         if clock.monotonic_ms() > job.deadline_ms:
             return "the deadline has passed"
+        if clock.monotonic_ms() >= placement.lease.send_before_ms:
+            return "the lease of its slot has run out"
         return directory.find_hindrance(job.service_name, placement.backend)
 
     return AttemptPorts(
--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -151,6 +151,18 @@
             if entry.ended_ms is None or now_ms - entry.ended_ms < hold_down_ms
         )
 
+    def possible_hosts(self, zone: str | None = None) -> frozenset[str]:
+        """Return the live hosts and the silent ones that may live all the same.
+
+        A silent host may be parted from this one alone. It is surely gone only
+        when the platform's list lacks it.
+        """
+        return frozenset(
+            entry.news.host_id
+            for entry in self._in_zone(zone)
+            if entry.news.state == "live" or self._may_be_parted(entry)
+        )
+
     def members_for_growing(
         self, now_ms: float, zone: str | None = None
     ) -> frozenset[str]:
@@ -280,11 +292,14 @@
     def _missing_count(self) -> int:
         """Return how many hosts of the zone are silent and not known as gone."""
         return sum(
-            entry.news.state == "silent"
-            and (not self._listed or entry.news.host_id in self._listed)
+            self._may_be_parted(entry)
             for entry in self._in_zone(self.availability_zone)
         )
 
+    def _may_be_parted(self, entry: _Entry) -> bool:
+        is_listed = not self._listed or entry.news.host_id in self._listed
+        return entry.news.state == "silent" and is_listed
+
     def _is_fresh(self, at_ms: float | None, now_ms: float) -> bool:
         return at_ms is not None and now_ms - at_ms <= self.times.confirmed_within_ms
 
