Add the load and experiment tool

Cause: nothing sent the deployments' mix of requests and judged the outcome. Change: gypsumfield-load run, report and compare. An experiment file names traffic, accounts, faults over time and seed; requests go over HTTP, tokens are checked for order and completeness, refusals are judged by a token bucket that sees all requests. Fault found by its test: a phase with factor 0 to the end of the plan never ended the plan; mended.

--- /dev/null
+++ b/src/gypsumfield/load_arrivals.py
@@ -0,0 +1,113 @@
+"""Random requests of an experiment: when, from whom and how long."""
+
+import heapq
+import math
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.load_experiment import Arrivals
+from gypsumfield.load_experiment import Experiment
+from gypsumfield.load_experiment import Lengths
+from gypsumfield.load_experiment import LoadAccount
+from gypsumfield.load_experiment import Phase
+from gypsumfield.load_experiment import Traffic
+
+
+class PlannedRequest(NamedTuple):
+    """One request to come.
+
+    Attributes:
+        at_ms: Time from the start of the experiment.
+        traffic: What kind of request.
+        account: Who sends it.
+        prompt_tokens: Length of its prompt.
+        output_tokens: True length of its answer.
+    """
+
+    at_ms: float
+    traffic: Traffic
+    account: LoadAccount
+    prompt_tokens: int
+    output_tokens: int
+
+
+def plan_requests(experiment: Experiment) -> Iterator[PlannedRequest]:
+    """Yield all requests in order of time; the same ones for the same seed."""
+    total_share = sum(account.share for account in experiment.accounts)
+    streams = [
+        _plan_stream(experiment, traffic, account, account.share / total_share)
+        for traffic in experiment.traffic
+        for account in experiment.accounts
+    ]
+    yield from heapq.merge(*streams, key=lambda request: request.at_ms)
+
+
+def draw_length(lengths: Lengths, rng: random.Random) -> int:
+    """Return one length, from 1 to the distribution's limit."""
+    median_tokens = lengths.median_tokens
+    if lengths.kind == "two_humped" and rng.random() < lengths.second_share:
+        median_tokens = lengths.second_median_tokens
+    if lengths.kind != "constant":
+        median_tokens *= math.exp(rng.gauss(0.0, lengths.spread))
+    return max(1, min(lengths.limit_tokens, round(median_tokens)))
+
+
+def factor_at(phases: tuple[Phase, ...], at_ms: float) -> float:
+    """Return the factor of the latest phase that has begun, 1 before any."""
+    factor = 1.0
+    for phase in phases:
+        if phase.from_ms > at_ms:
+            break
+        factor = phase.factor
+    return factor
+
+
+def _plan_stream(
+    experiment: Experiment, traffic: Traffic, account: LoadAccount, share: float
+) -> Iterator[PlannedRequest]:
+    rng = random.Random(f"{experiment.seed}/{traffic.name}/{account.name}")
+    end_ms = experiment.duration_ms
+    for at_ms in _arrival_times(traffic.arrivals, account, share, end_ms, rng):
+        yield PlannedRequest(
+            at_ms,
+            traffic,
+            account,
+            draw_length(traffic.prompt, rng),
+            draw_length(traffic.output, rng),
+        )
+
+
+def _arrival_times(
+    arrivals: Arrivals,
+    account: LoadAccount,
+    share: float,
+    end_ms: float,
+    rng: random.Random,
+) -> Iterator[float]:
+    # Arrivals at the largest rate are thinned to the rate of the moment.
+    highest = _highest_factor(arrivals.phases) * _highest_factor(account.phases)
+    if highest == 0.0:
+        return
+    gap_ms = MS_PER_S / (arrivals.rate_per_s * share * highest)
+    at_ms = 0.0
+    carried = rng.random()
+    while True:
+        is_random = arrivals.kind == "poisson"
+        at_ms += rng.expovariate(1.0 / gap_ms) if is_random else gap_ms
+        if at_ms >= end_ms:
+            return
+        factor = factor_at(arrivals.phases, at_ms) * factor_at(account.phases, at_ms)
+        if is_random:
+            is_kept = rng.random() * highest < factor
+        else:
+            carried += factor / highest
+            is_kept = carried >= 1.0
+            carried -= math.floor(carried)
+        if is_kept:
+            yield at_ms
+
+
+def _highest_factor(phases: tuple[Phase, ...]) -> float:
+    return max([1.0, *(phase.factor for phase in phases)])
--- /dev/null
+++ b/src/gypsumfield/load_driver.py
@@ -0,0 +1,242 @@
+"""Driver of the load tool: sends an experiment's requests to entry hosts."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlsplit
+
+import gevent
+import msgspec
+from gevent.pool import Pool
+from geventhttpclient import HTTPClient
+
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.engine_api import LoadReport
+from gypsumfield.exceptions import SettingsError
+from gypsumfield.load_arrivals import plan_requests
+from gypsumfield.load_arrivals import PlannedRequest
+from gypsumfield.load_client import send_request
+from gypsumfield.load_experiment import account_key
+from gypsumfield.load_experiment import BackendFault
+from gypsumfield.load_experiment import Experiment
+from gypsumfield.load_experiment import Fault
+from gypsumfield.load_experiment import PlatformFault
+from gypsumfield.load_experiment import published_values
+from gypsumfield.load_experiment import ValueFault
+from gypsumfield.load_results import FaultRecord
+from gypsumfield.load_results import LoadResult
+from gypsumfield.load_results import Recorder
+
+IN_FLIGHT_LIMIT = 5_000
+PROGRESS_INTERVAL_MS = 5_000.0
+CALL_TIMEOUT_MS = 10_000.0
+SETTLE_LIMIT_MS = 30_000.0
+SETTLE_CHECK_INTERVAL_MS = 100.0
+
+
+class FleetHost(msgspec.Struct, frozen=True):
+    """One host in the description of a running fleet."""
+
+    host_id: str
+    url: str
+    availability_zone: str = ""
+    service: str = ""
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """Running fleet, as ``gypsumfield-local`` prints it when ready.
+
+    Attributes:
+        entry_hosts: Where requests go.
+        platform: URL of the platform stand-in; empty if there is none.
+        backend_servers: For faults and preemptions; may be empty.
+    """
+
+    entry_hosts: tuple[FleetHost, ...]
+    platform: str = ""
+    backend_servers: tuple[FleetHost, ...] = ()
+
+
+class LoadDriver:
+    """One run of one experiment against one fleet.
+
+    Args:
+        experiment: What to send.
+        fleet: Where to send it.
+        clock: Time of the run.
+        report_progress: Takes one line every `PROGRESS_INTERVAL_MS`.
+    """
+
+    def __init__(
+        self,
+        experiment: Experiment,
+        fleet: Fleet,
+        clock: Clock,
+        report_progress: Callable[[str], None],
+    ) -> None:
+        self._experiment = experiment
+        self._fleet = fleet
+        self._clock = clock
+        self._report_progress = report_progress
+        self._recorder = Recorder(experiment)
+        self._faults: list[FaultRecord] = []
+        self._rng = random.Random(experiment.seed)
+        self._start_ms = 0.0
+        self._pool = Pool(IN_FLIGHT_LIMIT)
+        self._keys = {
+            account.name: account_key(experiment, account.name)
+            for account in experiment.accounts
+        }
+
+    def run(self) -> LoadResult:
+        """Publish the values, send all requests and wait for their answers.
+
+        Raises:
+            SettingsError: The fleet does not take the experiment's values.
+        """
+        self._publish_values()
+        self._clock.sleep_ms(self._experiment.warm_up_ms)
+        preempted_before = self._count_preemptions()
+        self._start_ms = self._clock.monotonic_ms()
+        helpers = [gevent.spawn(self._apply_faults), gevent.spawn(self._show_progress)]
+        try:
+            self._send_all()
+            self._pool.join(timeout=self._experiment.drain_ms / MS_PER_S)
+            self._pool.kill()
+        finally:
+            gevent.killall(helpers)
+        preempted_after = self._count_preemptions()
+        preemption_count = (
+            None
+            if preempted_before is None or preempted_after is None
+            else preempted_after - preempted_before
+        )
+        return self._recorder.result(
+            len(self._fleet.entry_hosts), preemption_count, self._faults
+        )
+
+    def _now_ms(self) -> float:
+        return self._clock.monotonic_ms() - self._start_ms
+
+    def _send_all(self) -> None:
+        for number, request in enumerate(plan_requests(self._experiment)):
+            wait_ms = request.at_ms - self._now_ms()
+            if wait_ms > 0:
+                self._clock.sleep_ms(wait_ms)
+            self._pool.spawn(self._send, number, request)
+
+    def _send(self, number: int, request: PlannedRequest) -> None:
+        urls = [host.url for host in self._fleet.entry_hosts]
+        self._rng.shuffle(urls)
+        is_within = self._recorder.note_sent(request, self._now_ms())
+        key = self._keys[request.account.name]
+        outcome = send_request(request, number, key, urls)
+        self._recorder.note_ended(request, is_within, outcome, self._now_ms())
+
+    def _publish_values(self) -> None:
+        if not self._fleet.platform:
+            return
+        for key, value in published_values(self._experiment).items():
+            status, body = _put(f"{self._fleet.platform}/standin/values/{key}", value)
+            if status != 200:
+                raise SettingsError(f"platform refused {key}: {status} {body[:200]!r}")
+        revision = int(msgspec.json.decode(body)["revision"])
+        self._wait_until_in_force(revision)
+
+    def _wait_until_in_force(self, revision: int) -> None:
+        deadline_ms = self._clock.monotonic_ms() + SETTLE_LIMIT_MS
+        for host in self._fleet.entry_hosts:
+            while _revision_of(host.url) < revision:
+                if self._clock.monotonic_ms() > deadline_ms:
+                    raise SettingsError(
+                        f"{host.host_id}: revision {revision} is not in force"
+                    )
+                self._clock.sleep_ms(SETTLE_CHECK_INTERVAL_MS)
+
+    def _apply_faults(self) -> None:
+        for fault in sorted(self._experiment.faults, key=lambda each: each.at_ms):
+            self._clock.sleep_ms(max(0.0, fault.at_ms - self._now_ms()))
+            url, value = self._fault_call(fault)
+            try:
+                status, _ = _put(url, value)
+            except OSError:
+                status = 0
+            self._faults.append(FaultRecord(self._now_ms(), fault.label, status))
+            self._report_progress(f"fault: {fault.label} (status {status})")
+
+    def _fault_call(self, fault: Fault) -> tuple[str, Any]:
+        if isinstance(fault, ValueFault):
+            return f"{self._fleet.platform}/standin/values/{fault.key}", fault.value
+        if isinstance(fault, PlatformFault):
+            return f"{self._fleet.platform}/standin/faults", {"mode": fault.mode}
+        return f"{self._backend_url(fault)}/standin/faults", fault.order
+
+    def _backend_url(self, fault: BackendFault) -> str:
+        for host in self._fleet.backend_servers:
+            if host.host_id == fault.host_id:
+                return host.url
+        raise SettingsError(f"fault names {fault.host_id!r}, which is not in the fleet")
+
+    def _count_preemptions(self) -> int | None:
+        traffic = self._experiment.traffic
+        services = {each.service for each in traffic if each.kind == "model"}
+        engines = [
+            host for host in self._fleet.backend_servers if host.service in services
+        ]
+        if not engines:
+            return None
+        try:
+            return sum(_preemptions_of(engine.url) for engine in engines)
+        except (OSError, msgspec.MsgspecError):
+            return None
+
+    def _show_progress(self) -> None:
+        while True:
+            self._clock.sleep_ms(PROGRESS_INTERVAL_MS)
+            counts = self._recorder.outcomes
+            others = counts.total() - counts["whole"] - counts["refused"]
+            self._report_progress(
+                f"{self._now_ms() / MS_PER_S:.0f} s of "
+                f"{self._experiment.duration_ms / MS_PER_S:.0f} s: "
+                f"{self._recorder.sent_count} sent, {counts['whole']} whole, "
+                f"{counts['refused']} refused, {others} broken, "
+                f"{len(self._pool)} in flight"
+            )
+
+
+def _call(method: str, url: str, body: bytes = b"") -> tuple[int, bytes]:
+    parts = urlsplit(url)
+    timeout_s = CALL_TIMEOUT_MS / MS_PER_S
+    client = HTTPClient(
+        parts.hostname,
+        parts.port,
+        connection_timeout=timeout_s,
+        network_timeout=timeout_s,
+    )
+    try:
+        response = client.request(method, parts.path, body=body)
+        return response.status_code, bytes(response.read())
+    finally:
+        client.close()
+
+
+def _put(url: str, value: Any) -> tuple[int, bytes]:
+    return _call("PUT", url, msgspec.json.encode(value))
+
+
+def _revision_of(url: str) -> int:
+    """Return the revision in force, 0 while the host cannot say."""
+    try:
+        _, body = _call("GET", f"{url}/metrics")
+    except OSError:
+        return 0
+    for line in body.decode().splitlines():
+        if line.startswith("gypsumfield_configuration_revision "):
+            return int(float(line.split()[1]))
+    return 0
+
+
+def _preemptions_of(url: str) -> int:
+    _, body = _call("GET", f"{url}/v1/load")
+    return msgspec.json.decode(body, type=LoadReport).preemption_count
