--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -50,22 +50,40 @@
     control_public_key: str = ""
 
 
+class BackendNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an engine's own answers said of it, ahead of the platform's list.
+
+    Attributes:
+        host_id: The backend server.
+        boot_id: The boot it concerns.
+        state: Whether that boot is leaving.
+    """
+
+    host_id: str
+    boot_id: str
+    state: HostState
+
+
 class Heartbeat(ControlMessage, frozen=True, tag=1):
     """Sign of life, with digests and the latest news of members.
 
     Attributes:
         self_news: The sender itself.
+        heard_age_ms: How long ago the sender heard the receiver; -1 is never.
         configuration_revision: Revision in force at the sender.
         members_version: Version of the platform's member list at the sender.
         view_digest: Digest of the entry hosts that the sender's zone knows.
-        news: Latest news, a bounded number.
+        news: Latest news of entry hosts, a bounded number.
+        backend_news: Latest news of backend servers, a bounded number.
     """
 
     self_news: MemberNews = MemberNews("", "", "", 0, "live")
+    heard_age_ms: int = -1
     configuration_revision: int = 0
     members_version: int = 0
     view_digest: int = 0
     news: tuple[MemberNews, ...] = ()
+    backend_news: tuple[BackendNews, ...] = ()
 
 
 class ViewRequest(ControlMessage, frozen=True, tag=2):
@@ -123,11 +141,15 @@
         request_id: Unique name; a repeated request is answered once.
         account: Client account.
         token_count: Tokens wanted.
+        held_tokens: Tokens that the sender has.
+        spare_tokens: Tokens that it could hold besides those wanted.
     """
 
     request_id: str = ""
     account: str = ""
     token_count: float = 0.0
+    held_tokens: float = 0.0
+    spare_tokens: float = 0.0
 
 
 class TokenTransfer(ControlMessage, frozen=True, tag=11):
@@ -138,18 +160,22 @@
         account: Client account.
         token_count: Tokens moved; 0 tells that none can be spared.
         receiver_boot_id: Boot of the receiver that the tokens are for.
+        level_tokens: Tokens that the sender has left.
+        capacity_tokens: Tokens that the sender can hold at most.
+        mint_per_s: Tokens a second that the sender mints.
+        availability_zone: Zone of the sender.
+        zone_share: Part of every rate that the sender takes for its zone's.
     """
 
     transfer_id: str = ""
     account: str = ""
     token_count: float = 0.0
     receiver_boot_id: str = ""
-
-
-class TokenAcknowledgement(ControlMessage, frozen=True, tag=12):
-    """Confirms that a transfer has arrived."""
-
-    transfer_id: str = ""
+    level_tokens: float = 0.0
+    capacity_tokens: float = 0.0
+    mint_per_s: float = 0.0
+    availability_zone: str = ""
+    zone_share: float = 0.0
 
 
 class SlotRequest(ControlMessage, frozen=True, tag=20):
@@ -164,6 +190,7 @@
         prompt_tokens: Estimated length of the prompt.
         max_tokens: Largest output.
         priority: Larger is served first.
+        lease_id: Unique name that the lease shall have.
     """
 
     request_id: str = ""
@@ -174,6 +201,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     priority: int = 0
+    lease_id: str = ""
 
 
 class SlotGrant(ControlMessage, frozen=True, tag=21):
@@ -199,11 +227,13 @@
         backend_server: Host id of the backend server.
         reason: Why.
         retry_after_ms: When to ask again.
+        lease_id: Name that the lease should have had.
     """
 
     backend_server: str = ""
     reason: str = ""
     retry_after_ms: float = 0.0
+    lease_id: str = ""
 
 
 class SlotReturn(ControlMessage, frozen=True, tag=23):
@@ -224,12 +254,40 @@
     first_token_ms: float | None = None
 
 
+class LeaseReport(msgspec.Struct, frozen=True, array_like=True):
+    """One lease in use, with all that a new owner must know of it.
+
+    Attributes:
+        lease_id: Name of the lease.
+        backend_server: Host id of the backend server.
+        boot_id: Boot of the backend server that the lease is for.
+        generated_tokens: Tokens its answer has so far.
+        request_id: Unique name of the caller's request.
+        service: Service of the request.
+        profile: Profile of the service.
+        account: Client account.
+        prompt_tokens: Estimated length of the prompt.
+        max_tokens: Largest output.
+        priority: Larger is served first.
+    """
+
+    lease_id: str
+    backend_server: str
+    boot_id: str
+    generated_tokens: int
+    request_id: str
+    service: str
+    profile: str
+    account: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+
+
 class SlotProgress(ControlMessage, frozen=True, tag=24):
-    """Renews a lease and tells how many tokens its answer has so far."""
+    """Renews leases, or tells a new owner of them."""
 
-    lease_id: str = ""
-    backend_server: str = ""
-    generated_tokens: int = 0
+    leases: tuple[LeaseReport, ...] = ()
 
 
 class BackendSummary(ControlMessage, frozen=True, tag=25):
@@ -263,7 +321,6 @@
     | ValuesRequest
     | TokenRequest
     | TokenTransfer
-    | TokenAcknowledgement
     | SlotRequest
     | SlotGrant
     | SlotRefused
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -180,6 +180,10 @@
     def choice(self) -> Any:
         return json.loads(self.data)["choices"][0]
 
+    @property
+    def text(self) -> str:
+        return self.choice["text"]
+
 
 def stream_events(body: bytes) -> list[StreamEvent]:
     blocks = body.decode().split("\n\n")
@@ -195,4 +199,4 @@
 
 
 def expected_text(token_count: int) -> str:
-    return "".join(f"w{i} " for i in range(token_count))
+    return "".join(f"w{i} " for i in range(1, token_count + 1))
