Drain under load as a balancer sees it

Change: six callers over kept connections follow the health page while the program drains; every call is answered and the exit status is 0. Conclusion: nothing is cut while the balancer follows the health page.

--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -1,7 +1,9 @@
 import json
 import signal
 
+import gevent
 import pytest
+from geventhttpclient import HTTPClient
 
 from httpcalls import call
 from httpcalls import open_call
@@ -129,3 +131,45 @@
         return call("GET", url).status == 503
     except OSError:
         return True
+
+
+class Balancer:
+    """Sends calls over kept connections until the health page turns."""
+
+    def __init__(self, url: str, headers: dict[str, str]) -> None:
+        self.url = url
+        self.headers = headers
+        self.is_healthy = True
+        self.statuses: list[int] = []
+
+    def watch_health(self) -> None:
+        while self.is_healthy:
+            self.is_healthy = call("GET", f"{self.url}/healthz").status == 200
+            gevent.sleep(0.01)
+
+    def send(self, number: int) -> None:
+        client = HTTPClient.from_url(self.url, concurrency=1)
+        body = {"model": "assistant", "prompt": f"{number} [tokens=9]"}
+        data = json.dumps(body).encode()
+        while self.is_healthy:
+            answer = client.post("/v1/completions", data, self.headers)
+            answer.read()
+            self.statuses.append(answer.status_code)
+        client.close()
+
+
+def test_a_drain_under_load_cuts_nothing_that_a_balancer_sends():
+    arguments = ("--entry-hosts", "1", "--availability-zones", "1")
+    with program("gypsumfield-local", *arguments) as local:
+        url = local.ready["entry_hosts"][0]["url"]
+        balancer = Balancer(url, authorization(local.ready))
+        callers = [gevent.spawn(balancer.send, number) for number in range(6)]
+        watcher = gevent.spawn(balancer.watch_health)
+        wait_for(lambda: len(balancer.statuses) >= 30)
+        local.signal(signal.SIGTERM)
+        gevent.joinall([watcher, *callers], timeout=30, raise_error=True)
+        assert not balancer.is_healthy
+        assert set(balancer.statuses) == {200}
+        # The exit is waited for without blocking the loop of this test.
+        wait_for(lambda: local.process.poll() is not None)
+        assert local.wait() == 0
