--- a/tests/slot_fleet.py
+++ b/tests/slot_fleet.py
@@ -138,16 +138,14 @@
         self.leases: dict[str, SlotLease] = {}
         sources = SlotSources(
             read_view=lambda: fleet.zone_view(self),
-            read_hosts=lambda: {
-                zone: fleet.heard_hosts(self, zone) for zone in ("a", "b")
-            },
+            read_hosts=lambda: {zone: fleet.heard_hosts(self, zone) for zone in "abcd"},
             describe_backend=lambda name: BackendDescription(
                 zone_of(name), "", fleet.is_reporting
             ),
             may_admit=admit_always,
         )
         clock = fleet.network.clock.as_clock()
-        self.service = SlotService(
+        self.service = fleet.service_type(
             self.loop,
             clock,
             self.zone,
@@ -206,7 +204,9 @@
 
 
 class SlotFleet(FakeFleet):
-    """Hosts and engines of two zones."""
+    """Hosts and engines of some zones."""
+
+    service_type = SlotService
 
     def __init__(self, engines, seed=0, is_reporting=True):
         super().__init__(seed)
