Judge ownership again only where a host came or went

Cause: at 62 hosts a zone and 1,100 accounts a membership change hashed all positions anew. Change: the best host of each resource is kept and followed; names of positions are cached; closed leases are forgotten now and then, not at every request.

--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -62,6 +62,7 @@
         self._hold_down_ms = hold_down_ms
         self._hosts: frozenset[str] = frozenset({host_id})
         self._departed_at_ms: dict[str, float] = {}
+        self._best: dict[str, tuple[int, str]] = {}
         self._updated_at_ms = now_ms
         self._ready_at_ms = now_ms + hold_down_ms
 
@@ -83,8 +84,10 @@
         self._hosts = view.hosts
         was_ready = self._updated_at_ms >= self._ready_at_ms
         is_ready = now_ms >= self._ready_at_ms
-        if not is_ready or not was_ready or self._rivals() != rivals_before:
+        rivals = self._rivals()
+        if not is_ready or not was_ready or rivals != rivals_before:
             self.unchanged_since_ms = now_ms
+            self._follow_rivals(rivals - rivals_before, rivals_before - rivals)
         self._updated_at_ms = now_ms
         return starts_anew
 
@@ -96,7 +99,11 @@
         """Return whether this host may act as owner of ``resource`` now."""
         if self._updated_at_ms < self._ready_at_ms or self.is_paused(now_ms):
             return False
-        return owner_of(resource, self._rivals()) == self.host_id
+        best = self._best.get(resource)
+        if best is None:
+            best = max(_score(resource, host) for host in self._rivals())
+            self._best[resource] = best
+        return best[1] == self.host_id
 
     def current_owner(self, resource: str) -> str | None:
         """Return the host to ask for ``resource``; it may still be waiting."""
@@ -115,6 +122,15 @@
                 waits.append(departed_at_ms + self._hold_down_ms - now_ms)
         return max(0.0, *waits)
 
+    def _follow_rivals(self, joined: frozenset[str], gone: frozenset[str]) -> None:
+        """Judge again only what a host that joined or went can have changed."""
+        for resource, best in list(self._best.items()):
+            if best[1] in gone:
+                del self._best[resource]
+            elif joined:
+                scores = (_score(resource, host) for host in joined)
+                self._best[resource] = max(best, *scores)
+
     def _rivals(self) -> frozenset[str]:
         return self._hosts.union(self._departed_at_ms)
 
--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from functools import lru_cache
 from typing import NamedTuple
 
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
@@ -20,6 +21,7 @@
 from gypsumfield.decisions.token_pools import AccountPool
 
 POSITIONS_PER_ZONE = 12
+POSITION_CACHE_ACCOUNTS = 16_384
 
 
 class QuotaView(NamedTuple):
@@ -177,6 +179,7 @@
             self._forgotten_at_ms = now_ms
 
 
+@lru_cache(maxsize=POSITION_CACHE_ACCOUNTS)
 def positions_of(account: str, zone: str) -> tuple[str, ...]:
     """Return the resources that stand for the account's share in a zone."""
     return tuple(
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -122,6 +122,7 @@
         self._lease_ms = lease_ms
         self._grants: dict[str, _Grant] = {}
         self._closed_until_ms: dict[str, float] = {}
+        self._forget_closed_ms = 0.0
         self._load: LoadObservation | None = None
         self._usual_first_token_ms: float | None = None
         self._trouble_at_ms = -math.inf
@@ -300,6 +301,9 @@
             for lease_id, grant in self._grants.items()
             if not self._is_surely_over(grant, now_ms)
         }
+        if now_ms < self._forget_closed_ms:
+            return
+        self._forget_closed_ms = now_ms + CLOSED_LEASE_MEMORY_MS
         self._closed_until_ms = {
             lease_id: until_ms
             for lease_id, until_ms in self._closed_until_ms.items()
