--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -195,6 +195,7 @@
         0.8, fault=cut_zone, repair=lambda fleet: fleet.network.heal()
     ),
     "flood": Scenario(FLOOD_FACTOR),
+    "flood_and_cut_off_zone": Scenario(FLOOD_FACTOR, fault=cut_zone),
 }
 
 LIMITS = {
@@ -339,20 +340,25 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--schemes", nargs="+", default=list(SCHEMES))
+    parser.add_argument("--scenarios", nargs="+", default=list(SCENARIOS))
+    parser.add_argument("--limits", nargs="+", default=list(LIMITS))
     arguments = parser.parse_args()
     started_s = time.monotonic()
     seeds = range(1, arguments.seeds + 1)
     figures = {
-        limit_name: {
-            scenario_name: {
+        limit: {
+            scenario: {
                 scheme: summarise(
-                    [run(scheme, scenario, limit, seed) for seed in seeds]
+                    [
+                        run(scheme, SCENARIOS[scenario], LIMITS[limit], seed)
+                        for seed in seeds
+                    ]
                 )
                 for scheme in arguments.schemes
             }
-            for scenario_name, scenario in SCENARIOS.items()
+            for scenario in arguments.scenarios
         }
-        for limit_name, limit in LIMITS.items()
+        for limit in arguments.limits
     }
     report = {
         "hosts": len(HOSTS),
--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -11,8 +11,9 @@
 
 import xxhash
 
-HOLD_DOWN_MS = 6_000.0
+HOLD_DOWN_MS = 10_000.0
 PAUSE_LIMIT_MS = 2_000.0
+RELEASE_WAIT_MS = 3_000.0
 
 
 class ZoneView(NamedTuple):
@@ -49,23 +50,48 @@
         host_id: The host that asks.
         now_ms: Monotonic time of its start.
         hold_down_ms: Wait before ownership grows.
+        release_wait_ms: Wait after a host has retired; at least a lease, and
+            shorter than the hold-down.
 
     Attributes:
         unchanged_since_ms: Since when this host has owned the same resources.
+        is_retired: Whether this host has given everything up for good.
     """
 
     def __init__(
-        self, host_id: str, now_ms: float, hold_down_ms: float = HOLD_DOWN_MS
+        self,
+        host_id: str,
+        now_ms: float,
+        hold_down_ms: float = HOLD_DOWN_MS,
+        release_wait_ms: float = RELEASE_WAIT_MS,
     ) -> None:
         self.host_id = host_id
         self.unchanged_since_ms = now_ms
+        self.is_retired = False
         self._hold_down_ms = hold_down_ms
+        self._release_wait_ms = release_wait_ms
+        self._release_end_ms = (release_wait_ms + hold_down_ms) / 2
         self._hosts: frozenset[str] = frozenset({host_id})
         self._departed_at_ms: dict[str, float] = {}
+        self._released_at_ms: dict[str, float] = {}
+        self._rivals = self._hosts
         self._best: dict[str, tuple[int, str]] = {}
         self._updated_at_ms = now_ms
         self._ready_at_ms = now_ms + hold_down_ms
 
+    def retire(self) -> None:
+        """Own nothing any more, because this host is about to stop."""
+        self.is_retired = True
+
+    def note_release(self, host: str, now_ms: float) -> None:
+        """Learn from a host itself that it has retired.
+
+        The others need not wait out the hold-down for it, but only until the
+        leases that it granted are reported to its successors. Later it counts
+        again: a new boot of it may own something by then.
+        """
+        self._released_at_ms[host] = now_ms
+
     def update(self, view: ZoneView, now_ms: float) -> bool:
         """Take over a new view; to be called at every tick of the control loop.
 
@@ -75,22 +101,44 @@
         starts_anew = not view.is_confirmed or self.is_paused(now_ms)
         if starts_anew:
             self._ready_at_ms = now_ms + self._hold_down_ms
-        rivals_before = self._rivals()
-        for host in self._hosts - view.hosts:
-            self._departed_at_ms[host] = now_ms
-        for host in view.hosts:
-            self._departed_at_ms.pop(host, None)
-        self._forget_departed(now_ms)
-        self._hosts = view.hosts
+        self._follow_hosts(view.hosts, now_ms)
         was_ready = self._updated_at_ms >= self._ready_at_ms
         is_ready = now_ms >= self._ready_at_ms
-        rivals = self._rivals()
-        if not is_ready or not was_ready or rivals != rivals_before:
+        rivals_before, self._rivals = self._rivals, self._find_rivals(now_ms)
+        if not is_ready or not was_ready or self._rivals != rivals_before:
             self.unchanged_since_ms = now_ms
-            self._follow_rivals(rivals - rivals_before, rivals_before - rivals)
+            self._follow_rivals(
+                self._rivals - rivals_before, rivals_before - self._rivals
+            )
         self._updated_at_ms = now_ms
         return starts_anew
 
+    def _follow_hosts(self, hosts: frozenset[str], now_ms: float) -> None:
+        for host in self._hosts - hosts:
+            if not self._is_released(host, now_ms):
+                self._departed_at_ms[host] = now_ms
+        for host in hosts:
+            self._departed_at_ms.pop(host, None)
+        self._forget_departed(now_ms)
+        self._hosts = hosts
+
+    def _find_rivals(self, now_ms: float) -> frozenset[str]:
+        released = frozenset(
+            host for host in self._released_at_ms if self._is_released(host, now_ms)
+        )
+        waited = frozenset(
+            host
+            for host in released
+            if now_ms - self._released_at_ms[host] >= self._release_wait_ms
+        )
+        return (self._hosts | released).union(self._departed_at_ms) - waited
+
+    def _is_released(self, host: str, now_ms: float) -> bool:
+        released_at_ms = self._released_at_ms.get(host)
+        if released_at_ms is None:
+            return False
+        return now_ms - released_at_ms < self._release_end_ms
+
     def is_paused(self, now_ms: float) -> bool:
         """Return whether the last update is too old to be relied on."""
         return now_ms - self._updated_at_ms > PAUSE_LIMIT_MS
@@ -99,9 +147,11 @@
         """Return whether this host may act as owner of ``resource`` now."""
         if self._updated_at_ms < self._ready_at_ms or self.is_paused(now_ms):
             return False
+        if self.is_retired:
+            return False
         best = self._best.get(resource)
         if best is None:
-            best = max(_score(resource, host) for host in self._rivals())
+            best = max(_score(resource, host) for host in self._rivals)
             self._best[resource] = best
         return best[1] == self.host_id
 
@@ -131,9 +181,6 @@
                 scores = (_score(resource, host) for host in joined)
                 self._best[resource] = max(best, *scores)
 
-    def _rivals(self) -> frozenset[str]:
-        return self._hosts.union(self._departed_at_ms)
-
     def _forget_departed(self, now_ms: float) -> None:
         self._departed_at_ms = {
             host: departed_at_ms
--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -21,6 +21,8 @@
 from gypsumfield.decisions.token_pools import AccountPool
 
 POSITIONS_PER_ZONE = 12
+# Longer than any loan of a host that has retired.
+RELEASE_WAIT_MS = 1_000.0
 POSITION_CACHE_ACCOUNTS = 16_384
 
 
@@ -94,7 +96,7 @@
     def __init__(
         self, host_id: str, now_ms: float, hold_down_ms: float = HOLD_DOWN_MS
     ) -> None:
-        self._ownership = Ownership(host_id, now_ms, hold_down_ms)
+        self._ownership = Ownership(host_id, now_ms, hold_down_ms, RELEASE_WAIT_MS)
         self._split = ZoneSplit(now_ms, hold_down_ms)
         self._zone = ""
         self._pools: dict[str, AccountPool] = {}
@@ -102,6 +104,17 @@
         self._shares_since_ms = now_ms
         self._forgotten_at_ms = now_ms
 
+    def retire(self, now_ms: float) -> None:
+        """Mint and hold nothing any more; loans of peers can still be spent."""
+        self._ownership.retire()
+        self._shares.clear()
+        for pool in self._pools.values():
+            pool.start_anew(now_ms)
+
+    def note_release(self, host: str, now_ms: float) -> None:
+        """Learn from a host itself that it has retired."""
+        self._ownership.note_release(host, now_ms)
+
     def update(
         self, view: QuotaView, limits: Mapping[str, AccountLimit], now_ms: float
     ) -> None:
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -290,6 +290,25 @@
     leases: tuple[LeaseReport, ...] = ()
 
 
+class OwnershipReleased(ControlMessage, frozen=True, tag=26):
+    """Tells that the sender has retired: it owns nothing and will not again.
+
+    Attributes:
+        check_id: Repeats the id of the check it answers; empty at first.
+    """
+
+    check_id: str = ""
+
+
+class ReleaseCheck(ControlMessage, frozen=True, tag=27):
+    """Asks whether the host's present boot has retired.
+
+    A message of an earlier boot may arrive late, when a new one owns something.
+    """
+
+    check_id: str = ""
+
+
 class BackendSummary(ControlMessage, frozen=True, tag=25):
     """What an owner knows of a backend server.
 
@@ -327,6 +346,8 @@
     | SlotReturn
     | SlotProgress
     | BackendSummary
+    | OwnershipReleased
+    | ReleaseCheck
 )
 
 
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -121,6 +121,14 @@
         if limit is not None:
             self._pool(account, limit).give_back(decision.token_epoch)
 
+    def retire(self) -> None:
+        """Mint nothing any more, because this host is about to stop."""
+        self._ledger.retire(self._clock.monotonic_ms())
+
+    def note_release(self, host: str) -> None:
+        """Learn from a host itself that it has retired."""
+        self._ledger.note_release(host, self._clock.monotonic_ms())
+
     def shares(self) -> Mapping[str, float]:
         """Return this host's share of each account's rate, for the status page."""
         now_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -121,7 +121,9 @@
         self._sources = sources
         self._emit = emit
         self._lease_ms = lease_ms
-        self._ownership = Ownership(loop.host_id, clock.monotonic_ms(), hold_down_ms)
+        self._ownership = Ownership(
+            loop.host_id, clock.monotonic_ms(), hold_down_ms, lease_ms
+        )
         self._backends: dict[str, BackendSlots] = {}
         self._holdings: dict[str, _Holding] = {}
         self._lease_count = 0
@@ -214,6 +216,14 @@
         slots.observe_silence(self._clock.monotonic_ms())
         self._tell_cold(backend_server, slots, was_cold)
 
+    def retire(self) -> None:
+        """Grant nothing any more, because this host is about to stop."""
+        self._ownership.retire()
+
+    def note_release(self, host: str) -> None:
+        """Learn from a host itself that it has retired."""
+        self._ownership.note_release(host, self._clock.monotonic_ms())
+
     def is_owner(self, backend_server: str) -> bool:
         """Return whether this host is, or waits to be, the owner."""
         return self._owner_of(backend_server) == self._loop.host_id
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -160,6 +160,18 @@
             self.zone_names.append(zone_of(host_id))
         self.hosts[host_id] = self.host_type(self, host_id, boot_id)
 
+    def retire_host(self, host_id: str) -> None:
+        """Let a host give everything up and the others learn of it."""
+        retired = self.hosts[host_id]
+        retired.ledger.retire(self.network.now_ms)
+        for other in self.hosts.values():
+            if other is not retired and self.network.is_connected(
+                host_id, other.host_id
+            ):
+                other.run(
+                    lambda o=other: o.ledger.note_release(host_id, self.network.now_ms)
+                )
+
     def publish(self, published: Published) -> None:
         """Change the configuration; every host adopts it when it can."""
         self.published = published
--- a/tests/slot_fleet.py
+++ b/tests/slot_fleet.py
@@ -20,6 +20,7 @@
 from gypsumfield.ports import SlotLease
 from gypsumfield.ports import SlotOutcome
 from gypsumfield.ports import SlotUse
+from gypsumfield.retirement import Retirement
 from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
 from gypsumfield.slot_service import SlotSources
@@ -28,6 +29,7 @@
 COLD_MS = 4_000.0
 DOWN_MS = 800.0
 POLL_MS = 200.0
+LOST_REQUEST_MS = 1_500.0
 DEMAND = GenerationDemand("r", "assistant", "dawn", "vendors", 10, 100)
 
 
@@ -154,6 +156,9 @@
             fleet.hold_down_ms,
             LEASE_MS,
         )
+        self.retirement = Retirement(
+            self.loop, clock, lambda: fleet.heard_hosts(self, self.zone), [self.service]
+        )
         self._hear()
         self.service.start()
         self._poll()
@@ -217,9 +222,36 @@
 
     def start_host(self, host_id):
         """Start a host, or replace it by a new boot with the same name."""
+        if host_id in self.hosts:
+            self._lose_requests_of(self.hosts[host_id])
         boot_id = self.next_boot_id(host_id)
         self.hosts[host_id] = SlotHost(self, host_id, boot_id)
 
+    def kill_host(self, host_id):
+        self._lose_requests_of(self.hosts[host_id])
+        super().kill_host(host_id)
+
+    def drain_host(self, host_id):
+        """Let a host finish what it carries, as a planned stop does."""
+        host = self.hosts[host_id]
+        for lease_id in list(host.leases):
+            host.run(lambda n=lease_id: host.finish(n, SlotOutcome.COMPLETED))
+
+    def _lose_requests_of(self, host):
+        """End a lost host's requests some time after its connections closed.
+
+        An engine that reports its load may run them without end: it is seen.
+        """
+        if self.is_reporting:
+            return
+
+        def end():
+            for engine in self.engines.values():
+                for lease_id in [n for n, h in engine.running.items() if h is host]:
+                    del engine.running[lease_id]
+
+        self.network.call_at(self.network.now_ms + LOST_REQUEST_MS, end)
+
     def finish_all(self, backend_server):
         """Let the engine complete everything that runs there."""
         for lease_id, host in list(self.engines[backend_server].running.items()):
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -12,6 +12,7 @@
 from fake_fleet import HOLD_DOWN_MS
 from fake_fleet import PLATFORM
 from gypsumfield.decisions.ownership import Ownership
+from gypsumfield.decisions.quotas import QuotaLedger
 from gypsumfield.decisions.token_pools import AccountLimit
 from gypsumfield.decisions.token_pools import AccountPool
 from gypsumfield.decisions.token_pools import Ask
@@ -115,6 +116,19 @@
         self.fleet.network.advance(wait_ms)
         self.drain()
 
+    @rule(host_id=st.sampled_from(HOSTS), is_replaced=st.booleans(), wait_ms=WAITS_MS)
+    def retire(self, host_id, is_replaced, wait_ms):
+        if host_id in self.fleet.hosts:
+            self.fleet.retire_host(host_id)
+            self.ask_all()
+            self.fleet.network.advance(100.0)
+            if is_replaced:
+                self.fleet.start_host(host_id)
+            else:
+                self.fleet.kill_host(host_id)
+            self.fleet.network.advance(wait_ms)
+            self.drain()
+
     @rule(host_id=st.sampled_from(HOSTS))
     def kill(self, host_id):
         if host_id in self.fleet.hosts:
@@ -169,6 +183,10 @@
     )
 
 
+def _without_retiring(monkeypatch):
+    monkeypatch.setattr(QuotaLedger, "retire", lambda self, now_ms: None)
+
+
 def _without_fence(monkeypatch):
     real = QuotaFleet.view_of
 
@@ -223,6 +241,12 @@
     fleet.wake_host("a-1")
 
 
+def planned_stop(fleet):
+    """A host retires; the others take over before the hold-down."""
+    fleet.retire_host("a-1")
+    fleet.network.advance(1_900.0)
+
+
 def lonely_host(fleet):
     """A host is cut off from its zone and the platform."""
     fleet.network.part([{"a-1"}])
@@ -278,6 +302,7 @@
 HISTORIES = [
     (short_pause, _without_hold_down),
     (lonely_host, _without_fence),
+    (planned_stop, _without_retiring),
     (long_pause, _without_pause_check),
     (third_zone, _without_agreement_on_zones),
     (replaced_hosts, _full_at_start),
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -13,6 +13,9 @@
 from fake_fleet import PLATFORM
 from gypsumfield.decisions.ownership import Ownership
 from gypsumfield.decisions.slots import BackendSlots
+from gypsumfield.decisions.slots import COLD_LIMIT
+from gypsumfield.messages import OwnershipReleased
+from gypsumfield.ports import SlotLease
 from gypsumfield.slot_service import SlotService
 from slot_fleet import LEASE_MS
 from slot_fleet import SlotFleet
@@ -104,6 +107,16 @@
         self.fleet.network.advance(wait_ms)
         self.flood()
 
+    @rule(host_id=st.sampled_from(HOSTS[:2]), wait_ms=WAITS_MS)
+    def retire(self, host_id, wait_ms):
+        if host_id in self.fleet.hosts:
+            self.fleet.hosts[host_id].retirement.retire()
+            self.fleet.network.advance(100.0)
+            self.fleet.drain_host(host_id)
+            self.fleet.kill_host(host_id)
+            self.fleet.network.advance(wait_ms)
+            self.flood()
+
     @rule(host_id=st.sampled_from(HOSTS[1:]))
     def kill(self, host_id):
         if host_id in self.fleet.hosts:
@@ -256,3 +269,38 @@
     switch_off(monkeypatch)
     with pytest.raises(AssertionError):
         replay(history, is_reporting)
+
+
+@pytest.mark.parametrize(
+    ("is_planned", "is_taken_over"), [(True, True), (False, False)]
+)
+def test_planned_stop_of_an_owner_needs_no_hold_down(is_planned, is_taken_over):
+    fleet = SlotFleet(ENGINES, 0, is_reporting=True)
+    for host_id in HOSTS:
+        fleet.start_host(host_id)
+    fleet.network.advance(HOLD_DOWN_MS + 200.0)
+    assert fleet.hosts["a-2"].service.free_count("a-m1") == COLD_LIMIT
+    if is_planned:
+        fleet.hosts["a-2"].retirement.retire()
+        fleet.network.advance(50.0)
+        assert fleet.hosts["a-2"].service.free_count("a-m1") == 0
+    fleet.kill_host("a-2")
+    fleet.network.advance(LEASE_MS + 400.0)
+    got = fleet.hosts["b-1"].send("a-m1")
+    assert isinstance(got, SlotLease) == is_taken_over
+
+
+def test_release_of_an_earlier_boot_is_not_believed():
+    fleet = SlotFleet(ENGINES, 0, is_reporting=True)
+    for host_id in HOSTS:
+        fleet.start_host(host_id)
+    fleet.network.advance(HOLD_DOWN_MS + 200.0)
+    fleet.network.send("a-2", "a-1", OwnershipReleased())
+    fleet.network.advance(LEASE_MS + 400.0)
+    now_ms = fleet.network.now_ms
+    owners = [
+        host.host_id
+        for host in fleet.hosts.values()
+        if host.zone == "a" and host.service._ownership.owns("slots/a-m1", now_ms)
+    ]
+    assert owners == ["a-2"]
