Bound the pause limit by the hold-down

Cause: with a hold-down of less than four seconds a pause of two seconds could go unnoticed for longer than others wait. Change: the limit is half of the hold-down, between one and two seconds.

--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -13,6 +13,7 @@
 
 HOLD_DOWN_MS = 10_000.0
 PAUSE_LIMIT_MS = 2_000.0
+SHORTEST_PAUSE_LIMIT_MS = 1_000.0
 RELEASE_WAIT_MS = 3_000.0
 
 
@@ -74,6 +75,10 @@
         self.unchanged_since_ms = now_ms
         self.is_retired = False
         self._hold_down_ms = hold_down_ms
+        # A pause must be noticed well before others may have taken over.
+        self._pause_limit_ms = min(
+            PAUSE_LIMIT_MS, max(hold_down_ms / 2, SHORTEST_PAUSE_LIMIT_MS)
+        )
         self._release_wait_ms = release_wait_ms
         self._release_end_ms = (release_wait_ms + hold_down_ms) / 2
         self._hosts: frozenset[str] = frozenset({host_id})
@@ -146,7 +151,7 @@
 
     def is_paused(self, now_ms: float) -> bool:
         """Return whether the last update is too old to be relied on."""
-        return now_ms - self._updated_at_ms > PAUSE_LIMIT_MS
+        return now_ms - self._updated_at_ms > self._pause_limit_ms
 
     def owns(self, resource: str, now_ms: float) -> bool:
         """Return whether this host may act as owner of ``resource`` now."""
