--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -13,6 +13,8 @@
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.backends import refused_by_backend
 from gypsumfield.engine_api import EngineRefusal
+from gypsumfield.engine_api import Order
+from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.engine_api import StartGeneration
 from gypsumfield.engine_api import TokenEvent
 from gypsumfield.exceptions import BackendError
@@ -22,6 +24,7 @@
 ANSWER_LIMIT_BYTES = 4_194_304
 JSON_HEADERS = {"Content-Type": "application/json"}
 STATUS_OK = 200
+STATUS_CONFLICT = 409
 REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
 
 AnswerT = TypeVar("AnswerT")
@@ -194,3 +197,38 @@
         return refused_by_backend(error.message, error.code, error.retry_after_ms)
     code = "unknown_generation" if status == 404 else "backend_failed"
     return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN, code)
+
+
+def send_order(
+    address: str,
+    order: Order,
+    request_id: str,
+    timeouts: ExchangeTimeouts,
+    check_before_send: Callable[[], str],
+) -> OrderOutcome:
+    """Give an engine an order, unless ``check_before_send`` names a reason not to.
+
+    Raises:
+        BackendError: The engine did not answer, or refused for another reason
+            than the fencing number.
+    """
+    request = OutgoingRequest(
+        address=address,
+        method="POST",
+        target="/v1/orders",
+        headers=JSON_HEADERS,
+        body=msgspec.json.encode(order),
+        request_id=request_id,
+    )
+    exchange = Exchange(request, timeouts, AbortHandle())
+    status = exchange.open(check_before_send)
+    try:
+        body = exchange.read_body(ANSWER_LIMIT_BYTES)
+    finally:
+        exchange.close()
+    if status not in (STATUS_OK, STATUS_CONFLICT):
+        raise _refusal_error(status, body)
+    try:
+        return msgspec.json.decode(body, type=OrderOutcome)
+    except msgspec.MsgspecError as error:
+        raise BackendError(f"/v1/orders: {error}", RunVerdict.RAN) from error
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -264,3 +264,19 @@
 
     handler: str
     reason: str
+
+
+class OrderGiven(Event, frozen=True, kw_only=True, tag="order_given"):
+    """An engine was given an order."""
+
+    kind: str
+    name: str
+    version: str
+    fencing_number: int
+    is_accepted: bool
+
+
+class OrderFailed(Event, frozen=True, kw_only=True, tag="order_failed"):
+    """An order or a look at an inventory did not succeed; it is tried again."""
+
+    reason: str
