--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -107,6 +107,20 @@
 
 METRIC_PREFIX = "gypsumfield_"
 
+STATE_MEANINGS = {
+    "configuration_revision": "Revision in force on this host",
+    "configuration_age_ms": "Time since a source last confirmed the revision",
+    "rejected_value_count": "Published values refused now",
+    "member_count": "Entry hosts known, this one included",
+    "owned_backend_count": "Backend servers owned by this host",
+    "in_flight_count": "Requests being served",
+    "queue_length": "Requests waiting for a backend server",
+    "shares_held_count": "Accounts of whose rate this host holds a share",
+    "shares_held_tokens": "Rate tokens in these shares now",
+    "slots_held_count": "Slots held by this host at backend servers",
+    "slots_granted_count": "Slots granted by this host as owner",
+}
+
 
 class _TimeSeries:
     """One HdrHistogram with the exact sum of what it holds."""
@@ -241,7 +255,8 @@
                 family.add_metric(labels, count)
             yield family
         for name, value in self.read_state()._asdict().items():
-            yield GaugeMetricFamily(METRIC_PREFIX + name, name, value=float(value))
+            meaning = STATE_MEANINGS[name]
+            yield GaugeMetricFamily(METRIC_PREFIX + name, meaning, value=float(value))
 
     def _time_families(self, spec: MetricSpec) -> Iterator[Metric]:
         name = METRIC_PREFIX + spec.name
--- a/src/gypsumfield/decisions/redaction.py
+++ b/src/gypsumfield/decisions/redaction.py
@@ -13,7 +13,9 @@
 )
 _SCHEME = re.compile(r"(?i)\b(bearer|basic|digest)(\s+)[^\s,;\"'&]{6,}")
 _ASSIGNMENT = re.compile(rf"(?i)({_SECRET_NAME}[\"']?\s*[:=]\s*[\"']?)[^&\s\"',;]+")
-_PREFIXED_KEY = re.compile(r"\b(?:sk|pk|key)[-_][\w-]{8,}")
+_PREFIXED_KEY = re.compile(
+    r"\b(?:sk|pk|key)[-_][\w-]{8,}|\b[a-z]{2,4}[-_][0-9a-f]{32,}"
+)
 _OPAQUE_WORD = re.compile(
     r"(?<![\w+/=-])(?=[\w+/=-]*[a-z])(?=[\w+/=-]*[A-Z])(?=[\w+/=-]*\d)"
     rf"[\w+/=-]{{{SHORTEST_OPAQUE_LENGTH},}}"
@@ -23,6 +25,7 @@
     *("auth", "cookie", "key", "bearer", "basic", "digest", "token", "secret"),
     *("passw", "signature", "credential", "sk-", "sk_", "pk-", "pk_"),
 )
+_MARK_OF_HEXADECIMAL_KEY = re.compile(r"[-_][0-9a-f]{32}")
 
 
 def redact(text: str) -> str:
@@ -33,7 +36,8 @@
     words of mixed case and digits. Lower-case hexadecimal ids stay.
     """
     lowered = text.lower()
-    if any(mark in lowered for mark in _MARKS):
+    is_marked = any(mark in lowered for mark in _MARKS)
+    if is_marked or _MARK_OF_HEXADECIMAL_KEY.search(text):
         text = _HEADER.sub(rf"\1\2{REDACTED}", text)
         text = _SCHEME.sub(rf"\1\2{REDACTED}", text)
         text = _ASSIGNMENT.sub(rf"\1{REDACTED}", text)
--- a/src/gypsumfield/timeline_records.py
+++ b/src/gypsumfield/timeline_records.py
@@ -59,7 +59,7 @@
             return f"{self.path}: not read: {self.reason}"
         torn = ", the last one torn" if self.is_last_torn else ""
         return (
-            f"{self.path}: skipped {self.line_count} damaged lines, "
+            f"{self.path}: skipped damaged lines: {self.line_count}, "
             f"the first is line {self.first_line}{torn}"
         )
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -11,6 +11,7 @@
 from gypsumfield.decisions.redaction import redact
 
 KEY = "gf-Kd83hQz71mWp02LsXcVb94TyUe65RaNo"
+LOCAL_KEY = "gf-e3e70682c2094cac629f6fbed82c07cd"
 KEY_TEXTS = [
     f"Authorization: Bearer {KEY}",
     f"authorization={KEY}",
@@ -24,6 +25,7 @@
     f"unknown key {KEY} of caller",
     f"bearer {KEY}",
     "no such model sk-abcdefgh12345678",
+    f"no such model {LOCAL_KEY}",
 ]
 
 
@@ -40,6 +42,7 @@
     written = path.read_text()
     assert len(written.splitlines()) == len(event_types())
     assert KEY not in written
+    assert LOCAL_KEY not in written
     assert "sk-abcdefgh12345678" not in written
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -122,7 +122,7 @@
     messages = [skipped.describe() for skipped in report.files()]
     assert sum("not read" in message for message in messages) == 2
     (torn,) = [message for message in messages if "torn" in message]
-    assert "skipped 6 damaged lines, the first is line 3" in torn
+    assert "skipped damaged lines: 6, the first is line 3" in torn
 
 
 def refused_story(tmp_path):
