Log both ends of each control message

Cause: the time line corrects clocks from message pairs, and nobody logged any. The loop's test listed the events of a host exactly; it now lists the message events too and compares both ends, which is stricter.

--- a/tests/test_control_loop.py
+++ b/tests/test_control_loop.py
@@ -124,7 +124,31 @@
     answer = loops[0].request("host-1", ValuesRequest(), ValuesDigest, 20_000)
     assert answer == Success(ValuesDigest(revision=3))
     kinds = [type(event) for event in logs[1]]
-    assert kinds == [events.ControlMessageRefused, events.ControlHandlerFailed]
+    assert kinds == [
+        events.ControlMessageRefused,
+        events.MessageReceived,
+        events.ControlHandlerFailed,
+        events.MessageReceived,
+        events.MessageSent,
+    ]
+    sent, received = (
+        [
+            (event.message_id, event.kind)
+            for log in order
+            for event in log
+            if isinstance(event, event_type)
+        ]
+        for order, event_type in (
+            (logs, events.MessageSent),
+            (logs[::-1], events.MessageReceived),
+        )
+    )
+    assert sent == received
+    assert [kind for _, kind in sent] == [
+        "ValuesDigest",
+        "ValuesRequest",
+        "ValuesDigest",
+    ]
     for loop in loops:
         loop.stop()
 
