--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -69,7 +69,7 @@
     MetricSpec("backends_turned_cold", (), "Times a backend server turned cold"),
     MetricSpec("owner_changes", (), "Changes of a backend server's owner"),
     MetricSpec("shares_moved_tokens", (), "Rate tokens moved between entry hosts"),
-    MetricSpec("platform_failures", (), "Calls that the platform did not answer"),
+    MetricSpec("platform_failures", (), "Times the platform stopped answering"),
     MetricSpec("configuration_rejections", (), "Published values that do not fit"),
     MetricSpec("host_pauses", (), "Times the process found itself paused"),
 )
