Split recording from the results of the load tool

Change: load_recorder.py records, load_results.py is the file; the installed program is tested for compare, report and wrong input.

--- a/src/gypsumfield/load_driver.py
+++ b/src/gypsumfield/load_driver.py
@@ -24,9 +24,9 @@
 from gypsumfield.load_experiment import PlatformFault
 from gypsumfield.load_experiment import published_values
 from gypsumfield.load_experiment import ValueFault
+from gypsumfield.load_recorder import Recorder
 from gypsumfield.load_results import FaultRecord
 from gypsumfield.load_results import LoadResult
-from gypsumfield.load_results import Recorder
 
 IN_FLIGHT_LIMIT = 5_000
 PROGRESS_INTERVAL_MS = 5_000.0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,5 +1,7 @@
 import json
 import random
+import subprocess
+import sys
 from collections import Counter
 from pathlib import Path
 from xml.etree import ElementTree
@@ -329,3 +331,27 @@
     path.write_text(json.dumps(raw | change))
     with pytest.raises(SettingsError, match=named):
         read_experiment(str(path))
+
+
+def run_program(*arguments):
+    program = Path(sys.executable).with_name("gypsumfield-load")
+    done = subprocess.run(
+        [program, *arguments], capture_output=True, text=True, check=False, timeout=60
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+def test_program_compares_reports_and_names_what_is_wrong(serve, tmp_path):
+    result, _ = run_small(serve)
+    path = tmp_path / "result.json"
+    path.write_bytes(msgspec.json.encode(result))
+    status, told, _ = run_program("compare", str(path), str(path))
+    assert status == 0
+    assert "wrongful refusals" in told
+    assert run_program("report", str(path), "--out", str(tmp_path / "r"))[0] == 0
+    assert (tmp_path / "r" / "index.html").exists()
+    path.write_text("{}")
+    status, _, error = run_program("compare", str(path), str(path))
+    assert (status, "experiment" in error) == (2, True)
+    status, _, error = run_program("run", "quinonez")
+    assert (status, "--fleet" in error) == (2, True)
