Wire rates, slots and membership over all entry hosts into the host

Cause: limits were a static division and membership was the platform's list alone. Change: a control plane joins sockets, control loop, membership, account rates and slots; the dispatcher asks the owners of backend servers for slots, with admission by predicted memory; leases are checked right before sending; a host that drains tells its peers. The refusal of an expired wait names the last answer of an owner. Status page and settings show and set the rest. Conclusion: strict limits hold over all hosts instead of by division.

--- a/src/gypsumfield/commands/entry.py
+++ b/src/gypsumfield/commands/entry.py
@@ -17,7 +17,7 @@
 from gypsumfield.clock import system_clock  # noqa: E402
 from gypsumfield.commands.program import run_program  # noqa: E402
 from gypsumfield.composition import build_entry_host  # noqa: E402
-from gypsumfield.composition import EntryHost  # noqa: E402
+from gypsumfield.entry_host import EntryHost  # noqa: E402
 from gypsumfield.exceptions import GypsumfieldError  # noqa: E402
 from gypsumfield.settings import EntrySettings  # noqa: E402
 from gypsumfield.settings import read_settings  # noqa: E402
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -2,8 +2,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Sequence
-from typing import Protocol
+from typing import NamedTuple
 
 from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.caller_server import CallerServer
@@ -18,6 +17,11 @@
 from gypsumfield.backend_choice import BackendChooser
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.configuration import Profile
+from gypsumfield.control_plane import build_control_plane
+from gypsumfield.control_plane import ControlPlane
+from gypsumfield.control_plane import take_member_list
+from gypsumfield.decisions.admission import make_admission
 from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.retries import RetryBudget
 from gypsumfield.decisions.workload import GenerationDemand
@@ -25,11 +29,11 @@
 from gypsumfield.dispatch import Dispatcher
 from gypsumfield.dispatch import DispatchPorts
 from gypsumfield.dispatch import Placement
+from gypsumfield.engine_api import LoadReport
 from gypsumfield.engine_watch import EngineWatch
 from gypsumfield.engine_watch import EngineWatchPorts
-from gypsumfield.events import HostDrained
-from gypsumfield.events import HostDraining
-from gypsumfield.events import HostStarted
+from gypsumfield.entry_host import EntryHost
+from gypsumfield.entry_host import HostIdentity
 from gypsumfield.generations import GenerationPorts
 from gypsumfield.intake import Intake
 from gypsumfield.jobs import Job
@@ -41,103 +45,29 @@
 from gypsumfield.serving import Serving
 from gypsumfield.serving import ServingPorts
 from gypsumfield.settings import EntrySettings
-from gypsumfield.static_limits import static_quotas
-from gypsumfield.static_limits import static_slots
 from gypsumfield.status_page import render_status
 from gypsumfield.status_page import StatusSources
 
-SLOT_LIMIT_PER_HOST = 64
-DRAIN_CHECK_INTERVAL_MS = 20.0
-
-
-class Watch(Protocol):
-    """Part of the host that runs in greenlets of its own."""
-
-    def start(self) -> None:
-        """Begin to run."""
-
-    def stop(self) -> None:
-        """End all greenlets."""
-
-
-class EntryHost:
-    """One entry host: started, drained and stopped as a whole."""
-
-    def __init__(
-        self,
-        settings: EntrySettings,
-        server: CallerServer,
-        watches: Sequence[Watch],
-        pool: BackendPool,
-        clock: Clock,
-        emit: EmitEvent,
-    ) -> None:
-        self.settings = settings
-        self._server = server
-        self._watches = watches
-        self._pool = pool
-        self._clock = clock
-        self._emit = emit
-
-    def start(self) -> str:
-        """Start to follow the platform and to serve.
-
-        Returns:
-            The URL for callers.
-        """
-        self._server.start()
-        for watch in self._watches:
-            watch.start()
-        url = f"http://{self._server.server_host}:{self._server.server_port}"
-        self._emit(HostStarted(address=url))
-        return url
-
-    @property
-    def in_flight_count(self) -> int:
-        """Requests whose answer has not ended."""
-        return self._server.gate.in_flight_count
-
-    def begin_drain(self) -> None:
-        """Turn the health page, so that the balancer sends nothing more."""
-        if not self._server.gate.is_draining:
-            self._server.gate.is_draining = True
-            self._emit(HostDraining(in_flight_count=self.in_flight_count))
-
-    def drain(self) -> int:
-        """Serve until no answer runs, then stop.
-
-        New connections are taken until the balancer has noticed; answers run
-        as long as they need, or as the settings allow.
-
-        Returns:
-            Number of answers that were cut.
-        """
-        self.begin_drain()
-        self._clock.sleep_ms(self.settings.drain_notice_ms)
-        self._server.close()
-        started_ms = self._clock.monotonic_ms()
-        while self.in_flight_count and not self._is_drain_over(started_ms):
-            self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        return self.stop()
-
-    def stop(self) -> int:
-        """Stop at once.
-
-        Returns:
-            Number of answers that were cut.
-        """
-        cut_count = self.in_flight_count
-        for watch in self._watches:
-            watch.stop()
-        self._server.stop(timeout=0)
-        self._pool.close()
-        self._emit(HostDrained(cut_count=cut_count))
-        return cut_count
-
-    def _is_drain_over(self, started_ms: float) -> bool:
-        limit_ms = self.settings.drain_limit_ms
-        elapsed_ms = self._clock.monotonic_ms() - started_ms
-        return limit_ms > 0 and elapsed_ms >= limit_ms
+
+class _Base(NamedTuple):
+    """What nearly every part of the host needs."""
+
+    settings: EntrySettings
+    clock: Clock
+    rng: random.Random
+    store: ConfigurationStore
+    metrics: Metrics
+    emit: EmitEvent
+
+
+class _Choice(NamedTuple):
+    """What places requests on backend servers."""
+
+    plane: ControlPlane
+    directory: BackendDirectory
+    lengths: LengthModel
+    chooser: BackendChooser
+    dispatcher: Dispatcher
 
 
 def build_entry_host(
@@ -149,157 +79,215 @@
         settings: Checked settings of the host.
         clock: Time of the host.
         log_event: Appends an event to the host's log.
+
+    Raises:
+        SettingsError: The control socket cannot be opened as set.
     """
-    rng = random.Random(settings.seed)
-    store = ConfigurationStore()
-    metrics = Metrics(lambda service: _profile_of(store, service))
-    emit = emit_to_all(log_event, metrics.observe_event)
+    base = _build_base(settings, clock, log_event)
+    choice = _build_choice(base)
     client = PlatformClient(settings.platform_url)
-    directory = BackendDirectory(lambda: store.current)
     watch = PlatformWatch(
-        store,
+        base.store,
         client.fetch_values,
         client.fetch_members,
-        directory.update,
+        lambda members: take_member_list(choice.plane, members),
         clock,
-        emit,
-        rng,
+        base.emit,
+        base.rng,
     )
+    pool = BackendPool()
+    serving = _build_serving(base, choice, pool)
+    server = _build_server(base, choice, serving, watch)
+    identity = HostIdentity(choice.plane.boot_id, choice.plane.transport.address)
+    return EntryHost(
+        settings,
+        identity,
+        server,
+        [watch, choice.plane, _build_engine_watch(base, choice)],
+        choice.plane.members.leave,
+        pool,
+        clock,
+        base.emit,
+    )
+
+
+def _build_base(
+    settings: EntrySettings, clock: Clock, log_event: EmitEvent
+) -> _Base:
+    store = ConfigurationStore()
+    metrics = Metrics(lambda service: _profile_name(store, service))
+    emit = emit_to_all(log_event, metrics.observe_event)
+    return _Base(settings, clock, random.Random(settings.seed), store, metrics, emit)
+
+
+def _build_choice(base: _Base) -> _Choice:
     lengths = LengthModel()
+    may_admit = make_admission(lengths, lambda name: _profile(base.store, name))
+    plane = build_control_plane(
+        base.settings, base.store, may_admit, base.clock, base.emit, base.rng
+    )
+    directory = BackendDirectory(
+        lambda: base.store.current, plane.members.membership.backends
+    )
     chooser = BackendChooser(
-        settings.availability_zone, directory, lengths, clock, rng, emit
+        base.settings.availability_zone,
+        directory,
+        lengths,
+        base.clock,
+        base.rng,
+        base.emit,
     )
     dispatcher = Dispatcher(
         DispatchPorts(
-            clock=clock,
-            configuration=lambda: store.current,
+            clock=base.clock,
+            configuration=lambda: base.store.current,
             chooser=chooser,
-            slots=static_slots(settings.host_id, SLOT_LIMIT_PER_HOST),
+            slots=plane.slots.port(),
             expected_tokens=lambda demand: _expected_tokens(lengths, demand),
-            record_queue_wait=metrics.record_queue_wait,
-            emit=emit,
+            record_queue_wait=base.metrics.record_queue_wait,
+            emit=base.emit,
         )
     )
-    engine_watch = EngineWatch(
-        settings.availability_zone,
-        EngineWatchPorts(
-            list_engines=lambda: _engines(store, directory),
-            is_close=lambda host_id: chooser.in_flight_count(host_id) > 0,
-            observe_load=chooser.observe_load,
-            observe_cache=chooser.observe_cache,
-            cache_sequence=chooser.cache_sequence,
-            emit=emit,
+    return _Choice(plane, directory, lengths, chooser, dispatcher)
+
+
+def _build_engine_watch(base: _Base, choice: _Choice) -> EngineWatch:
+    chooser = choice.chooser
+    slots = choice.plane.slots
+    backends = choice.plane.members.membership.backends
+
+    def observe_load(host_id: str, report: LoadReport, requested_ms: float) -> None:
+        chooser.observe_load(host_id, report, requested_ms)
+        slots.observe_load(host_id, report, requested_ms)
+        backends.report(host_id, report.boot_id, "live")
+
+    ports = EngineWatchPorts(
+        list_engines=lambda: _engines(base.store, choice.directory),
+        is_close=lambda host_id: (
+            slots.is_owner(host_id) or chooser.in_flight_count(host_id) > 0
         ),
-        clock,
-        rng,
+        observe_load=observe_load,
+        observe_silence=slots.observe_silence,
+        observe_cache=chooser.observe_cache,
+        cache_sequence=chooser.cache_sequence,
+        emit=base.emit,
     )
-    pool = BackendPool()
-    attempts = _attempt_ports(store, directory, dispatcher, clock, emit)
+    return EngineWatch(base.settings.availability_zone, ports, base.clock, base.rng)
+
+
+def _build_serving(base: _Base, choice: _Choice, pool: BackendPool) -> Serving:
+    attempts = _attempt_ports(base, choice)
     relay = RelayPorts(
-        clock=clock,
-        configuration=lambda: store.current,
-        connect_timeout_ms=settings.connect_timeout_ms,
-        record_between_tokens=metrics.record_between_tokens,
-        emit=emit,
+        clock=base.clock,
+        configuration=lambda: base.store.current,
+        connect_timeout_ms=base.settings.connect_timeout_ms,
+        record_between_tokens=base.metrics.record_between_tokens,
+        emit=base.emit,
     )
-    serving = Serving(
-        ServingPorts(
-            intake=Intake(lambda: store.current, clock, lambda: _host_hindrance(store)),
-            generations=GenerationPorts(
-                attempts=attempts,
-                relay=relay,
-                find_backend=directory.find,
-                record_length=lambda finished: lengths.record(
-                    finished, clock.monotonic_ms()
-                ),
-            ),
-            plain=PlainPorts(attempts, relay, pool),
-            quotas=static_quotas(
-                lambda: store.current, lambda: len(directory.entry_hosts()), clock
-            ),
-            emit=emit,
-        )
+    generations = GenerationPorts(
+        attempts=attempts,
+        relay=relay,
+        find_backend=choice.directory.find,
+        record_length=lambda finished: choice.lengths.record(
+            finished, base.clock.monotonic_ms()
+        ),
+    )
+    intake = Intake(
+        lambda: base.store.current, base.clock, lambda: _config_hindrance(base.store)
+    )
+    ports = ServingPorts(
+        intake=intake,
+        generations=generations,
+        plain=PlainPorts(attempts, relay, pool),
+        quotas=choice.plane.quotas.port(),
+        emit=base.emit,
     )
-    server = _caller_server(settings, serving, store, metrics, watch, directory, clock)
-    return EntryHost(settings, server, [watch, engine_watch], pool, clock, emit)
+    return Serving(ports)
 
 
-def _attempt_ports(
-    store: ConfigurationStore,
-    directory: BackendDirectory,
-    dispatcher: Dispatcher,
-    clock: Clock,
-    emit: EmitEvent,
-) -> AttemptPorts:
+def _attempt_ports(base: _Base, choice: _Choice) -> AttemptPorts:
     budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
 
     def find_hindrance(job: Job, placement: Placement) -> str:
-        if clock.monotonic_ms() > job.deadline_ms:
+        now_ms = base.clock.monotonic_ms()
+        if now_ms > job.deadline_ms:
             return "the deadline has passed"
-        return directory.find_hindrance(job.service_name, placement.backend)
+        if now_ms > placement.lease.send_before_ms:
+            return "the lease has run out"
+        return choice.directory.find_hindrance(job.service_name, placement.backend)
 
     return AttemptPorts(
-        clock=clock,
-        configuration=lambda: store.current,
-        dispatcher=dispatcher,
+        clock=base.clock,
+        configuration=lambda: base.store.current,
+        dispatcher=choice.dispatcher,
         find_hindrance=find_hindrance,
         budgets=budgets.__getitem__,
-        emit=emit,
+        emit=base.emit,
     )
 
 
-def _expected_tokens(lengths: LengthModel, demand: GenerationDemand) -> float:
-    if demand.max_tokens == 0:
-        return 1.0
-    return demand.prompt_tokens + lengths.remaining(demand, 0).mean_tokens
-
-
-def _engines(store: ConfigurationStore, directory: BackendDirectory) -> list[Member]:
-    services = store.current.services
-    models = {name for name, service in services.items() if service.kind == "model"}
-    members = directory.backend_servers()
-    return [member for member in members if models.intersection(member.services)]
-
-
-def _caller_server(
-    settings: EntrySettings,
-    serving: Serving,
-    store: ConfigurationStore,
-    metrics: Metrics,
-    watch: PlatformWatch,
-    directory: BackendDirectory,
-    clock: Clock,
+def _build_server(
+    base: _Base, choice: _Choice, serving: Serving, watch: PlatformWatch
 ) -> CallerServer:
-    sources = StatusSources(settings, store, directory, watch, clock)
+    sources = StatusSources(
+        base.settings, base.store, choice.directory, choice.plane, watch, base.clock
+    )
 
     def read_state() -> HostState:
         return HostState(
-            configuration_revision=store.revision,
-            configuration_age_ms=clock.monotonic_ms() - watch.confirmed_ms,
-            rejected_value_count=len(store.current.rejected),
-            member_count=len(directory.entry_hosts()),
+            configuration_revision=base.store.revision,
+            configuration_age_ms=base.clock.monotonic_ms() - watch.confirmed_ms,
+            rejected_value_count=len(base.store.current.rejected),
+            member_count=len(choice.plane.members.membership.live_hosts()),
             in_flight_count=server.gate.in_flight_count,
+            queue_length=choice.dispatcher.queue_length,
         )
 
-    metrics.read_state = read_state
+    base.metrics.read_state = read_state
     pages = HostPages(
         health=lambda: not server.gate.is_draining,
-        readiness=lambda: _host_hindrance(store),
-        metrics=metrics.render,
+        readiness=lambda: _readiness_hindrance(base, choice.plane),
+        metrics=base.metrics.render,
         status=lambda: render_status(sources),
     )
-    application = build_application(serving, pages, settings.body_limit_bytes)
-    address = (settings.listen_address, settings.listen_port)
+    application = build_application(serving, pages, base.settings.body_limit_bytes)
+    address = (base.settings.listen_address, base.settings.listen_port)
     server = CallerServer(address, WorkGate(application))
     return server
 
 
-def _host_hindrance(store: ConfigurationStore) -> str:
+def _config_hindrance(store: ConfigurationStore) -> str:
     if store.revision == 0:
         return "no configuration has been read yet"
     return ""
 
 
-def _profile_of(store: ConfigurationStore, service: str) -> str:
+def _readiness_hindrance(base: _Base, plane: ControlPlane) -> str:
+    if plane.members.membership.backends.is_empty:
+        return "no member list has been read yet"
+    if base.clock.monotonic_ms() < plane.full_from_ms:
+        return "this host waits before it takes its part of the limits"
+    return _config_hindrance(base.store)
+
+
+def _expected_tokens(lengths: LengthModel, demand: GenerationDemand) -> float:
+    if demand.max_tokens == 0:
+        return 1.0
+    return demand.prompt_tokens + lengths.remaining(demand, 0).mean_tokens
+
+
+def _engines(store: ConfigurationStore, directory: BackendDirectory) -> list[Member]:
+    services = store.current.services
+    models = {name for name, service in services.items() if service.kind == "model"}
+    members = directory.backend_servers()
+    return [member for member in members if models.intersection(member.services)]
+
+
+def _profile_name(store: ConfigurationStore, service: str) -> str:
     known = store.current.services.get(service)
     return known.profile if known else ""
+
+
+def _profile(store: ConfigurationStore, name: str) -> Profile:
+    # A profile may be withdrawn while requests that began under it still run.
+    return store.current.profiles.get(name, Profile())
--- a/src/gypsumfield/dispatch.py
+++ b/src/gypsumfield/dispatch.py
@@ -135,6 +135,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._wake = Event()
         self._greenlet: gevent.Greenlet | None = None
+        self._last_refusal = ""
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -249,6 +250,7 @@
             if isinstance(lease, SlotLease):
                 return Placement(backend, lease)
             refusal = lease
+        self._last_refusal = refusal.reason
         return refusal
 
     def _rank(self, job: Job, tried: frozenset[str]) -> list[Member]:
@@ -258,14 +260,15 @@
         for each in refused:
             waiting = self._waiting.get(each.entry.demand.request_id)
             if waiting is not None and not waiting.result.ready():
-                waiting.result.set_exception(RefusedError(_queue_refusal(each)))
+                refusal = _queue_refusal(each, self._last_refusal)
+                waiting.result.set_exception(RefusedError(refusal))
 
 
-def _queue_refusal(refused: QueueRefusal) -> Refusal:
+def _queue_refusal(refused: QueueRefusal, slot_reason: str) -> Refusal:
     return Refusal(
         503,
         refused.code,
-        _MESSAGES[refused.code],
+        f"{_MESSAGES[refused.code]}; last answer: {slot_reason}",
         retry_after_ms=refused.retry_after_ms,
     )
 
--- a/src/gypsumfield/engine_watch.py
+++ b/src/gypsumfield/engine_watch.py
@@ -37,6 +37,7 @@
         is_close: Whether this host owns an engine or has requests there; it is
             polled in every round.
         observe_load: Called with host id, report and the time of asking.
+        observe_silence: Called with the host id of an engine that is silent.
         observe_cache: Called with host id and published cache events.
         cache_sequence: Returns after which event to ask.
         emit: Takes events.
@@ -45,6 +46,7 @@
     list_engines: Callable[[], list[Member]]
     is_close: Callable[[str], bool]
     observe_load: ObserveLoad
+    observe_silence: Callable[[str], None]
     observe_cache: Callable[[str, CacheEvents], None]
     cache_sequence: Callable[[str], int]
     emit: EmitEvent
@@ -109,8 +111,8 @@
             if self._round % CACHE_POLL_ROUNDS == 0:
                 self._poll_cache(member)
         except BackendError:
-            # A silent engine's report grows old, and routing trusts it less.
-            return
+            # Its report grows old, too, and routing trusts it less.
+            self._ports.observe_silence(member.host_id)
 
     def _poll_load(self, member: Member) -> None:
         requested_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/local_fleet.py
+++ b/src/gypsumfield/local_fleet.py
@@ -23,6 +23,9 @@
 READY_TIMEOUT_MS = 20_000.0
 READY_CHECK_INTERVAL_MS = 20.0
 SILENT_LOG = ""
+# Shorter than the defaults, so that the first run need not wait long.
+HOLD_DOWN_MS = 3_000.0
+LEASE_MS = 900.0
 
 
 class LocalPlan(NamedTuple):
@@ -122,6 +125,8 @@
             listen_port=plan.first_entry_port + number if plan.first_entry_port else 0,
             log_path=plan.log_path,
             drain_notice_ms=plan.drain_notice_ms,
+            hold_down_ms=HOLD_DOWN_MS,
+            lease_ms=LEASE_MS,
             seed=plan.stand_ins.seed * 1_000 + number,
         )
         host = build_entry_host(settings, self._clock, self._open_log(settings))
@@ -153,7 +158,7 @@
             page = msgspec.json.decode(client.get("/statusz").read())
         finally:
             client.close()
-        members = set(page["members"])
+        members = {host for zone in page["members"].values() for host in zone}
         return all(other.settings.host_id in members for other in self._hosts)
 
     def _ready_line(self) -> LocalReadyLine:
@@ -188,4 +193,6 @@
         role="entry",
         availability_zone=started.settings.availability_zone,
         address=started.url.removeprefix("http://"),
+        boot_id=started.host.identity.boot_id,
+        control_address=started.host.identity.control_address,
     )
--- a/src/gypsumfield/settings.py
+++ b/src/gypsumfield/settings.py
@@ -45,6 +45,9 @@
         drain_notice_ms: How long to accept after SIGTERM, until the balancer
             has seen the health page turn.
         drain_limit_ms: Bound on draining; 0 waits for the last answer.
+        hold_down_ms: Wait before this host's part of anything grows; longer
+            than a lease and the longest pause that goes unnoticed together.
+        lease_ms: How long a slot lasts unless it is renewed.
         seed: Seed of the host's random choices; None takes system entropy.
     """
 
@@ -63,6 +66,8 @@
     connect_timeout_ms: float = 500.0
     drain_notice_ms: float = 200.0
     drain_limit_ms: float = 0.0
+    hold_down_ms: float = 6_000.0
+    lease_ms: float = 3_000.0
     seed: int | None = None
 
 
--- a/src/gypsumfield/status_page.py
+++ b/src/gypsumfield/status_page.py
@@ -7,6 +7,7 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.control_plane import ControlPlane
 from gypsumfield.directory import BackendDirectory
 from gypsumfield.platform_watch import PlatformWatch
 from gypsumfield.settings import EntrySettings
@@ -18,6 +19,7 @@
     settings: EntrySettings
     store: ConfigurationStore
     directory: BackendDirectory
+    plane: ControlPlane
     watch: PlatformWatch
     clock: Clock
 
@@ -40,8 +42,10 @@
         configuration_revision: Revision in force.
         configuration_age_ms: Time since a source last confirmed it.
         rejected_values: Reason by key for published values refused here.
-        member_version: Version of the member list.
-        members: Host ids of the entry hosts.
+        members: Live entry hosts by availability zone.
+        is_confirmed: Whether the others of the zone hear this host.
+        owned_backend_servers: Backend servers whose slots this host grants.
+        shares: Part of each account's rate that this host mints.
         backend_servers: All backend servers, with hindrances by service.
     """
 
@@ -50,8 +54,10 @@
     configuration_revision: int
     configuration_age_ms: float
     rejected_values: Mapping[str, str]
-    member_version: int
-    members: tuple[str, ...]
+    members: Mapping[str, tuple[str, ...]]
+    is_confirmed: bool
+    owned_backend_servers: tuple[str, ...]
+    shares: Mapping[str, float]
     backend_servers: tuple[BackendStatus, ...]
 
 
@@ -65,13 +71,25 @@
         configuration_revision=store.revision,
         configuration_age_ms=sources.clock.monotonic_ms() - sources.watch.confirmed_ms,
         rejected_values=store.current.rejected,
-        member_version=directory.version,
-        members=tuple(member.host_id for member in directory.entry_hosts()),
+        members=_members(sources.plane),
+        is_confirmed=sources.plane.zone_view().is_confirmed,
+        owned_backend_servers=tuple(
+            member.host_id
+            for member in directory.backend_servers()
+            if sources.plane.slots.is_owner(member.host_id)
+        ),
+        shares=sources.plane.quotas.shares(),
         backend_servers=_backend_statuses(directory),
     )
     return msgspec.json.encode(page)
 
 
+def _members(plane: ControlPlane) -> Mapping[str, tuple[str, ...]]:
+    membership = plane.members.membership
+    zones = sorted({news.availability_zone for news in membership.known_news()})
+    return {zone: tuple(sorted(membership.live_hosts(zone))) for zone in zones}
+
+
 def _backend_statuses(directory: BackendDirectory) -> tuple[BackendStatus, ...]:
     return tuple(
         BackendStatus(
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -37,11 +37,10 @@
             gevent.sleep(0.01)
 
 
-def base_values() -> dict[str, Any]:
+def base_values(zones: list[str]) -> dict[str, Any]:
     account = {"rate_per_s": 1_000, "burst": 1_000, "services": ["assistant", "ledger"]}
     return {
-        "availability_zones/manta": {"status": "in"},
-        "availability_zones/salinas": {"status": "in"},
+        **{f"availability_zones/{zone}": {"status": "in"} for zone in zones},
         "client_accounts/carts": account | {"key_digests": [digest(KEY)]},
         "client_accounts/office": account
         | {"key_digests": [digest(OTHER_KEY)], "services": ["assistant"]},
@@ -63,29 +62,40 @@
 
     def __init__(self, entry_count: int, engine: EngineModelSettings) -> None:
         self.events: list[Event] = []
-        self.platform = PlatformStandin(PlatformSettings(values=base_values()))
+        # Every zone has entry hosts of its own, as on real fleets.
+        self.zones = ["manta", "salinas"][:entry_count]
+        values = base_values(self.zones)
+        self.platform = PlatformStandin(PlatformSettings(values=values))
         self.platform.start()
-        self.zones = ["manta", "salinas"]
         self.engines = [EngineStandin(EngineSettings(engine=engine)) for _ in range(2)]
         self.ledgers = [PlainStandin() for _ in range(2)]
         for standin in (*self.engines, *self.ledgers):
             standin.start()
         self.states = {f"engine-{i}": "live" for i in range(2)}
         self.states |= {f"ledger-{i}": "live" for i in range(2)}
+        self.hosts: list[EntryHost] = []
+        self.urls: list[str] = []
         self.publish_members()
         self.hosts = [self.add_host(f"entry-{i}", i) for i in range(entry_count)]
         self.urls = [host.start() for host in self.hosts]
+        self.publish_members()
         for url in self.urls:
             wait_for(lambda url=url: call("GET", f"{url}/readyz").status == 200)
-            wait_for(lambda url=url: self.status(url)["member_version"] > 0)
+            wait_for(lambda url=url: self.knows_all(url))
+
+    def knows_all(self, url: str) -> bool:
+        members = self.status(url)["members"].values()
+        return sum(map(len, members)) == len(self.hosts)
 
     def add_host(self, host_id: str, number: int) -> EntryHost:
         settings = EntrySettings(
             host_id=host_id,
-            availability_zone=self.zones[number % 2],
+            availability_zone=self.zones[number % len(self.zones)],
             platform_url=self.platform.url,
             seed=number,
             drain_notice_ms=20.0,
+            hold_down_ms=400.0,
+            lease_ms=300.0,
         )
         return build_entry_host(settings, system_clock(), self.events.append)
 
@@ -94,7 +104,7 @@
             {
                 "host_id": f"{service}-{i}",
                 "role": "backend",
-                "availability_zone": self.zones[i],
+                "availability_zone": self.zones[i % len(self.zones)],
                 "address": standin.url.removeprefix("http://"),
                 "state": self.states[f"{service}-{i}"],
                 "services": ["assistant" if service == "engine" else "ledger"],
@@ -105,6 +115,17 @@
             )
             for i, standin in enumerate(standins)
         ]
+        hosts += [
+            {
+                "host_id": host.settings.host_id,
+                "role": "entry",
+                "availability_zone": host.settings.availability_zone,
+                "address": url.removeprefix("http://"),
+                "boot_id": host.identity.boot_id,
+                "control_address": host.identity.control_address,
+            }
+            for host, url in zip(self.hosts, self.urls, strict=True)
+        ]
         answer = call("PUT", f"{self.platform.url}/standin/members", {"hosts": hosts})
         assert answer.status == 200, answer
 
