Start the local fleet with full bursts; give each zone of the fault table a host

Cause: new hosts start with empty buckets, so that the first calls after the local fleet's ready line were refused as over rate (seen in test_local). The fault table's fleet had one host for two zones, and slots of a zone are granted by hosts of that zone only. Change: the local fleet says that it is ready once the bursts have had time to fill; the table's fleet has a host in each zone, so that own-zone-first still decides which server the first attempt meets.

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -111,9 +111,7 @@
     )
 
 
-def _build_base(
-    settings: EntrySettings, clock: Clock, log_event: EmitEvent
-) -> _Base:
+def _build_base(settings: EntrySettings, clock: Clock, log_event: EmitEvent) -> _Base:
     store = ConfigurationStore()
     metrics = Metrics(lambda service: _profile_name(store, service))
     emit = emit_to_all(log_event, metrics.observe_event)
--- a/src/gypsumfield/decisions/backend_membership.py
+++ b/src/gypsumfield/decisions/backend_membership.py
@@ -91,10 +91,20 @@
             )
             for member in self._listed.values()
             if (service is None or service in member.services)
-            and not self._is_leaving(member)
+            and not self.is_leaving(member)
         ]
 
-    def _is_leaving(self, member: Member) -> bool:
+    @property
+    def is_empty(self) -> bool:
+        """Whether no backend server is listed."""
+        return not self._listed
+
+    def listed(self) -> list[Member]:
+        """Return the platform's entries of all backend servers."""
+        return list(self._listed.values())
+
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether a backend server gets no new work any more."""
         news = self._news.get(member.host_id)
         if news is None:
             return member.state == "leaving"
--- a/src/gypsumfield/local_fleet.py
+++ b/src/gypsumfield/local_fleet.py
@@ -7,8 +7,9 @@
 
 from gypsumfield.adapters.logs import open_event_log
 from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
 from gypsumfield.composition import build_entry_host
-from gypsumfield.composition import EntryHost
+from gypsumfield.entry_host import EntryHost
 from gypsumfield.exceptions import GypsumfieldError
 from gypsumfield.platform_api import Member
 from gypsumfield.ports import discard_event
@@ -103,6 +104,7 @@
         self.stand_ins.set_entry_members(map(_as_member, self._hosts))
         for started in self._hosts:
             self._wait_until_ready(started)
+        self._fill_buckets()
         return self._ready_line()
 
     @property
@@ -161,6 +163,12 @@
         members = {host for zone in page["members"].values() for host in zone}
         return all(other.settings.host_id in members for other in self._hosts)
 
+    def _fill_buckets(self) -> None:
+        """Wait until each account has its burst; new hosts start with nothing."""
+        accounts = sample_accounts(self._plan.stand_ins.seed).values()
+        fill_s = max(account.burst / account.rate_per_s for account in accounts)
+        self._clock.sleep_ms(fill_s * MS_PER_S)
+
     def _ready_line(self) -> LocalReadyLine:
         return LocalReadyLine(
             ready=True,
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -10,7 +10,7 @@
 
 from gypsumfield.clock import system_clock
 from gypsumfield.composition import build_entry_host
-from gypsumfield.composition import EntryHost
+from gypsumfield.entry_host import EntryHost
 from gypsumfield.events import Event
 from gypsumfield.settings import EntrySettings
 from gypsumfield.standins.engine import EngineSettings
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -91,7 +91,7 @@
 @pytest.fixture(scope="module")
 def fleet():
     engine = EngineModelSettings(step_base_ms=2.0)
-    with small_fleet(engine=engine) as running:
+    with small_fleet(entry_count=2, engine=engine) as running:
         for standin in running.engines:
             standin.settings = msgspec.structs.replace(
                 standin.settings, is_text_marked=True
