--- a/src/gypsumfield/decisions/backend_membership.py
+++ b/src/gypsumfield/decisions/backend_membership.py
@@ -68,6 +68,11 @@
         self._news[news.host_id] = news
         self.rumours.add(news.host_id, news)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the platform has listed no backend server yet."""
+        return not self._listed
+
     def boot_id_of(self, host_id: str) -> str:
         """Return the latest boot heard of, or an empty text."""
         news = self._news.get(host_id)
@@ -80,6 +85,10 @@
         """Return the platform's entry of a backend server."""
         return self._listed.get(host_id)
 
+    def listed(self) -> list[Member]:
+        """Return every backend server on the platform's list."""
+        return list(self._listed.values())
+
     def live(self, service: str | None = None) -> list[LiveBackendServer]:
         """Return the backend servers of a service, or all, that are not leaving."""
         return [
@@ -104,7 +113,7 @@
         return list(self._listed.values())
 
     def is_leaving(self, member: Member) -> bool:
-        """Return whether a backend server gets no new work any more."""
+        """Return whether a listed backend server must get no new work."""
         news = self._news.get(member.host_id)
         if news is None:
             return member.state == "leaving"
