--- a/src/gypsumfield/commands/entry.py
+++ b/src/gypsumfield/commands/entry.py
@@ -34,7 +34,8 @@
     host_id: str
     availability_zone: str
     url: str
-    control_address: str = ""
+    boot_id: str
+    control_address: str
 
 
 class EntryCommand(Command):
@@ -79,7 +80,14 @@
 
 def print_ready(host: EntryHost, url: str) -> None:
     """Print the ready line of one host."""
-    line = ReadyLine(True, host.settings.host_id, host.settings.availability_zone, url)
+    line = ReadyLine(
+        ready=True,
+        host_id=host.settings.host_id,
+        availability_zone=host.settings.availability_zone,
+        url=url,
+        boot_id=host.identity.boot_id,
+        control_address=host.identity.control_address,
+    )
     sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
     sys.stdout.flush()
 
--- a/src/gypsumfield/decisions/backend_membership.py
+++ b/src/gypsumfield/decisions/backend_membership.py
@@ -103,15 +103,6 @@
             and not self.is_leaving(member)
         ]
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no backend server is listed."""
-        return not self._listed
-
-    def listed(self) -> list[Member]:
-        """Return the platform's entries of all backend servers."""
-        return list(self._listed.values())
-
     def is_leaving(self, member: Member) -> bool:
         """Return whether a listed backend server must get no new work."""
         news = self._news.get(member.host_id)
