Refuse older member lists; say the list's version

Change: the platform watch refuses an older list and keeps the version. Conclusion: a stale platform cannot bring back what has left.

--- a/src/gypsumfield/platform_watch.py
+++ b/src/gypsumfield/platform_watch.py
@@ -32,6 +32,7 @@
 
     Attributes:
         confirmed_ms: Monotonic time at which the platform last answered.
+        member_version: Version of the latest member list.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         rng: random.Random,
     ) -> None:
         self.confirmed_ms = clock.monotonic_ms()
+        self.member_version = 0
         self._store = store
         self._fetch_values = fetch_values
         self._fetch_members = fetch_members
@@ -94,7 +96,14 @@
             self._emit(event)
 
     def _follow_members(self) -> None:
-        self._on_members(self._fetch_members())
+        members = self._fetch_members()
+        if members.version < self.member_version:
+            raise PlatformError(
+                f"platform answers member list {members.version}, "
+                f"{self.member_version} is known"
+            )
+        self.member_version = members.version
+        self._on_members(members)
 
     def _note_reachable(self) -> None:
         self.confirmed_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/status_page.py
+++ b/src/gypsumfield/status_page.py
@@ -42,6 +42,7 @@
         configuration_revision: Revision in force.
         configuration_age_ms: Time since a source last confirmed it.
         rejected_values: Reason by key for published values refused here.
+        member_version: Version of the platform's member list.
         members: Live entry hosts by availability zone.
         is_confirmed: Whether the others of the zone hear this host.
         owned_backend_servers: Backend servers whose slots this host grants.
@@ -54,6 +55,7 @@
     configuration_revision: int
     configuration_age_ms: float
     rejected_values: Mapping[str, str]
+    member_version: int
     members: Mapping[str, tuple[str, ...]]
     is_confirmed: bool
     owned_backend_servers: tuple[str, ...]
@@ -71,6 +73,7 @@
         configuration_revision=store.revision,
         configuration_age_ms=sources.clock.monotonic_ms() - sources.watch.confirmed_ms,
         rejected_values=store.current.rejected,
+        member_version=sources.watch.member_version,
         members=_members(sources.plane),
         is_confirmed=sources.plane.zone_view().is_confirmed,
         owned_backend_servers=tuple(
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 
 import gevent
@@ -23,6 +24,7 @@
 from httpcalls import call
 
 WAIT_LIMIT_S = 20.0
+ZONES = ("manta", "salinas")
 KEY = "carts-key-0001"
 OTHER_KEY = "office-key-0002"
 
@@ -37,7 +39,7 @@
             gevent.sleep(0.01)
 
 
-def base_values(zones: list[str]) -> dict[str, Any]:
+def base_values(zones: Sequence[str] = ZONES) -> dict[str, Any]:
     account = {"rate_per_s": 1_000, "burst": 1_000, "services": ["assistant", "ledger"]}
     return {
         **{f"availability_zones/{zone}": {"status": "in"} for zone in zones},
@@ -63,7 +65,7 @@
     def __init__(self, entry_count: int, engine: EngineModelSettings) -> None:
         self.events: list[Event] = []
         # Every zone has entry hosts of its own, as on real fleets.
-        self.zones = ["manta", "salinas"][:entry_count]
+        self.zones = list(ZONES[:entry_count])
         values = base_values(self.zones)
         self.platform = PlatformStandin(PlatformSettings(values=values))
         self.platform.start()
