--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -210,7 +210,7 @@
         now_ms = base.clock.monotonic_ms()
         if now_ms > job.deadline_ms:
             return "the deadline has passed"
-        if now_ms > placement.lease.send_before_ms:
+        if now_ms >= placement.lease.send_before_ms:
             return "the lease has run out"
         return choice.directory.find_hindrance(job.service_name, placement.backend)
 
