Spread configuration and members through peers; refuse services of a host cut off too long

Cause: every host held a long poll and read the member list by itself, and nothing heeded a profile's limit on serving while cut off. Change: the control plane runs the spread of values and members; a new host serves only after it has asked its peers; cut_off_limit_ms refuses new work of its services; the status page tells the platform's age as this host and the peers it hears know it. Conclusion: platform calls no longer grow with one watch a host.

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -20,7 +20,6 @@
 from gypsumfield.configuration import Profile
 from gypsumfield.control_plane import build_control_plane
 from gypsumfield.control_plane import ControlPlane
-from gypsumfield.control_plane import take_member_list
 from gypsumfield.decisions.admission import make_admission
 from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.retries import RetryBudget
@@ -36,10 +35,10 @@
 from gypsumfield.entry_host import HostIdentity
 from gypsumfield.generations import GenerationPorts
 from gypsumfield.intake import Intake
+from gypsumfield.intake import IntakePorts
 from gypsumfield.jobs import Job
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.platform_api import Member
-from gypsumfield.platform_watch import PlatformWatch
 from gypsumfield.ports import EmitEvent
 from gypsumfield.relay import RelayPorts
 from gypsumfield.serving import Serving
@@ -85,25 +84,15 @@
     """
     base = _build_base(settings, clock, log_event)
     choice = _build_choice(base)
-    client = PlatformClient(settings.platform_url)
-    watch = PlatformWatch(
-        base.store,
-        client.fetch_values,
-        client.fetch_members,
-        lambda members: take_member_list(choice.plane, members),
-        clock,
-        base.emit,
-        base.rng,
-    )
     pool = BackendPool()
     serving = _build_serving(base, choice, pool)
-    server = _build_server(base, choice, serving, watch)
+    server = _build_server(base, choice, serving)
     identity = HostIdentity(choice.plane.boot_id, choice.plane.transport.address)
     return EntryHost(
         settings,
         identity,
         server,
-        [watch, choice.plane, _build_engine_watch(base, choice)],
+        [choice.plane, _build_engine_watch(base, choice)],
         choice.plane.members.leave,
         pool,
         clock,
@@ -122,7 +111,13 @@
     lengths = LengthModel()
     may_admit = make_admission(lengths, lambda name: _profile(base.store, name))
     plane = build_control_plane(
-        base.settings, base.store, may_admit, base.clock, base.emit, base.rng
+        base.settings,
+        base.store,
+        PlatformClient(base.settings.platform_url),
+        may_admit,
+        base.clock,
+        base.emit,
+        base.rng,
     )
     directory = BackendDirectory(
         lambda: base.store.current, plane.members.membership.backends
@@ -191,7 +186,12 @@
         ),
     )
     intake = Intake(
-        lambda: base.store.current, base.clock, lambda: _config_hindrance(base.store)
+        IntakePorts(
+            configuration=lambda: base.store.current,
+            clock=base.clock,
+            find_host_hindrance=lambda: _configuration_hindrance(base, choice.plane),
+            platform_age_ms=choice.plane.configuration.platform_age_ms,
+        )
     )
     ports = ServingPorts(
         intake=intake,
@@ -224,17 +224,13 @@
     )
 
 
-def _build_server(
-    base: _Base, choice: _Choice, serving: Serving, watch: PlatformWatch
-) -> CallerServer:
-    sources = StatusSources(
-        base.settings, base.store, choice.directory, choice.plane, watch, base.clock
-    )
+def _build_server(base: _Base, choice: _Choice, serving: Serving) -> CallerServer:
+    sources = StatusSources(base.settings, base.store, choice.directory, choice.plane)
 
     def read_state() -> HostState:
         return HostState(
             configuration_revision=base.store.revision,
-            configuration_age_ms=base.clock.monotonic_ms() - watch.confirmed_ms,
+            configuration_age_ms=choice.plane.configuration.platform_age_ms() or 0.0,
             rejected_value_count=len(base.store.current.rejected),
             member_count=len(choice.plane.members.membership.live_hosts()),
             in_flight_count=server.gate.in_flight_count,
@@ -254,8 +250,10 @@
     return server
 
 
-def _config_hindrance(store: ConfigurationStore) -> str:
-    if store.revision == 0:
+def _configuration_hindrance(base: _Base, plane: ControlPlane) -> str:
+    # A new host that reaches a stale platform first must not serve with what
+    # its peers have long left behind.
+    if not plane.configuration.has_asked_peers or base.store.revision == 0:
         return "no configuration has been read yet"
     return ""
 
@@ -265,7 +263,7 @@
         return "no member list has been read yet"
     if base.clock.monotonic_ms() < plane.full_from_ms:
         return "this host waits before it takes its part of the limits"
-    return _config_hindrance(base.store)
+    return _configuration_hindrance(base, plane)
 
 
 def _expected_tokens(lengths: LengthModel, demand: GenerationDemand) -> float:
--- a/src/gypsumfield/configuration_spread.py
+++ b/src/gypsumfield/configuration_spread.py
@@ -10,6 +10,7 @@
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.configuration import ConfigurationDelta
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.configuration_events import configuration_events
 from gypsumfield.control_loop import ControlLoop
 from gypsumfield.decisions.member_store import MemberStore
 from gypsumfield.decisions.membership import SpreadPosition
@@ -24,7 +25,6 @@
 from gypsumfield.messages import ValuesDelta
 from gypsumfield.messages import ValuesRequest
 from gypsumfield.platform_api import MemberList
-from gypsumfield.platform_watch import configuration_events
 from gypsumfield.ports import EmitEvent
 
 FetchValues = Callable[[int, float], ConfigurationDelta]
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -3,27 +3,28 @@
 import math
 import random
 import uuid
-from collections.abc import Callable
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from gypsumfield.adapters.peers import PeerCredentials
 from gypsumfield.adapters.peers import PeerTransport
+from gypsumfield.adapters.platform import PlatformClient
 from gypsumfield.clock import Clock
+from gypsumfield.configuration import Configuration
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.configuration_spread import ConfigurationSpread
+from gypsumfield.configuration_spread import MemberListSpread
 from gypsumfield.control_loop import ControlLoop
 from gypsumfield.decisions.membership import Membership
 from gypsumfield.decisions.membership import MembershipTimes
 from gypsumfield.decisions.ownership import ZoneView
-from gypsumfield.decisions.quotas import QuotaView
 from gypsumfield.decisions.slots import MayAdmit
-from gypsumfield.decisions.token_pools import AccountLimit
+from gypsumfield.limit_views import hosts_by_zone
+from gypsumfield.limit_views import quota_sources
+from gypsumfield.limit_views import zone_view
 from gypsumfield.membership_service import MembershipService
 from gypsumfield.messages import MemberNews
-from gypsumfield.platform_api import MemberList
 from gypsumfield.ports import EmitEvent
 from gypsumfield.quota_service import QuotaService
-from gypsumfield.quota_service import QuotaSources
 from gypsumfield.settings import EntrySettings
 from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
@@ -44,9 +45,10 @@
         transport: Control sockets.
         loop: Control loop; starts and stops the rest.
         members: Membership of entry hosts and backend servers.
+        configuration: Spread of the published values.
+        member_list: Spread of the platform's member list.
         quotas: Account limits over all entry hosts.
         slots: Slots of backend servers over all entry hosts.
-        zone_view: Returns the entry hosts of this host's zone.
         full_from_ms: Monotonic time from which the host may have its part of
             all limits, when nothing stands against it.
     """
@@ -55,9 +57,10 @@
     transport: PeerTransport
     loop: ControlLoop
     members: MembershipService
+    configuration: ConfigurationSpread
+    member_list: MemberListSpread
     quotas: QuotaService
     slots: SlotService
-    zone_view: Callable[[], ZoneView]
     full_from_ms: float
 
     def start(self) -> None:
@@ -65,15 +68,25 @@
         self.quotas.start()
         self.slots.start()
         self.loop.start()
+        self.configuration.start()
+        self.member_list.start()
 
     def stop(self) -> None:
-        """Close the control socket."""
+        """Stop to ask the platform and close the control socket."""
+        self.configuration.stop()
+        self.member_list.stop()
         self.loop.stop()
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the others of the zone hear this host."""
+        return self.members.membership.is_confirmed(self.loop.now_ms())
+
 
 def build_control_plane(
     settings: EntrySettings,
     store: ConfigurationStore,
+    platform: PlatformClient,
     may_admit: MayAdmit,
     clock: Clock,
     emit: EmitEvent,
@@ -84,6 +97,7 @@
     Args:
         settings: Settings of the host.
         store: Configuration in force.
+        platform: Client of the platform's service.
         may_admit: Judges a generation by the predicted memory of its engine.
         clock: Time.
         emit: Takes events.
@@ -104,27 +118,16 @@
     membership = _membership(settings, boot_id, transport.address, clock)
     members = MembershipService(membership, loop, transport, rng, settings.peers)
 
-    def zone_view() -> ZoneView:
-        now_ms = clock.monotonic_ms()
-        hosts = membership.members_for_shrinking(now_ms, settings.availability_zone)
-        return ZoneView(hosts, membership.is_confirmed(now_ms))
+    def read_configuration() -> Configuration:
+        return store.current
 
-    def hosts_by_zone() -> Mapping[str, frozenset[str]]:
-        zones = {news.availability_zone for news in membership.known_news()}
-        return {zone: membership.live_hosts(zone) for zone in zones}
+    def zone_hosts() -> ZoneView:
+        return zone_view(membership, clock.monotonic_ms())
 
     quotas = QuotaService(
         loop,
         clock,
-        QuotaSources(
-            read_view=lambda: QuotaView(
-                settings.availability_zone,
-                frozenset(store.current.zones),
-                zone_view(),
-            ),
-            read_limits=_limits_reader(store),
-            read_hosts=hosts_by_zone,
-        ),
+        quota_sources(membership, read_configuration, clock.monotonic_ms),
         emit,
         settings.hold_down_ms,
     )
@@ -133,8 +136,8 @@
         clock,
         settings.availability_zone,
         SlotSources(
-            read_view=zone_view,
-            read_hosts=hosts_by_zone,
+            read_view=zone_hosts,
+            read_hosts=lambda: hosts_by_zone(membership, store.current),
             describe_backend=lambda host_id: _describe(membership, store, host_id),
             may_admit=may_admit,
         ),
@@ -142,18 +145,26 @@
         settings.hold_down_ms,
         settings.lease_ms,
     )
+    configuration = ConfigurationSpread(
+        store, platform.fetch_values, loop, members, clock, emit, random=rng
+    )
+    member_list = MemberListSpread(
+        platform.fetch_members, loop, members, clock, emit, random=rng
+    )
     full_from_ms = clock.monotonic_ms() + settings.hold_down_ms + SHARE_DELAY_MS
     return ControlPlane(
-        boot_id, transport, loop, members, quotas, slots, zone_view, full_from_ms
+        boot_id,
+        transport,
+        loop,
+        members,
+        configuration,
+        member_list,
+        quotas,
+        slots,
+        full_from_ms,
     )
 
 
-def take_member_list(plane: ControlPlane, members: MemberList) -> None:
-    """Merge the platform's member list into the membership."""
-    plane.members.note_platform_contact()
-    plane.members.take_platform_list(members.hosts)
-
-
 def _membership(
     settings: EntrySettings, boot_id: str, control_address: str, clock: Clock
 ) -> Membership:
@@ -180,25 +191,6 @@
     return Membership(self_news, clock.monotonic_ms(), times, seeds)
 
 
-def _limits_reader(
-    store: ConfigurationStore,
-) -> Callable[[], Mapping[str, AccountLimit]]:
-    # Read for every request, so it is built once for each revision.
-    known: tuple[int, Mapping[str, AccountLimit]] = (-1, {})
-
-    def read() -> Mapping[str, AccountLimit]:
-        nonlocal known
-        if known[0] != store.revision:
-            limits = {
-                name: AccountLimit(account.rate_per_s, account.burst)
-                for name, account in store.current.accounts.items()
-            }
-            known = (store.revision, limits)
-        return known[1]
-
-    return read
-
-
 def _describe(
     membership: Membership, store: ConfigurationStore, host_id: str
 ) -> BackendDescription | None:
--- a/src/gypsumfield/intake.py
+++ b/src/gypsumfield/intake.py
@@ -13,6 +13,7 @@
 from gypsumfield.access import UNKNOWN_KEY
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import Configuration
+from gypsumfield.configuration import Profile
 from gypsumfield.configuration import Service
 from gypsumfield.cursors import read_cursor
 from gypsumfield.cursors import StreamOrigin
@@ -74,24 +75,29 @@
     after_sequence: int
 
 
-class Intake:
-    """Checks keys, services and inputs against the configuration in force.
+class IntakePorts(NamedTuple):
+    """What the intake needs from outside.
 
-    Args:
+    Attributes:
         configuration: Returns the configuration in force.
         clock: Time.
         find_host_hindrance: Says why this host serves nobody, or nothing.
+        platform_age_ms: Returns how long ago the platform last answered this
+            host or a peer it hears; None when it never did.
     """
 
-    def __init__(
-        self,
-        configuration: Callable[[], Configuration],
-        clock: Clock,
-        find_host_hindrance: Callable[[], str],
-    ) -> None:
-        self._configuration = configuration
-        self._clock = clock
-        self._find_host_hindrance = find_host_hindrance
+    configuration: Callable[[], Configuration]
+    clock: Clock
+    find_host_hindrance: Callable[[], str]
+    platform_age_ms: Callable[[], float | None]
+
+
+class Intake:
+    """Checks keys, services and inputs against the configuration in force."""
+
+    def __init__(self, ports: IntakePorts) -> None:
+        self._ports = ports
+        self._configuration = ports.configuration
         self._keys = KeyIndex()
 
     def identify(self, key: str) -> Identity:
@@ -100,7 +106,7 @@
         Raises:
             RefusedError: 401, or 503 while the host cannot judge any key.
         """
-        hindrance = self._find_host_hindrance()
+        hindrance = self._ports.find_host_hindrance()
         if hindrance:
             retry_after_ms = DEFAULT_RETRY_AFTER_MS
             refusal = Refusal(
@@ -206,6 +212,17 @@
         if refusal is not None:
             raise RefusedError(refusal)
 
+    def _check_cut_off(self, service: str, profile: Profile) -> None:
+        limit_ms = profile.cut_off_limit_ms
+        if limit_ms is None:
+            return
+        age_ms = self._ports.platform_age_ms()
+        if age_ms is None or age_ms > limit_ms:
+            message = f"service {service!r} stops on a host that is cut off this long"
+            raise RefusedError(
+                Refusal(503, "cut_off", message, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+            )
+
     def _job(
         self,
         request_id: str,
@@ -216,6 +233,7 @@
         is_idempotent: bool,
     ) -> Job:
         profile = self._configuration().profiles[service.profile]
+        self._check_cut_off(name, profile)
         demand = GenerationDemand(
             request_id=request_id,
             service=name,
@@ -233,6 +251,6 @@
             profile=profile,
             demand=demand,
             is_idempotent=is_idempotent,
-            started_ms=self._clock.monotonic_ms(),
+            started_ms=self._ports.clock.monotonic_ms(),
             abort=abort,
         )
--- a/src/gypsumfield/status_page.py
+++ b/src/gypsumfield/status_page.py
@@ -5,11 +5,9 @@
 
 import msgspec
 
-from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
 from gypsumfield.control_plane import ControlPlane
 from gypsumfield.directory import BackendDirectory
-from gypsumfield.platform_watch import PlatformWatch
 from gypsumfield.settings import EntrySettings
 
 
@@ -20,8 +18,6 @@
     store: ConfigurationStore
     directory: BackendDirectory
     plane: ControlPlane
-    watch: PlatformWatch
-    clock: Clock
 
 
 class BackendStatus(msgspec.Struct, frozen=True):
@@ -40,7 +36,8 @@
         host_id: This host.
         availability_zone: Zone it stands in.
         configuration_revision: Revision in force.
-        configuration_age_ms: Time since a source last confirmed it.
+        configuration_age_ms: Time since the platform answered this host or a peer
+            it hears; null when it never did.
         rejected_values: Reason by key for published values refused here.
         member_version: Version of the platform's member list.
         members: Live entry hosts by availability zone.
@@ -53,7 +50,7 @@
     host_id: str
     availability_zone: str
     configuration_revision: int
-    configuration_age_ms: float
+    configuration_age_ms: float | None
     rejected_values: Mapping[str, str]
     member_version: int
     members: Mapping[str, tuple[str, ...]]
@@ -71,11 +68,11 @@
         host_id=sources.settings.host_id,
         availability_zone=sources.settings.availability_zone,
         configuration_revision=store.revision,
-        configuration_age_ms=sources.clock.monotonic_ms() - sources.watch.confirmed_ms,
+        configuration_age_ms=sources.plane.configuration.platform_age_ms(),
         rejected_values=store.current.rejected,
-        member_version=sources.watch.member_version,
+        member_version=sources.plane.member_list.spread.store.revision,
         members=_members(sources.plane),
-        is_confirmed=sources.plane.zone_view().is_confirmed,
+        is_confirmed=sources.plane.is_confirmed,
         owned_backend_servers=tuple(
             member.host_id
             for member in directory.backend_servers()
