Say which zones have entry hosts; call a host ready when it holds its part

Change: availability_zones/NAME carries has_entry_hosts; the rates are divided over staffed zones only, and another staffed zone owns the backend servers of one without. Readiness waits for the zone's share. Times of the test fleets are long enough for a loaded machine. Ruled out: taking a zone as unstaffed when the member list shows no host of it, since a zone that is cut off while the list of zones changes would then be counted twice. Conclusion: the zone list and its staff are the operators' statement, the same on all hosts.

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -261,7 +261,7 @@
 def _readiness_hindrance(base: _Base, plane: ControlPlane) -> str:
     if plane.members.membership.backends.is_empty:
         return "no member list has been read yet"
-    if base.clock.monotonic_ms() < plane.full_from_ms:
+    if plane.quotas.zone_share == 0.0:
         return "this host waits before it takes its part of the limits"
     return _configuration_hindrance(base, plane)
 
--- a/src/gypsumfield/configuration.py
+++ b/src/gypsumfield/configuration.py
@@ -13,9 +13,17 @@
 
 
 class AvailabilityZone(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Value of ``availability_zones/NAME``; ``out`` gets no new work."""
+    """Value of ``availability_zones/NAME``.
+
+    Attributes:
+        status: A zone that is ``out`` gets no new work.
+        has_entry_hosts: Whether entry hosts stand in the zone. Zones without
+            get no part of the account rates, and entry hosts of another zone
+            grant the slots of their backend servers.
+    """
 
     status: Literal["in", "out"]
+    has_entry_hosts: bool = True
 
 
 class ClientAccount(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -19,6 +19,7 @@
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import MayAdmit
 from gypsumfield.limit_views import hosts_by_zone
+from gypsumfield.limit_views import owner_zone
 from gypsumfield.limit_views import quota_sources
 from gypsumfield.limit_views import zone_view
 from gypsumfield.membership_service import MembershipService
@@ -33,8 +34,6 @@
 # Heartbeats and silences shrink with the hold-down that they must fit into.
 HEARTBEATS_PER_HOLD_DOWN = 6
 SILENT_AFTER_HEARTBEATS = 3
-# Shares follow the hold-down at the next ticks.
-SHARE_DELAY_MS = 500.0
 
 
 class ControlPlane(NamedTuple):
@@ -49,8 +48,6 @@
         member_list: Spread of the platform's member list.
         quotas: Account limits over all entry hosts.
         slots: Slots of backend servers over all entry hosts.
-        full_from_ms: Monotonic time from which the host may have its part of
-            all limits, when nothing stands against it.
     """
 
     boot_id: str
@@ -61,7 +58,6 @@
     member_list: MemberListSpread
     quotas: QuotaService
     slots: SlotService
-    full_from_ms: float
 
     def start(self) -> None:
         """Begin to talk to the peers."""
@@ -151,7 +147,6 @@
     member_list = MemberListSpread(
         platform.fetch_members, loop, members, clock, emit, random=rng
     )
-    full_from_ms = clock.monotonic_ms() + settings.hold_down_ms + SHARE_DELAY_MS
     return ControlPlane(
         boot_id,
         transport,
@@ -161,7 +156,6 @@
         member_list,
         quotas,
         slots,
-        full_from_ms,
     )
 
 
@@ -200,4 +194,5 @@
     services = [store.current.services.get(name) for name in member.services]
     is_reporting = any(service and service.kind == "model" for service in services)
     boot_id = membership.backends.boot_id_of(host_id)
-    return BackendDescription(member.availability_zone, boot_id, is_reporting)
+    zone = owner_zone(store.current, member.availability_zone)
+    return BackendDescription(zone, boot_id, is_reporting)
--- a/src/gypsumfield/limit_views.py
+++ b/src/gypsumfield/limit_views.py
@@ -5,6 +5,7 @@
 
 from gypsumfield.configuration import Configuration
 from gypsumfield.decisions.membership import Membership
+from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.quotas import QuotaView
 from gypsumfield.decisions.token_pools import AccountLimit
@@ -26,11 +27,25 @@
     )
 
 
+def staffed_zones(configuration: Configuration) -> frozenset[str]:
+    """Return the zones that have entry hosts, by the operators' statement."""
+    zones = configuration.zones.items()
+    return frozenset(name for name, zone in zones if zone.has_entry_hosts)
+
+
+def owner_zone(configuration: Configuration, zone: str) -> str:
+    """Return the zone whose entry hosts own the backend servers of ``zone``."""
+    staffed = staffed_zones(configuration)
+    if zone in staffed:
+        return zone
+    return owner_of(f"zone/{zone}", staffed) or zone
+
+
 def hosts_by_zone(
     membership: Membership, configuration: Configuration
 ) -> Mapping[str, frozenset[str]]:
-    """Return the live entry hosts of each configured zone."""
-    return {zone: membership.live_hosts(zone) for zone in configuration.zones}
+    """Return the live entry hosts of each zone that has some."""
+    return {zone: membership.live_hosts(zone) for zone in staffed_zones(configuration)}
 
 
 def quota_view(
@@ -44,7 +59,7 @@
     hosts = hosts_by_zone(membership, configuration)
     return QuotaView(
         zone=membership.availability_zone,
-        zones=frozenset(configuration.zones),
+        zones=staffed_zones(configuration),
         zone_view=zone_view(membership, now_ms),
         are_zones_agreed=all(hosts.values()),
     )
--- a/src/gypsumfield/local_fleet.py
+++ b/src/gypsumfield/local_fleet.py
@@ -1,5 +1,8 @@
 """A whole small fleet in one process: stand-ins and entry hosts."""
 
+from collections.abc import Callable
+from functools import partial
+from typing import Any
 from typing import NamedTuple
 
 import msgspec
@@ -20,10 +23,13 @@
 from gypsumfield.standins.sample import sample_accounts
 from gypsumfield.standins.sample import SampleAccount
 from gypsumfield.standins.sample import SERVICE_KINDS
+from gypsumfield.standins.sample import zone_names
 
 READY_TIMEOUT_MS = 20_000.0
 READY_CHECK_INTERVAL_MS = 20.0
 SILENT_LOG = ""
+# Shares are sums of many parts; all of them add up to nearly 1.
+WHOLE_SHARE = 0.999
 # Shorter than the defaults, so that the first run need not wait long.
 HOLD_DOWN_MS = 3_000.0
 LEASE_MS = 900.0
@@ -89,7 +95,7 @@
     def __init__(self, plan: LocalPlan, clock: Clock) -> None:
         self._plan = plan
         self._clock = clock
-        self.stand_ins = StandinFleet(plan.stand_ins)
+        self.stand_ins = StandinFleet(_with_staffed_zones(plan))
         self._hosts: list[_StartedHost] = []
 
     def start(self) -> LocalReadyLine:
@@ -103,7 +109,8 @@
             self._hosts.append(self._start_host(number))
         self.stand_ins.set_entry_members(map(_as_member, self._hosts))
         for started in self._hosts:
-            self._wait_until_ready(started)
+            self._wait_until(partial(self._is_ready, started))
+        self._wait_until(self._are_shares_whole)
         self._fill_buckets()
         return self._ready_line()
 
@@ -144,11 +151,11 @@
             self._clock,
         )
 
-    def _wait_until_ready(self, started: _StartedHost) -> None:
+    def _wait_until(self, condition: Callable[[], bool]) -> None:
         deadline_ms = self._clock.monotonic_ms() + READY_TIMEOUT_MS
-        while not self._is_ready(started):
+        while not condition():
             if self._clock.monotonic_ms() > deadline_ms:
-                raise GypsumfieldError(f"{started.settings.host_id} is not ready")
+                raise GypsumfieldError("the entry hosts are not ready")
             self._clock.sleep_ms(READY_CHECK_INTERVAL_MS)
 
     def _is_ready(self, started: _StartedHost) -> bool:
@@ -157,12 +164,27 @@
         try:
             if client.get("/readyz").status_code != 200:
                 return False
-            page = msgspec.json.decode(client.get("/statusz").read())
         finally:
             client.close()
-        members = {host for zone in page["members"].values() for host in zone}
+        zones = self._status(started)["members"].values()
+        members = {host for zone in zones for host in zone}
         return all(other.settings.host_id in members for other in self._hosts)
 
+    def _are_shares_whole(self) -> bool:
+        """Return whether the hosts together hold all of every account's rate."""
+        shares = [self._status(started)["shares"] for started in self._hosts]
+        return all(
+            sum(each[account] for each in shares) > WHOLE_SHARE
+            for account in sample_accounts(self._plan.stand_ins.seed)
+        )
+
+    def _status(self, started: _StartedHost) -> Any:
+        client = HTTPClient.from_url(started.url)
+        try:
+            return msgspec.json.decode(client.get("/statusz").read())
+        finally:
+            client.close()
+
     def _fill_buckets(self) -> None:
         """Wait until each account has its burst; new hosts start with nothing."""
         accounts = sample_accounts(self._plan.stand_ins.seed).values()
@@ -195,6 +217,16 @@
         )
 
 
+def _with_staffed_zones(plan: LocalPlan) -> FleetPlan:
+    """Return the stand-ins' plan, which says what zones have no entry hosts."""
+    empty_zones = zone_names(plan.stand_ins.zone_count)[plan.entry_host_count :]
+    values = {
+        f"availability_zones/{zone}": {"status": "in", "has_entry_hosts": False}
+        for zone in empty_zones
+    }
+    return plan.stand_ins._replace(values=plan.stand_ins.values | values)
+
+
 def _as_member(started: _StartedHost) -> Member:
     return Member(
         host_id=started.settings.host_id,
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -129,6 +129,14 @@
         """Learn from a host itself that it has retired."""
         self._ledger.note_release(host, self._clock.monotonic_ms())
 
+    @property
+    def zone_share(self) -> float:
+        """Part of every account's rate that this host takes for its zone's.
+
+        It is 0 until the hold-down after a start is over.
+        """
+        return self._ledger.zone_share
+
     def shares(self) -> Mapping[str, float]:
         """Return this host's share of each account's rate, for the status page."""
         now_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -55,7 +55,8 @@
     """What the owner must know of a backend server beforehand.
 
     Attributes:
-        zone: Its availability zone.
+        zone: Availability zone whose entry hosts own it; its own zone, or
+            another one where its own has no entry hosts.
         boot_id: Its boot as the membership list says; empty if unknown.
         is_reporting: Whether it answers with load reports.
     """
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -105,8 +105,8 @@
         settings = {
             "host_id": f"entry-{number}",
             "availability_zone": ZONE,
-            "hold_down_ms": 1_200.0,
-            "lease_ms": 400.0,
+            "hold_down_ms": 2_400.0,
+            "lease_ms": 1_200.0,
             "platform_url": self.platform.ready["url"],
             "log_path": str(self._folder / f"entry-{number}.log"),
         }
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -84,11 +84,15 @@
         for url in self.urls:
             wait_for(lambda url=url: call("GET", f"{url}/readyz").status == 200)
             wait_for(lambda url=url: self.knows_all(url))
+        wait_for(self.is_share_whole)
 
     def knows_all(self, url: str) -> bool:
         members = self.status(url)["members"].values()
         return sum(map(len, members)) == len(self.hosts)
 
+    def is_share_whole(self) -> bool:
+        return sum(self.status(url)["shares"]["carts"] for url in self.urls) > 0.999
+
     def add_host(self, host_id: str, number: int) -> EntryHost:
         settings = EntrySettings(
             host_id=host_id,
@@ -96,8 +100,8 @@
             platform_url=self.platform.url,
             seed=number,
             drain_notice_ms=20.0,
-            hold_down_ms=400.0,
-            lease_ms=300.0,
+            hold_down_ms=2_400.0,
+            lease_ms=1_200.0,
         )
         return build_entry_host(settings, system_clock(), self.events.append)
 
