--- a/src/gypsumfield/status_page.py
+++ b/src/gypsumfield/status_page.py
@@ -5,10 +5,9 @@
 
 import msgspec
 
-from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.control_plane import ControlPlane
 from gypsumfield.directory import BackendDirectory
-from gypsumfield.platform_watch import PlatformWatch
 from gypsumfield.settings import EntrySettings
 
 
@@ -18,8 +17,7 @@
     settings: EntrySettings
     store: ConfigurationStore
     directory: BackendDirectory
-    watch: PlatformWatch
-    clock: Clock
+    plane: ControlPlane
 
 
 class BackendStatus(msgspec.Struct, frozen=True):
@@ -38,20 +36,27 @@
         host_id: This host.
         availability_zone: Zone it stands in.
         configuration_revision: Revision in force.
-        configuration_age_ms: Time since a source last confirmed it.
+        configuration_age_ms: Time since the platform answered this host or a peer
+            it hears; null when it never did.
         rejected_values: Reason by key for published values refused here.
-        member_version: Version of the member list.
-        members: Host ids of the entry hosts.
+        member_version: Version of the platform's member list.
+        members: Live entry hosts by availability zone.
+        is_confirmed: Whether the others of the zone hear this host.
+        owned_backend_servers: Backend servers whose slots this host grants.
+        shares: Part of each account's rate that this host mints.
         backend_servers: All backend servers, with hindrances by service.
     """
 
     host_id: str
     availability_zone: str
     configuration_revision: int
-    configuration_age_ms: float
+    configuration_age_ms: float | None
     rejected_values: Mapping[str, str]
     member_version: int
-    members: tuple[str, ...]
+    members: Mapping[str, tuple[str, ...]]
+    is_confirmed: bool
+    owned_backend_servers: tuple[str, ...]
+    shares: Mapping[str, float]
     backend_servers: tuple[BackendStatus, ...]
 
 
@@ -63,15 +68,28 @@
         host_id=sources.settings.host_id,
         availability_zone=sources.settings.availability_zone,
         configuration_revision=store.revision,
-        configuration_age_ms=sources.clock.monotonic_ms() - sources.watch.confirmed_ms,
+        configuration_age_ms=sources.plane.configuration.platform_age_ms(),
         rejected_values=store.current.rejected,
-        member_version=directory.version,
-        members=tuple(member.host_id for member in directory.entry_hosts()),
+        member_version=sources.plane.member_list.spread.store.revision,
+        members=_members(sources.plane),
+        is_confirmed=sources.plane.is_confirmed,
+        owned_backend_servers=tuple(
+            member.host_id
+            for member in directory.backend_servers()
+            if sources.plane.slots.is_owner(member.host_id)
+        ),
+        shares=sources.plane.quotas.shares(),
         backend_servers=_backend_statuses(directory),
     )
     return msgspec.json.encode(page)
 
 
+def _members(plane: ControlPlane) -> Mapping[str, tuple[str, ...]]:
+    membership = plane.members.membership
+    zones = sorted({news.availability_zone for news in membership.known_news()})
+    return {zone: tuple(sorted(membership.live_hosts(zone))) for zone in zones}
+
+
 def _backend_statuses(directory: BackendDirectory) -> tuple[BackendStatus, ...]:
     return tuple(
         BackendStatus(
