Order engines, learn their limits and retire owners from the running host

Cause: the order service, the learned engine limits and the retirement of an owner were proved alone but ran nowhere. Change: the host runs the order service for the engines it owns; owners plan with the learned memory budget, hold the batch to the target between tokens and learn lengths from answers that other hosts carried; a draining host gives up what it owns as soon as it takes no connections. Ruled out: counting all reported memory beyond the leases' progress as somebody else's, since leases tell their progress up to a third of a lease late.

--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -1,5 +1,6 @@
 """Adapter to model engines: start, resume and cancel generations, read load."""
 
+import uuid
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import TypeVar
@@ -13,6 +14,7 @@
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.backends import refused_by_backend
 from gypsumfield.engine_api import EngineRefusal
+from gypsumfield.engine_api import Inventory
 from gypsumfield.engine_api import Order
 from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.engine_api import StartGeneration
@@ -25,6 +27,7 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 STATUS_OK = 200
 STATUS_CONFLICT = 409
+CONTROL_TIMEOUTS = ExchangeTimeouts(1_000.0, 5_000.0, 5_000.0)
 REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
 
 AnswerT = TypeVar("AnswerT")
@@ -177,6 +180,16 @@
         raise BackendError(f"{target}: {error}", RunVerdict.RAN) from error
 
 
+def read_inventory(address: str) -> Inventory:
+    """Return what the engine at ``address`` holds.
+
+    Raises:
+        BackendError: The engine did not answer, or not in the wanted shape.
+    """
+    request_id = uuid.uuid4().hex
+    return fetch_json(address, "/v1/inventory", Inventory, request_id, CONTROL_TIMEOUTS)
+
+
 def _check_status(exchange: Exchange, status: int) -> None:
     if status == STATUS_OK:
         return
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -1,6 +1,7 @@
 """Composition root: wires one entry host from its settings."""
 
 import random
+import uuid
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -9,6 +10,9 @@
 from gypsumfield.adapters.caller_server import WorkGate
 from gypsumfield.adapters.callers import build_application
 from gypsumfield.adapters.callers import HostPages
+from gypsumfield.adapters.engines import CONTROL_TIMEOUTS
+from gypsumfield.adapters.engines import read_inventory
+from gypsumfield.adapters.engines import send_order
 from gypsumfield.adapters.metrics import emit_to_all
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
@@ -18,6 +22,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
 from gypsumfield.configuration import Profile
+from gypsumfield.control_plane import AdmissionPorts
 from gypsumfield.control_plane import build_control_plane
 from gypsumfield.control_plane import ControlPlane
 from gypsumfield.decisions.admission import make_admission
@@ -32,11 +37,15 @@
 from gypsumfield.engine_watch import EngineWatch
 from gypsumfield.engine_watch import EngineWatchPorts
 from gypsumfield.entry_host import EntryHost
+from gypsumfield.entry_host import Farewell
 from gypsumfield.entry_host import HostIdentity
 from gypsumfield.generations import GenerationPorts
 from gypsumfield.intake import Intake
 from gypsumfield.intake import IntakePorts
 from gypsumfield.jobs import Job
+from gypsumfield.limit_views import owner_zone
+from gypsumfield.order_service import OrderService
+from gypsumfield.order_service import OrderSources
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.platform_api import Member
 from gypsumfield.ports import EmitEvent
@@ -92,8 +101,8 @@
         settings,
         identity,
         server,
-        [choice.plane, _build_engine_watch(base, choice)],
-        choice.plane.members.leave,
+        [choice.plane, _build_engine_watch(base, choice), _build_orders(base, choice)],
+        Farewell(choice.plane.retirement.retire, choice.plane.members.leave),
         pool,
         clock,
         base.emit,
@@ -109,12 +118,18 @@
 
 def _build_choice(base: _Base) -> _Choice:
     lengths = LengthModel()
-    may_admit = make_admission(lengths, lambda name: _profile(base.store, name))
+    admission = AdmissionPorts(
+        may_admit=make_admission(lengths, lambda name: _profile(base.store, name)),
+        read_target_ms=lambda name: _profile(base.store, name).between_tokens_target_ms,
+        learn_length=lambda finished: lengths.record(
+            finished, base.clock.monotonic_ms()
+        ),
+    )
     plane = build_control_plane(
         base.settings,
         base.store,
         PlatformClient(base.settings.platform_url),
-        may_admit,
+        admission,
         base.clock,
         base.emit,
         base.rng,
@@ -168,6 +183,29 @@
     return EngineWatch(base.settings.availability_zone, ports, base.clock, base.rng)
 
 
+def _build_orders(base: _Base, choice: _Choice) -> OrderService:
+    zone = base.settings.availability_zone
+
+    def list_engines() -> list[Member]:
+        engines = _engines(base.store, choice.directory)
+        return [
+            engine
+            for engine in engines
+            if owner_zone(base.store.current, engine.availability_zone) == zone
+        ]
+
+    sources = OrderSources(
+        read_configuration=lambda: base.store.current,
+        list_engines=list_engines,
+        is_owner=choice.plane.slots.may_act_for,
+        read_inventory=read_inventory,
+        send_order=lambda address, order, check: send_order(
+            address, order, uuid.uuid4().hex, CONTROL_TIMEOUTS, check
+        ),
+    )
+    return OrderService(sources, base.clock, base.emit)
+
+
 def _build_serving(base: _Base, choice: _Choice, pool: BackendPool) -> Serving:
     attempts = _attempt_ports(base, choice)
     relay = RelayPorts(
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -3,6 +3,7 @@
 import math
 import random
 import uuid
+from collections.abc import Callable
 from typing import NamedTuple
 
 from gypsumfield.adapters.peers import PeerCredentials
@@ -14,10 +15,12 @@
 from gypsumfield.configuration_spread import ConfigurationSpread
 from gypsumfield.configuration_spread import MemberListSpread
 from gypsumfield.control_loop import ControlLoop
+from gypsumfield.decisions.lengths import FinishedLength
 from gypsumfield.decisions.membership import Membership
 from gypsumfield.decisions.membership import MembershipTimes
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import MayAdmit
+from gypsumfield.decisions.slots import ReadTarget
 from gypsumfield.limit_views import hosts_by_zone
 from gypsumfield.limit_views import owner_zone
 from gypsumfield.limit_views import quota_sources
@@ -26,6 +29,7 @@
 from gypsumfield.messages import MemberNews
 from gypsumfield.ports import EmitEvent
 from gypsumfield.quota_service import QuotaService
+from gypsumfield.retirement import Retirement
 from gypsumfield.settings import EntrySettings
 from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
@@ -36,6 +40,20 @@
 SILENT_AFTER_HEARTBEATS = 3
 
 
+class AdmissionPorts(NamedTuple):
+    """What the owner of an engine admits by.
+
+    Attributes:
+        may_admit: Judges a generation by the predicted memory of its engine.
+        read_target_ms: Returns the target between tokens of a profile.
+        learn_length: Learns from an answer that another host carried.
+    """
+
+    may_admit: MayAdmit
+    read_target_ms: ReadTarget
+    learn_length: Callable[[FinishedLength], None]
+
+
 class ControlPlane(NamedTuple):
     """Everything by which entry hosts act as one fleet.
 
@@ -48,6 +66,7 @@
         member_list: Spread of the platform's member list.
         quotas: Account limits over all entry hosts.
         slots: Slots of backend servers over all entry hosts.
+        retirement: Gives up what this host owns before it stops.
     """
 
     boot_id: str
@@ -58,6 +77,7 @@
     member_list: MemberListSpread
     quotas: QuotaService
     slots: SlotService
+    retirement: Retirement
 
     def start(self) -> None:
         """Begin to talk to the peers."""
@@ -83,7 +103,7 @@
     settings: EntrySettings,
     store: ConfigurationStore,
     platform: PlatformClient,
-    may_admit: MayAdmit,
+    admission: AdmissionPorts,
     clock: Clock,
     emit: EmitEvent,
     rng: random.Random,
@@ -94,7 +114,7 @@
         settings: Settings of the host.
         store: Configuration in force.
         platform: Client of the platform's service.
-        may_admit: Judges a generation by the predicted memory of its engine.
+        admission: What the owner of an engine admits by.
         clock: Time.
         emit: Takes events.
         rng: Source of random choices.
@@ -135,7 +155,9 @@
             read_view=zone_hosts,
             read_hosts=lambda: hosts_by_zone(membership, store.current),
             describe_backend=lambda host_id: _describe(membership, store, host_id),
-            may_admit=may_admit,
+            may_admit=admission.may_admit,
+            read_target_ms=admission.read_target_ms,
+            learn_length=admission.learn_length,
         ),
         emit,
         settings.hold_down_ms,
@@ -147,6 +169,12 @@
     member_list = MemberListSpread(
         platform.fetch_members, loop, members, clock, emit, random=rng
     )
+    retirement = Retirement(
+        loop,
+        clock,
+        lambda: membership.live_hosts(settings.availability_zone),
+        (quotas, slots),
+    )
     return ControlPlane(
         boot_id,
         transport,
@@ -156,6 +184,7 @@
         member_list,
         quotas,
         slots,
+        retirement,
     )
 
 
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -12,6 +12,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from gypsumfield.decisions.engine_limits import EngineSight
+from gypsumfield.decisions.engine_limits import MemoryBudget
+from gypsumfield.decisions.engine_limits import StepTimeModel
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.decisions.workload import RunningGeneration
 from gypsumfield.ports import SlotOutcome
@@ -29,9 +32,15 @@
 RETRY_AFTER_FULL_MS = 100.0
 CLOSED_LEASE_MEMORY_MS = 2 * LEASE_MS
 
+ReadTarget = Callable[[str], float]
 MayAdmit = Callable[[Sequence[RunningGeneration], GenerationDemand, int], bool]
 
 
+def no_target(_profile: str) -> float:
+    """Set no target between tokens."""
+    return math.inf
+
+
 def admit_always(
     _running: Sequence[RunningGeneration],
     _candidate: GenerationDemand,
@@ -51,6 +60,9 @@
         waiting_count: Requests that wait there for memory.
         memory_limit_tokens: Its key-value memory; 0 when it has none.
         taken_at_ms: When it was so, on this host's monotonic clock.
+        memory_used_tokens: Key-value memory in use.
+        preemption_count: Preemptions since its boot.
+        step_time_ms: Duration of its latest decode step.
     """
 
     boot_id: str
@@ -59,6 +71,9 @@
     waiting_count: int
     memory_limit_tokens: int
     taken_at_ms: float
+    memory_used_tokens: int = 0
+    preemption_count: int = 0
+    step_time_ms: float = 0.0
 
     @property
     def request_count(self) -> int:
@@ -103,6 +118,7 @@
             reporting server gets nothing without a recent report.
         warm_limit: Largest number of requests in flight.
         lease_ms: How long a lease lasts unless it is renewed.
+        read_target_ms: Returns the target between tokens of a profile.
     """
 
     def __init__(
@@ -111,7 +127,11 @@
         is_reporting: bool = False,
         warm_limit: int = WARM_LIMIT,
         lease_ms: float = LEASE_MS,
+        read_target_ms: ReadTarget = no_target,
     ) -> None:
+        self._read_target_ms = read_target_ms
+        self._budget = MemoryBudget()
+        self._step_times = StepTimeModel()
         self.limit = COLD_LIMIT
         self.boot_id = ""
         self.is_cold = True
@@ -157,12 +177,17 @@
         expires_at_ms = now_ms + self._lease_ms
         self._grants[lease.lease_id] = _Grant(lease, granted_at_ms, expires_at_ms)
 
-    def give_back(self, lease_id: str, use: SlotUse, now_ms: float) -> None:
-        """Close a lease and learn from its evidence, once."""
+    def give_back(self, lease_id: str, use: SlotUse, now_ms: float) -> HeldLease | None:
+        """Close a lease and learn from its evidence, once.
+
+        Returns:
+            The lease, or None when it was not known any more.
+        """
         self._closed_until_ms[lease_id] = now_ms + CLOSED_LEASE_MEMORY_MS
         grant = self._grants.pop(lease_id, None)
         if grant is not None and grant.lease.boot_id == self.boot_id:
             self._learn(use, grant, now_ms)
+        return None if grant is None else grant.lease
 
     def observe_boot(self, boot_id: str, now_ms: float) -> None:
         """Take in the boot of the server; another one than before is cold."""
@@ -176,6 +201,7 @@
         if self._load is not None and load.taken_at_ms < self._load.taken_at_ms:
             return
         self._load = load
+        self._learn_limits(load, now_ms)
         self.observe_boot(load.boot_id, now_ms)
         if load.is_cold and not self.is_cold:
             self._turn_cold("it says that it is cold", now_ms)
@@ -186,6 +212,24 @@
                 borne_count = min(load.running_count, self._warm_limit)
                 self.limit = max(self.limit, borne_count)
 
+    def _learn_limits(self, load: LoadObservation, now_ms: float) -> None:
+        self._step_times.observe(load.running_count, load.step_time_ms)
+        sight = EngineSight(
+            load.memory_limit_tokens,
+            load.memory_used_tokens,
+            load.preemption_count,
+            load.boot_id,
+        )
+        # Leases tell their progress late. Memory is somebody else's only when
+        # the server runs more than the leases.
+        accounted_tokens = load.memory_used_tokens
+        if load.request_count > len(self._grants):
+            accounted_tokens = sum(
+                grant.lease.demand.prompt_tokens + grant.lease.generated_tokens
+                for grant in self._grants.values()
+            )
+        self._budget.observe(sight, accounted_tokens, now_ms)
+
     def observe_silence(self, now_ms: float) -> None:
         """Take in that the server did not answer: it may be restarting."""
         self._turn_cold("it did not answer", now_ms)
@@ -214,8 +258,14 @@
             return SlotRefusal(
                 "the backend server has not reported its load", RETRY_AFTER_COLD_MS
             )
-        if self.in_flight_count(now_ms) >= self._limit_now(now_ms):
+        in_flight_count = self.in_flight_count(now_ms)
+        if in_flight_count >= self._limit_now(now_ms):
             return self._refuse_full()
+        batch_limit = self._step_times.batch_limit(self._read_target_ms(demand.profile))
+        if batch_limit is not None and in_flight_count >= batch_limit:
+            return SlotRefusal(
+                "one more would pass the target between tokens", RETRY_AFTER_FULL_MS
+            )
         if not self._has_memory_for(demand, now_ms):
             return SlotRefusal(
                 "the memory of the backend server is full", RETRY_AFTER_FULL_MS
@@ -279,7 +329,7 @@
             for grant in self._grants.values()
             if not grant.is_lost(now_ms)
         ]
-        return self._may_admit(running, demand, self._load.memory_limit_tokens)
+        return self._may_admit(running, demand, self._budget.limit_tokens(now_ms))
 
     def _has_report(self, now_ms: float) -> bool:
         load = self._load
--- a/src/gypsumfield/entry_host.py
+++ b/src/gypsumfield/entry_host.py
@@ -19,6 +19,18 @@
 FAREWELL_MS = 50.0
 
 
+class Farewell(NamedTuple):
+    """What the host tells its peers before it stops.
+
+    Attributes:
+        retire: Gives up what the host owns, while its answers still run.
+        leave: Says that the host is gone.
+    """
+
+    retire: Callable[[], None]
+    leave: Callable[[], None]
+
+
 class HostIdentity(NamedTuple):
     """What others reach the host by.
 
@@ -50,14 +62,14 @@
         identity: HostIdentity,
         server: CallerServer,
         watches: Sequence[Watch],
-        leave: Callable[[], None],
+        farewell: Farewell,
         pool: BackendPool,
         clock: Clock,
         emit: EmitEvent,
     ) -> None:
         self.settings = settings
         self.identity = identity
-        self._leave = leave
+        self._farewell = farewell
         self._server = server
         self._watches = watches
         self._pool = pool
@@ -100,10 +112,11 @@
         self.begin_drain()
         self._clock.sleep_ms(self.settings.drain_notice_ms)
         self._server.close()
+        self._farewell.retire()
         started_ms = self._clock.monotonic_ms()
         while self.in_flight_count and not self._is_drain_over(started_ms):
             self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        self._leave()
+        self._farewell.leave()
         self._clock.sleep_ms(FAREWELL_MS)
         return self.stop()
 
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -15,6 +15,7 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.control_loop import ControlLoop
+from gypsumfield.decisions.lengths import FinishedLength
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
 from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import Ownership
@@ -24,6 +25,8 @@
 from gypsumfield.decisions.slots import LEASE_MS
 from gypsumfield.decisions.slots import LoadObservation
 from gypsumfield.decisions.slots import MayAdmit
+from gypsumfield.decisions.slots import no_target
+from gypsumfield.decisions.slots import ReadTarget
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.engine_api import LoadReport
 from gypsumfield.events import BackendTurnedCold
@@ -51,6 +54,10 @@
 LEASES_PER_MESSAGE = 64
 
 
+def _learn_nothing(_finished: FinishedLength) -> None:
+    return None
+
+
 class BackendDescription(NamedTuple):
     """What the owner must know of a backend server beforehand.
 
@@ -74,12 +81,16 @@
         read_hosts: Live entry hosts by zone, to find the owner to ask.
         describe_backend: Describes a backend server; None if it is unknown.
         may_admit: Judges a candidate by predicted memory.
+        read_target_ms: Returns the target between tokens of a profile.
+        learn_length: Learns from an answer that another host carried.
     """
 
     read_view: Callable[[], ZoneView]
     read_hosts: Callable[[], Mapping[str, frozenset[str]]]
     describe_backend: Callable[[str], BackendDescription | None]
     may_admit: MayAdmit
+    read_target_ms: ReadTarget = no_target
+    learn_length: Callable[[FinishedLength], None] = _learn_nothing
 
 
 class _Holding(NamedTuple):
@@ -203,6 +214,9 @@
             waiting_count=report.waiting_count,
             memory_limit_tokens=report.memory_limit_tokens,
             taken_at_ms=requested_at_ms - report.report_age_ms,
+            memory_used_tokens=report.memory_used_tokens,
+            preemption_count=report.preemption_count,
+            step_time_ms=report.step_time_ms,
         )
         was_cold = slots.is_cold
         slots.observe(observation, self._clock.monotonic_ms())
@@ -229,6 +243,11 @@
         """Return whether this host is, or waits to be, the owner."""
         return self._owner_of(backend_server) == self._loop.host_id
 
+    def may_act_for(self, backend_server: str) -> bool:
+        """Return whether this host is the owner now, past every hold-down."""
+        now_ms = self._clock.monotonic_ms()
+        return self._ownership.owns(_resource(backend_server), now_ms)
+
     def free_count(self, backend_server: str) -> int:
         """Return how many slots this owner could grant now, memory aside."""
         slots = self._backends.get(backend_server)
@@ -370,7 +389,10 @@
         outcome = SlotOutcome(message.outcome)
         use = SlotUse(outcome, message.generated_tokens, message.first_token_ms)
         was_cold = slots.is_cold
-        slots.give_back(message.lease_id, use, self._clock.monotonic_ms())
+        now_ms = self._clock.monotonic_ms()
+        lease = slots.give_back(message.lease_id, use, now_ms)
+        if lease is not None and sender != self._loop.host_id:
+            self._learn_length(lease, use)
         self._emit(
             SlotReturned(
                 backend_server=message.backend_server, holder=sender, slot_count=1
@@ -378,6 +400,17 @@
         )
         self._tell_cold(message.backend_server, slots, was_cold)
 
+    def _learn_length(self, lease: HeldLease, use: SlotUse) -> None:
+        if lease.demand.max_tokens == 0 or use.generated_tokens == 0:
+            return
+        is_whole = use.outcome in (SlotOutcome.COMPLETED, SlotOutcome.SLOW)
+        is_cut = use.generated_tokens >= lease.demand.max_tokens
+        self._sources.learn_length(
+            FinishedLength(
+                lease.demand, use.generated_tokens, is_complete=is_whole and not is_cut
+            )
+        )
+
     def _slots_of(self, backend_server: str) -> BackendSlots | None:
         """Return the record of a backend server that this host may come to own."""
         description = self._sources.describe_backend(backend_server)
@@ -389,6 +422,7 @@
                 self._sources.may_admit,
                 description.is_reporting,
                 lease_ms=self._lease_ms,
+                read_target_ms=self._sources.read_target_ms,
             )
             self._backends[backend_server] = slots
         if description.boot_id and not description.is_reporting:
