Ask fewer peers in a flood, and those of the own zone first

Cause: in a flood of 250 requests a second each token was gathered in fractions from all peers. Change: while back-offs grow at most two peers are asked; unknown peers are asked in the order of zones, the own one first.

--- a/src/gypsumfield/decisions/token_pools.py
+++ b/src/gypsumfield/decisions/token_pools.py
@@ -11,6 +11,7 @@
 SILENT_PEER_MS = 1_000.0
 SMALLEST_LOAN_TOKENS = 0.01
 MOST_BACK_OFF_DOUBLINGS = 6
+FLOODED_ASKS = 2
 # Sums of fractions of one token miss the whole by a rounding error.
 ROUNDING_TOKENS = 1e-6
 
@@ -278,11 +279,16 @@
         )
         if now_ms < self._ask_again_ms:
             return BorrowingPlan((), self._ask_again_ms - now_ms)
+        # In a flood the own part is soon whole again; fractions cost messages.
+        is_flooded = self._back_off_doublings > 1
+        most_asks = FLOODED_ASKS if is_flooded else len(levels)
         asks: list[Ask] = []
         missing = missing_tokens
         for level_tokens, peer in levels:
             if missing <= ROUNDING_TOKENS or level_tokens < SMALLEST_LOAN_TOKENS:
                 break
+            if len(asks) >= most_asks:
+                break
             asks.append(Ask(peer, missing, held_tokens, spare_tokens))
             missing -= level_tokens
         if missing <= ROUNDING_TOKENS:
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -152,10 +152,14 @@
     def _peers_of(self, account: str) -> tuple[str, ...]:
         peers = self._peers.get(account)
         if peers is None:
-            holders: set[str] = set()
-            for zone, hosts in self._hosts.items():
-                holders |= holders_of(account, zone, hosts)
-            peers = tuple(sorted(holders - {self._loop.host_id}))
+            # Where nothing is known of the levels, own zone's hosts come first.
+            zones = sorted(self._hosts, key=lambda zone: (zone != self._zone, zone))
+            peers = tuple(
+                host
+                for zone in zones
+                for host in sorted(holders_of(account, zone, self._hosts[zone]))
+                if host != self._loop.host_id
+            )
             self._peers[account] = peers
         return peers
 
