--- a/src/gypsumfield/control_loop.py
+++ b/src/gypsumfield/control_loop.py
@@ -216,6 +216,13 @@
             sent_count=self._traffic.sent_count + 1,
             sent_bytes=self._traffic.sent_bytes + len(frame),
         )
+        self._emit(
+            events.MessageSent(
+                message_id=f"{self.boot_id}-{message_id}",
+                receiver=host_id,
+                kind=type(message).__name__,
+            )
+        )
         return message_id
 
     def _receive(self, frame: bytes, public_key: str) -> None:
@@ -234,6 +241,13 @@
             self._refuse(f"{envelope.sender}: the key is not the one of this host")
             return
         self._boot_ids[envelope.sender] = envelope.boot_id
+        self._emit(
+            events.MessageReceived(
+                message_id=f"{envelope.boot_id}-{envelope.message_id}",
+                sender=envelope.sender,
+                kind=type(message).__name__,
+            )
+        )
         self._dispatch(envelope, message)
 
     def _dispatch(self, envelope: Envelope, message: ControlMessage) -> None:
