Count a dropped host again when the platform is out of reach

Change: on a host that has asked the platform itself, a silent host that the list lacked is a rival again 3.5 s after the last answer (membership, and the fake fleet likewise). In zones of more hosts than watchers the others go by their peers' list and the majority rule, as before.

--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -23,6 +23,7 @@
 
 NEWS_LIMIT = 6
 FORGET_AFTER_MS = 600_000.0
+LIST_LIFETIME_MS = 3_500.0
 _STATE_ORDER = {"live": 0, "silent": 1, "leaving": 2}
 
 
@@ -152,16 +153,18 @@
             if entry.ended_ms is None or now_ms - entry.ended_ms < hold_down_ms
         )
 
-    def possible_hosts(self, zone: str | None = None) -> frozenset[str]:
+    def possible_hosts(self, now_ms: float, zone: str | None = None) -> frozenset[str]:
         """Return the live hosts and the silent ones that may live all the same.
 
-        A silent host may be parted from this one alone. It is surely gone only
-        when the platform's list lacks it.
+        A silent host may be parted from this one alone. It counts as gone only
+        while the platform's list lacks it, and on a host that asks the platform
+        only while that answers: it may come back where a host that is cut off
+        cannot see it.
         """
         return frozenset(
             entry.news.host_id
             for entry in self._in_zone(zone)
-            if entry.news.state == "live" or self._may_be_parted(entry)
+            if entry.news.state == "live" or self._may_be_parted(entry, now_ms)
         )
 
     def members_for_growing(
@@ -185,7 +188,7 @@
         """
         has_platform = self._is_fresh(self._platform_contact_ms, now_ms)
         live_count = len(self.live_hosts(self.availability_zone))
-        known_count = live_count + self._missing_count()
+        known_count = live_count + self._missing_count(now_ms)
         if known_count <= 1:
             return has_platform or not self._seeds
         if 2 * live_count == known_count:
@@ -290,16 +293,21 @@
             if zone is None or entry.news.availability_zone == zone
         ]
 
-    def _missing_count(self) -> int:
+    def _missing_count(self, now_ms: float) -> int:
         """Return how many hosts of the zone are silent and not known as gone."""
         return sum(
-            self._may_be_parted(entry)
+            self._may_be_parted(entry, now_ms)
             for entry in self._in_zone(self.availability_zone)
         )
 
-    def _may_be_parted(self, entry: _Entry) -> bool:
-        is_listed = not self._listed or entry.news.host_id in self._listed
-        return entry.news.state == "silent" and is_listed
+    def _may_be_parted(self, entry: _Entry, now_ms: float) -> bool:
+        if entry.news.state != "silent":
+            return False
+        if not self._listed or entry.news.host_id in self._listed:
+            return True
+        contact_ms = self._platform_contact_ms
+        # A host that never asks the platform itself goes by its peers' list.
+        return contact_ms is not None and now_ms - contact_ms > LIST_LIFETIME_MS
 
     def _is_fresh(self, at_ms: float | None, now_ms: float) -> bool:
         return at_ms is not None and now_ms - at_ms <= self.times.confirmed_within_ms
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -26,6 +26,7 @@
         self.backlog: list[Callable[[], None]] | None = None
         self.heard_ms = {host_id: fleet.network.now_ms}
         self.listed: frozenset[str] = frozenset()
+        self.remembered: set[str] = set()
         self.list_contact_ms = float("-inf")
 
     def run(self, function: Callable[[], None]) -> None:
@@ -113,7 +114,11 @@
             for name in host.heard_ms.keys() - host.listed - {host.host_id}:
                 if now_ms - host.heard_ms[name] >= SILENT_MS:
                     del host.heard_ms[name]
+        host.remembered |= {*host.heard_ms, *host.listed}
         known = {*host.heard_ms, *host.listed}
+        if not has_list:
+            # A host that the list lacked may be back where this one cannot see.
+            known |= host.remembered
         peers = frozenset(name for name in known if zone_of(name) in zones)
         heard = frozenset().union(*(self.heard_hosts(host, zone) for zone in zones))
         are_peers_heard = peers <= heard
--- a/tests/test_limit_views.py
+++ b/tests/test_limit_views.py
@@ -78,6 +78,24 @@
     assert owners[1].owned(network.now_ms) == set(RESOURCES)
 
 
+def test_host_that_returns_while_the_remaining_one_is_cut_off_shares_nothing(pair):
+    network, owners, listed = pair
+    remaining = [owners[1].member.as_listed()]
+    network.part([["a-1"]])
+    assert (
+        run(network, owners, 40_000.0, lambda o: remaining if o is owners[1] else None)
+        == set()
+    )
+    assert owners[1].owned(network.now_ms) == set(RESOURCES)
+    returned = [owners[0].member.as_listed()]
+    network.part([["a-2"]])
+    assert (
+        run(network, owners, 60_000.0, lambda o: returned if o is owners[0] else None)
+        == set()
+    )
+    assert owners[0].owned(network.now_ms) == set(RESOURCES)
+
+
 def test_views_follow_the_configuration():
     network = FakeNetwork(1)
     owner = Owner(network, "a-1")
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -183,6 +183,16 @@
     )
 
 
+def _without_memory(monkeypatch):
+    real = QuotaFleet.view_of
+
+    def view_of(self, host):
+        host.remembered.clear()
+        return real(self, host)
+
+    monkeypatch.setattr(QuotaFleet, "view_of", view_of)
+
+
 def _without_retiring(monkeypatch):
     monkeypatch.setattr(QuotaLedger, "retire", lambda self, now_ms: None)
 
@@ -242,6 +252,14 @@
     fleet.wake_host("a-1")
 
 
+def returning_host(fleet):
+    """A host comes back just when the one that dropped it is cut off."""
+    fleet.network.part([{"a-2"}])
+    fleet.network.advance(1_600.0)
+    fleet.network.part([{"a-1"}])
+    fleet.network.advance(3_300.0)
+
+
 def planned_stop(fleet):
     """A host retires; the others take over before the hold-down."""
     fleet.retire_host("a-1")
@@ -304,6 +322,7 @@
     (short_pause, _without_hold_down),
     (lonely_host, _without_fence),
     (planned_stop, _without_retiring),
+    (returning_host, _without_memory),
     (long_pause, _without_pause_check),
     (third_zone, _without_agreement_on_zones),
     (replaced_hosts, _full_at_start),
