Give the local fleet's engines a real cold start

Cause: the engines of gypsumfield-local were never cold, also not after a restart, so that nothing there showed how cold engines are treated. Change: an engine that restarts is cold for 5 s and refuses more than it bears; the fleet itself begins warm. The member list shows the new boot id late. Conclusion: a restart through the fault route now has the users' cold start.

--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -180,6 +180,10 @@
         for generation in lost:
             generation.lose()
 
+    def end_cold_start(self) -> None:
+        """Bear full load from now on."""
+        self.model.end_cold_start(self.clock.monotonic_ms())
+
     def apply_faults(self, faults: FaultOrder) -> None:
         """Replace the armed faults."""
         self.faults = faults
--- a/src/gypsumfield/standins/engine_model.py
+++ b/src/gypsumfield/standins/engine_model.py
@@ -237,6 +237,12 @@
         """Make the engine cold without a restart."""
         self._cold_until_ms = now_ms + duration_ms
 
+    def end_cold_start(self, now_ms: float) -> None:
+        """Bear full load from now on, and report it at once."""
+        self._cold_until_ms = now_ms
+        self._report = self._take_report(now_ms)
+        self._report_ms = now_ms
+
     def restart(self, now_ms: float) -> None:
         """Boot again: every generation is lost and the boot id changes."""
         self._start(now_ms)
--- a/src/gypsumfield/standins/fleet.py
+++ b/src/gypsumfield/standins/fleet.py
@@ -20,6 +20,9 @@
 from gypsumfield.standins.sample import sample_values
 from gypsumfield.standins.sample import zone_names
 
+# An engine that restarts is cold again for this long.
+COLD_START_MS = 5_000.0
+
 
 class FleetPlan(NamedTuple):
     """Size of the fleet.
@@ -40,7 +43,7 @@
     ledgers_per_zone: int = 1
     seed: int = 0
     platform_port: int = 0
-    engine: EngineModelSettings = EngineModelSettings()
+    engine: EngineModelSettings = EngineModelSettings(cold_duration_ms=COLD_START_MS)
     membership_lag_ms: float = 2_000.0
     values: dict[str, Any] = {}
 
@@ -88,6 +91,9 @@
         self.platform.start()
         for backend in self.backends:
             backend.standin.start()
+            if isinstance(backend.standin, EngineStandin):
+                # The fleet stands for one that has served for a while.
+                backend.standin.end_cold_start()
         self.publish_members()
         self._refresher = gevent.spawn(self._refresh_members)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,6 +5,8 @@
 
 from gypsumfield.standins.engine import EngineStandin
 from gypsumfield.standins.faults import FaultOrder
+from gypsumfield.standins.fleet import FleetPlan
+from gypsumfield.standins.fleet import StandinFleet
 from gypsumfield.standins.plain import PlainStandin
 from gypsumfield.standins.platform import PlatformSettings
 from gypsumfield.standins.platform import PlatformStandin
@@ -206,3 +208,28 @@
     }
     assert runs["request_ids"][:2] == ["r1", "r2"]
     assert "x-request-id" in runs["header_names"]
+
+
+def test_a_fleet_starts_warm_and_a_restarted_engine_is_cold_and_seen_late():
+    fleet = StandinFleet(FleetPlan(zone_count=1, membership_lag_ms=100.0))
+    fleet.start()
+    engine = next(one for one in fleet.backends if one.service == "assistant")
+    try:
+        assert not call("GET", f"{engine.standin.url}/v1/load").json["is_cold"]
+        call("PUT", f"{engine.standin.url}/standin/faults", {"is_restart": True})
+        gevent.sleep(0)
+        assert call("GET", f"{engine.standin.url}/v1/load").json["is_cold"]
+        boot_id = engine.standin.boot_id
+        while (
+            boot_id not in call("GET", f"{fleet.platform.url}/v1/members").body.decode()
+        ):
+            gevent.sleep(0.01)
+        url = f"{engine.standin.url}/v1/generations"
+        for name in ("a", "b"):
+            gevent.spawn(call, "POST", url, start_body(name, 500))
+        while len(engine.standin.runs) < 2:
+            gevent.sleep(0.01)
+        refused = call("POST", url, start_body("c", 1))
+        assert (refused.status, refused.json["error"]["code"]) == (503, "engine_cold")
+    finally:
+        fleet.stop()
