Say on the status page why an account was refused last

Cause: the page could not answer why an account was refused last. Change: a bounded memory of the last refusal of each account, fed by the events, shown on the status page.

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -39,6 +39,7 @@
 from gypsumfield.entry_host import EntryHost
 from gypsumfield.entry_host import Farewell
 from gypsumfield.entry_host import HostIdentity
+from gypsumfield.events import Event
 from gypsumfield.generations import GenerationPorts
 from gypsumfield.intake import Intake
 from gypsumfield.intake import IntakePorts
@@ -49,6 +50,7 @@
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.platform_api import Member
 from gypsumfield.ports import EmitEvent
+from gypsumfield.refusal_memory import RefusalMemory
 from gypsumfield.relay import RelayPorts
 from gypsumfield.serving import Serving
 from gypsumfield.serving import ServingPorts
@@ -65,6 +67,7 @@
     rng: random.Random
     store: ConfigurationStore
     metrics: Metrics
+    refusals: RefusalMemory
     emit: EmitEvent
 
 
@@ -112,8 +115,14 @@
 def _build_base(settings: EntrySettings, clock: Clock, log_event: EmitEvent) -> _Base:
     store = ConfigurationStore()
     metrics = Metrics(lambda service: _profile_name(store, service))
-    emit = emit_to_all(log_event, metrics.observe_event)
-    return _Base(settings, clock, random.Random(settings.seed), store, metrics, emit)
+    refusals = RefusalMemory()
+
+    def remember_refusal(event: Event) -> None:
+        refusals.observe(event, clock.monotonic_ms())
+
+    emit = emit_to_all(log_event, metrics.observe_event, remember_refusal)
+    rng = random.Random(settings.seed)
+    return _Base(settings, clock, rng, store, metrics, refusals, emit)
 
 
 def _build_choice(base: _Base) -> _Choice:
@@ -263,7 +272,13 @@
 
 
 def _build_server(base: _Base, choice: _Choice, serving: Serving) -> CallerServer:
-    sources = StatusSources(base.settings, base.store, choice.directory, choice.plane)
+    sources = StatusSources(
+        base.settings,
+        base.store,
+        choice.directory,
+        choice.plane,
+        lambda: base.refusals.last_refusals(base.clock.monotonic_ms()),
+    )
 
     def read_state() -> HostState:
         return HostState(
--- a/src/gypsumfield/status_page.py
+++ b/src/gypsumfield/status_page.py
@@ -1,5 +1,6 @@
 """Status page of an entry host: what is in force, known and used, and why."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 from gypsumfield.configuration import ConfigurationStore
 from gypsumfield.control_plane import ControlPlane
 from gypsumfield.directory import BackendDirectory
+from gypsumfield.refusal_memory import LastRefusal
 from gypsumfield.settings import EntrySettings
 
 
@@ -18,6 +20,7 @@
     store: ConfigurationStore
     directory: BackendDirectory
     plane: ControlPlane
+    last_refusals: Callable[[], Mapping[str, LastRefusal]]
 
 
 class BackendStatus(msgspec.Struct, frozen=True):
@@ -44,6 +47,7 @@
         is_confirmed: Whether the others of the zone hear this host.
         owned_backend_servers: Backend servers whose slots this host grants.
         shares: Part of each account's rate that this host mints.
+        last_refusals: Why an account was refused last, by account.
         backend_servers: All backend servers, with hindrances by service.
     """
 
@@ -57,6 +61,7 @@
     is_confirmed: bool
     owned_backend_servers: tuple[str, ...]
     shares: Mapping[str, float]
+    last_refusals: Mapping[str, LastRefusal]
     backend_servers: tuple[BackendStatus, ...]
 
 
@@ -79,6 +84,7 @@
             if sources.plane.slots.is_owner(member.host_id)
         ),
         shares=sources.plane.quotas.shares(),
+        last_refusals=sources.last_refusals(),
         backend_servers=_backend_statuses(directory),
     )
     return msgspec.json.encode(page)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -198,3 +198,18 @@
     fleet.publish_and_wait("cursor_keys/a", {"secret": secret, "is_current": True})
     assert events[-1].data == "[DONE]"
     assert {event.cursor for event in events} == {""}
+
+
+def test_the_status_page_says_why_an_account_was_refused_last(fleet):
+    url = f"{fleet.urls[0]}/services/ledger/sales"
+    key_in_body = {"cart": "c1", "amount": 1, "key": "carts-key-0001"}
+    refused = call("POST", url, key_in_body, bearer())
+    assert refused.status == 400
+    fleet.publish_and_wait("availability_zones/manta", {"status": "out"})
+    fleet.publish_and_wait("availability_zones/salinas", {"status": "out"})
+    sale = call("POST", url, {"cart": "c1", "amount": 1}, bearer())
+    for zone in ("manta", "salinas"):
+        fleet.publish_and_wait(f"availability_zones/{zone}", {"status": "in"})
+    last = fleet.status(fleet.urls[0])["last_refusals"]["carts"]
+    assert last["request_id"] == sale.json["error"]["request_id"]
+    assert (last["code"], last["verdict"]) == ("no_backend_server", "not-run")
