Heed an engine that says it is leaving

Cause: an engine that is reclaimed at short notice was known to leave only when the platform's lagging list said so. Change: the refusal code engine_leaving is an engine's own word; the host that hears it reports it, and the peers hear it with the next heartbeats.

--- a/src/gypsumfield/attempts.py
+++ b/src/gypsumfield/attempts.py
@@ -14,6 +14,7 @@
 from gypsumfield.dispatch import Dispatcher
 from gypsumfield.dispatch import Placement
 from gypsumfield.dispatch import UNUSED
+from gypsumfield.engine_api import LEAVING_CODE
 from gypsumfield.events import AttemptFailed
 from gypsumfield.events import RequestRetried
 from gypsumfield.events import RequestSent
@@ -56,6 +57,7 @@
         find_hindrance: Says why a placement must not be used any more, or
             returns an empty text.
         budgets: Returns the retry budget of a service.
+        note_leaving: Called with a backend server that says it is leaving.
         emit: Event log.
     """
 
@@ -64,6 +66,7 @@
     dispatcher: Dispatcher
     find_hindrance: Callable[[Job, Placement], str]
     budgets: Callable[[str], RetryBudget]
+    note_leaving: Callable[[Member], None]
     emit: EmitEvent
 
 
@@ -133,6 +136,8 @@
     try:
         return perform(attempt)
     except BackendError as error:
+        if error.code == LEAVING_CODE:
+            ports.note_leaving(attempt.backend)
         use = SlotUse(outcome_of(error))
         ports.dispatcher.release(job, attempt.placement, use)
         ports.emit(
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -261,12 +261,18 @@
             return "the lease has run out"
         return choice.directory.find_hindrance(job.service_name, placement.backend)
 
+    def note_leaving(backend: Member) -> None:
+        backends = choice.plane.members.membership.backends
+        boot_id = backends.boot_id_of(backend.host_id)
+        backends.report(backend.host_id, boot_id, "leaving")
+
     return AttemptPorts(
         clock=base.clock,
         configuration=lambda: base.store.current,
         dispatcher=choice.dispatcher,
         find_hindrance=find_hindrance,
         budgets=budgets.__getitem__,
+        note_leaving=note_leaving,
         emit=base.emit,
     )
 
--- a/src/gypsumfield/engine_api.py
+++ b/src/gypsumfield/engine_api.py
@@ -16,7 +16,8 @@
 - ``GET /v1/inventory`` answers `Inventory`, to read back what an order did.
 
 A refusal is an `EngineRefusal` with status 400, 429 or 503: the generation has
-not run. Every answer echoes the ``X-Request-Id`` header of its request.
+not run; the code ``engine_leaving`` says that it takes no new work before it
+goes. Every answer echoes the ``X-Request-Id`` header of its request.
 """
 
 from typing import Literal
@@ -24,6 +25,7 @@
 import msgspec
 
 REQUEST_ID_HEADER = "X-Request-Id"
+LEAVING_CODE = "engine_leaving"
 
 FinishReason = Literal["stop", "length", "cancelled"]
 OrderKind = Literal["load_model", "unload_model", "load_adapter", "set_role"]
--- a/src/gypsumfield/standins/engine.py
+++ b/src/gypsumfield/standins/engine.py
@@ -18,6 +18,7 @@
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.clock import system_clock
 from gypsumfield.engine_api import FinishReason
+from gypsumfield.engine_api import LEAVING_CODE
 from gypsumfield.engine_api import Order
 from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.engine_api import StartGeneration
@@ -214,6 +215,8 @@
         return None
 
     def _submit(self, start: StartGeneration) -> str | None:
+        if self.faults.is_leaving:
+            return LEAVING_CODE
         if start.model not in self.models:
             return "unknown_model"
         if start.max_tokens < 1:
--- a/src/gypsumfield/standins/engine_routes.py
+++ b/src/gypsumfield/standins/engine_routes.py
@@ -13,6 +13,7 @@
 from gypsumfield.engine_api import EngineError
 from gypsumfield.engine_api import EngineRefusal
 from gypsumfield.engine_api import Inventory
+from gypsumfield.engine_api import LEAVING_CODE
 from gypsumfield.engine_api import Order
 from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.engine_api import StartGeneration
@@ -26,6 +27,7 @@
     from gypsumfield.standins.engine import EngineStandin
 
 _STATUS_BY_CODE = {
+    LEAVING_CODE: 503,
     "engine_cold": 503,
     "engine_full": 429,
     "prompt_too_long": 400,
--- a/src/gypsumfield/standins/faults.py
+++ b/src/gypsumfield/standins/faults.py
@@ -62,6 +62,7 @@
         cold_ms: Turns an engine cold for so long.
         is_restart: Restarts an engine: it loses all and gets a new boot id.
         are_orders_fenced: Whether an engine refuses old fencing numbers.
+        is_leaving: Whether an engine refuses new work because it is leaving.
         is_decoding_paused: Whether an engine decodes nothing.
         duplicate_event_count: Next token events that are sent twice.
         gap_event_count: Next token events that are left out.
@@ -76,6 +77,7 @@
     cold_ms: float = 0.0
     is_restart: bool = False
     are_orders_fenced: bool | None = None
+    is_leaving: bool = False
     is_decoding_paused: bool = False
     duplicate_event_count: int = 0
     gap_event_count: int = 0
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -203,3 +203,24 @@
     for key in (KEY, OTHER_KEY):
         assert key not in logged
         assert key.encode() not in told
+
+
+def test_what_an_engine_says_of_its_leaving_is_heard_by_all_hosts():
+    with small_fleet(entry_count=2) as fleet:
+        leaving = fleet.engines[0]
+        wait_for(lambda: complete(fleet.urls[0], "warm [tokens=2]").status == 200)
+        call("PUT", f"{leaving.url}/standin/faults", {"is_leaving": True})
+        answer = complete(fleet.urls[0], "moves [tokens=2]")
+        assert answer.status == 200
+        for url in fleet.urls:
+            wait_for(lambda url=url: hindrance_of(fleet, url, "engine-0") != {})
+        refused = fleet.runs(leaving)["refused_count"]
+        assert refused == 1
+        for url in fleet.urls:
+            assert complete(url, "elsewhere [tokens=2]").status == 200
+        assert fleet.runs(leaving)["refused_count"] == refused
+
+
+def hindrance_of(fleet, url: str, host_id: str) -> dict[str, str]:
+    servers = fleet.status(url)["backend_servers"]
+    return next(one["hindrances"] for one in servers if one["host_id"] == host_id)
