Pass on what ends at once, and take over from cut-off watchers sooner

Change: news of an end goes out at once to three peers, at most every 100 ms; watch 1 s and takeover after 4 s instead of 2 s and 6 s; entry hosts' news is repeated a third as often; a heartbeat to another zone every second round instead of every third.

--- a/bench/spread_times.py
+++ b/bench/spread_times.py
@@ -120,6 +120,7 @@
     network, fleet, _ = start(seed, zones, hosts)
     first = next(iter(fleet.values()))
     first.membership.backends.report(ENGINE, "b1", "leaving")
+    first.send_urgent()
     return wait_until(
         network,
         lambda: not any(host.membership.backends.live() for host in fleet.values()),
--- a/src/gypsumfield/decisions/backend_membership.py
+++ b/src/gypsumfield/decisions/backend_membership.py
@@ -30,10 +30,16 @@
 
     News of a boot that is leaving holds until another boot is heard of; the
     platform's list cannot take it back for the same boot.
+
+    Attributes:
+        own_zone: Zone of the entry host.
+        has_urgent_news: Whether peers must hear of something at once.
+        rumours: News that is still to be passed on.
     """
 
     def __init__(self, own_zone: str) -> None:
         self.own_zone = own_zone
+        self.has_urgent_news = False
         self.rumours: RumourQueue[str, BackendNews] = RumourQueue()
         self._listed: dict[str, Member] = {}
         self._news: dict[str, BackendNews] = {}
@@ -65,6 +71,7 @@
             ended.add(known.boot_id)
         if news.state == "leaving":
             ended.add(news.boot_id)
+            self.has_urgent_news = True
         self._news[news.host_id] = news
         self.rumours.add(news.host_id, news)
 
--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -1,7 +1,7 @@
 """Membership of entry hosts: the platform's lagging list and direct heartbeats.
 
 Each host sends heartbeats to its two neighbours on a ring of its zone, to one
-random host of the zone and now and then to one of another zone. Neighbours
+random host of the zone and every second round to one of another zone. Neighbours
 report a silent host; reports travel with the heartbeats. A host that hears of
 its own silence refutes it with a higher incarnation.
 """
@@ -22,6 +22,9 @@
 from gypsumfield.platform_api import Member
 
 NEWS_LIMIT = 6
+BACKEND_REPEAT_FACTOR = 3
+URGENT_TARGETS = 3
+URGENT_INTERVAL_MS = 100.0
 FORGET_AFTER_MS = 600_000.0
 _STATE_ORDER = {"live": 0, "silent": 1, "leaving": 2}
 
@@ -44,7 +47,7 @@
     first_heard_within_ms: float = 2_500.0
     hold_down_ms: float = 10_000.0
     confirmed_within_ms: float = 3_500.0
-    cross_zone_every: int = 3
+    cross_zone_every: int = 2
     view_request_interval_ms: float = 2_000.0
 
 
@@ -116,6 +119,8 @@
         self._told_to_leave: dict[str, str] = {}
         self._round = 0
         self._position = SpreadPosition()
+        self._is_urgent = False
+        self._urgent_at_ms = float("-inf")
         self._heard_by_peer_ms: float | None = None
         self._platform_contact_ms: float | None = None
         self._view_requested_ms = float("-inf")
@@ -267,6 +272,26 @@
             for host_id in self._choose_targets(random)
         ]
 
+    def send_urgent(self, now_ms: float, random: Random) -> list[Outgoing]:
+        """Return heartbeats with news that must not wait for the next round.
+
+        To be called after whatever may have brought news. A host that ended and
+        a backend server that leaves are urgent; a storm of them is bounded.
+        """
+        is_urgent = self._is_urgent or self.backends.has_urgent_news
+        if not is_urgent or now_ms - self._urgent_at_ms < URGENT_INTERVAL_MS:
+            return []
+        self._is_urgent = self.backends.has_urgent_news = False
+        self._urgent_at_ms = now_ms
+        hosts = sorted(self.live_hosts() - {self.host_id})
+        near = sorted(self.live_hosts(self.availability_zone) - {self.host_id})
+        targets = random.sample(near, min(len(near), URGENT_TARGETS - 1))
+        targets += random.sample(hosts, min(len(hosts), 1))
+        return [
+            Outgoing(host_id, self._heartbeat(host_id, now_ms, self._position))
+            for host_id in dict.fromkeys(targets)
+        ]
+
     def leave(self, now_ms: float) -> None:
         """Tell all others that this host takes no new work."""
         self._announce(self.self_news.incarnation + 1, "leaving", now_ms)
@@ -348,6 +373,8 @@
         elif entry.news.boot_id != news.boot_id:
             entry.joined_ms = now_ms
             entry.heard_ms = entry.watched_since_ms = None
+        if news.state != "live" and entry.ended_ms is None:
+            self._is_urgent = True
         self._note_end(entry, news, now_ms)
         if not news.control_public_key:
             key = entry.news.control_public_key
@@ -490,7 +517,10 @@
             platform_age_ms=position.platform_age_ms,
             view_digest=self._view_digest(self.availability_zone),
             news=tuple(self._rumours.take(NEWS_LIMIT, repeats)),
-            backend_news=tuple(self.backends.rumours.take(NEWS_LIMIT, repeats)),
+            # No digest repairs what is missed of these.
+            backend_news=tuple(
+                self.backends.rumours.take(NEWS_LIMIT, BACKEND_REPEAT_FACTOR * repeats)
+            ),
         )
 
 
@@ -536,5 +566,5 @@
 
 
 def _repeat_count(host_count: int) -> int:
-    """Return how often news is passed on so that every host hears of it."""
-    return 3 * max(1, host_count.bit_length())
+    """Return how often news is passed on; digests repair what is missed."""
+    return max(1, host_count.bit_length())
--- a/src/gypsumfield/decisions/spread.py
+++ b/src/gypsumfield/decisions/spread.py
@@ -38,11 +38,11 @@
 
     watcher_count: int = 3
     fan_out: int = 4
-    watch_wait_ms: float = 2_000.0
+    watch_wait_ms: float = 1_000.0
     pull_delay_ms: float = 200.0
     pull_retry_ms: float = 1_000.0
-    takeover_after_ms: float = 6_000.0
-    takeover_step_ms: float = 200.0
+    takeover_after_ms: float = 4_000.0
+    takeover_step_ms: float = 100.0
     staging_limit_ms: float = 1_000.0
 
 
--- a/src/gypsumfield/membership_service.py
+++ b/src/gypsumfield/membership_service.py
@@ -9,6 +9,7 @@
 from gypsumfield.decisions.membership import Membership
 from gypsumfield.decisions.membership import Outgoing
 from gypsumfield.decisions.membership import SpreadPosition
+from gypsumfield.decisions.membership import URGENT_INTERVAL_MS
 from gypsumfield.messages import ControlMessage
 from gypsumfield.messages import Heartbeat
 from gypsumfield.messages import ViewAnswer
@@ -60,6 +61,7 @@
         control_loop.register(Heartbeat, self._take_heartbeat)
         control_loop.register(ViewRequest, self._answer_view)
         control_loop.register(ViewAnswer, self._take_view)
+        control_loop.add_tick(URGENT_INTERVAL_MS, self._send_urgent)
         control_loop.add_tick(membership.times.heartbeat_interval_ms, self._tick)
         control_loop.on_pause(self._rejoin)
 
@@ -92,6 +94,7 @@
         outgoing = self.membership.take_heartbeat(heartbeat, self._loop.now_ms())
         self._update_directory()
         self._send_all(outgoing)
+        self._send_urgent(self._loop.now_ms())
         position = SpreadPosition(
             heartbeat.configuration_revision,
             heartbeat.members_version,
@@ -115,6 +118,9 @@
         self._update_directory()
         self._send_all(outgoing)
 
+    def _send_urgent(self, now_ms: float) -> None:
+        self._send_all(self.membership.send_urgent(now_ms, self._random))
+
     def _rejoin(self, _pause_ms: float) -> None:
         self.membership.rejoin(self._loop.now_ms())
 
--- a/tests/fake_members.py
+++ b/tests/fake_members.py
@@ -93,6 +93,12 @@
         elif isinstance(message, ViewAnswer):
             self.membership.take_view(message, now_ms)
         self.take(sender, message)
+        self.send_urgent()
+
+    def send_urgent(self):
+        now_ms = self.network.now_ms
+        for outgoing in self.membership.send_urgent(now_ms, self.random):
+            self.network.send(self.host_id, *outgoing)
 
     def _tick(self):
         if not self.is_up:
@@ -104,3 +110,4 @@
             outgoing = self.membership.tick(now_ms, self.random, self.position())
             for host_id, message in outgoing:
                 self.network.send(self.host_id, host_id, message)
+            self.send_urgent()
