--- a/src/gypsumfield/decisions/spread.py
+++ b/src/gypsumfield/decisions/spread.py
@@ -119,7 +119,9 @@
         self.store = store
         self.times = times
         self._is_answer_whole = is_answer_whole
-        self._topic = f"watch {channel} {availability_zone}"
+        # The same hosts watch all channels, since one age of the platform's
+        # latest answer stands for all of them.
+        self._topic = f"watch {availability_zone}"
         self._staging: _Staging | None = None
         self._platform_answer_ms: float | None = None
         self._ahead: tuple[str, int] | None = None
