--- a/src/gypsumfield/commands/entry.py
+++ b/src/gypsumfield/commands/entry.py
@@ -17,7 +17,7 @@
 from gypsumfield.clock import system_clock  # noqa: E402
 from gypsumfield.commands.program import run_program  # noqa: E402
 from gypsumfield.composition import build_entry_host  # noqa: E402
-from gypsumfield.composition import EntryHost  # noqa: E402
+from gypsumfield.entry_host import EntryHost  # noqa: E402
 from gypsumfield.exceptions import GypsumfieldError  # noqa: E402
 from gypsumfield.settings import EntrySettings  # noqa: E402
 from gypsumfield.settings import read_settings  # noqa: E402
@@ -34,7 +34,8 @@
     host_id: str
     availability_zone: str
     url: str
-    control_address: str = ""
+    boot_id: str
+    control_address: str
 
 
 class EntryCommand(Command):
@@ -79,7 +80,14 @@
 
 def print_ready(host: EntryHost, url: str) -> None:
     """Print the ready line of one host."""
-    line = ReadyLine(True, host.settings.host_id, host.settings.availability_zone, url)
+    line = ReadyLine(
+        ready=True,
+        host_id=host.settings.host_id,
+        availability_zone=host.settings.availability_zone,
+        url=url,
+        boot_id=host.identity.boot_id,
+        control_address=host.identity.control_address,
+    )
     sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
     sys.stdout.flush()
 
