--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -1,5 +1,6 @@
 """Adapter to model engines: start, resume and cancel generations, read load."""
 
+import uuid
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import TypeVar
@@ -13,6 +14,7 @@
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.backends import refused_by_backend
 from gypsumfield.engine_api import EngineRefusal
+from gypsumfield.engine_api import Inventory
 from gypsumfield.engine_api import Order
 from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.engine_api import StartGeneration
@@ -25,6 +27,9 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 STATUS_OK = 200
 STATUS_CONFLICT = 409
+ORDER_TIMEOUTS = ExchangeTimeouts(
+    connect_ms=1_000.0, answer_ms=10_000.0, silence_ms=1_000.0
+)
 REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
 
 AnswerT = TypeVar("AnswerT")
@@ -199,12 +204,18 @@
     return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN, code)
 
 
+def read_inventory(address: str) -> Inventory:
+    """Return what the engine at ``address`` holds.
+
+    Raises:
+        BackendError: The engine did not answer.
+    """
+    request_id = uuid.uuid4().hex
+    return fetch_json(address, "/v1/inventory", Inventory, request_id, ORDER_TIMEOUTS)
+
+
 def send_order(
-    address: str,
-    order: Order,
-    request_id: str,
-    timeouts: ExchangeTimeouts,
-    check_before_send: Callable[[], str],
+    address: str, order: Order, check_before_send: Callable[[], str]
 ) -> OrderOutcome:
     """Give an engine an order, unless ``check_before_send`` names a reason not to.
 
@@ -218,9 +229,9 @@
         target="/v1/orders",
         headers=JSON_HEADERS,
         body=msgspec.json.encode(order),
-        request_id=request_id,
+        request_id=uuid.uuid4().hex,
     )
-    exchange = Exchange(request, timeouts, AbortHandle())
+    exchange = Exchange(request, ORDER_TIMEOUTS, AbortHandle())
     status = exchange.open(check_before_send)
     try:
         body = exchange.read_body(ANSWER_LIMIT_BYTES)
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -9,6 +9,8 @@
 from gypsumfield.adapters.caller_server import WorkGate
 from gypsumfield.adapters.callers import build_application
 from gypsumfield.adapters.callers import HostPages
+from gypsumfield.adapters.engines import read_inventory
+from gypsumfield.adapters.engines import send_order
 from gypsumfield.adapters.metrics import emit_to_all
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
@@ -37,6 +39,9 @@
 from gypsumfield.intake import Intake
 from gypsumfield.intake import IntakePorts
 from gypsumfield.jobs import Job
+from gypsumfield.limit_views import owner_zone
+from gypsumfield.order_service import OrderService
+from gypsumfield.order_service import OrderSources
 from gypsumfield.plain_calls import PlainPorts
 from gypsumfield.platform_api import Member
 from gypsumfield.ports import EmitEvent
@@ -92,7 +97,11 @@
         settings,
         identity,
         server,
-        [choice.plane, _build_engine_watch(base, choice)],
+        [
+            choice.plane,
+            _build_engine_watch(base, choice),
+            _build_order_service(base, choice),
+        ],
         choice.plane.members.leave,
         pool,
         clock,
@@ -168,6 +177,28 @@
     return EngineWatch(base.settings.availability_zone, ports, base.clock, base.rng)
 
 
+def _build_order_service(base: _Base, choice: _Choice) -> OrderService:
+    backends = choice.plane.members.membership.backends
+    zone = base.settings.availability_zone
+
+    def list_engines() -> list[Member]:
+        return [
+            member
+            for member in _engines(base.store, choice.directory)
+            if owner_zone(base.store.current, member.availability_zone) == zone
+            and not backends.is_leaving(member)
+        ]
+
+    sources = OrderSources(
+        read_configuration=lambda: base.store.current,
+        list_engines=list_engines,
+        is_owner=choice.plane.slots.is_owner,
+        read_inventory=read_inventory,
+        send_order=send_order,
+    )
+    return OrderService(sources, base.clock, base.emit)
+
+
 def _build_serving(base: _Base, choice: _Choice, pool: BackendPool) -> Serving:
     attempts = _attempt_ports(base, choice)
     relay = RelayPorts(
--- a/src/gypsumfield/decisions/orders.py
+++ b/src/gypsumfield/decisions/orders.py
@@ -94,6 +94,15 @@
     return _next_unload(target, others, used_models, revision)
 
 
+def is_settled(engine: ObservedEngine) -> bool:
+    """Return whether an engine holds what it shall and nothing else."""
+    wanted_names = {model.model for model in engine.wanted}
+    return wanted_names == engine.models.keys() and all(
+        _holds(engine, model) and set(model.adapters) <= set(engine.adapters)
+        for model in engine.wanted
+    )
+
+
 def _holds(engine: ObservedEngine, wanted: WantedModel) -> bool:
     version = engine.models.get(wanted.model)
     return version is not None and wanted.version in ("", version)
--- a/src/gypsumfield/order_service.py
+++ b/src/gypsumfield/order_service.py
@@ -11,6 +11,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.configuration import Configuration
+from gypsumfield.decisions.orders import is_settled
 from gypsumfield.decisions.orders import next_order
 from gypsumfield.decisions.orders import ObservedEngine
 from gypsumfield.decisions.orders import wanted_models
@@ -21,7 +22,7 @@
 from gypsumfield.platform_api import Member
 from gypsumfield.ports import EmitEvent
 
-ROUND_INTERVAL_MS = 2_000.0
+ROUND_INTERVAL_MS = 5_000.0
 LOAD_INTERVAL_MS = 1_000.0
 FAILURE_PAUSE_MS = 5_000.0
 # A load takes its time, during which the inventory does not show it yet.
@@ -88,16 +89,26 @@
             for member in self._sources.list_engines()
             if wanted_models(configuration.services, member.services)
         }
-        owned = [name for name in members if self._sources.is_owner(name)]
         self._forget(members.keys())
-        if not owned:
-            return 0
-        engines = self._observe(members, configuration)
-        order_count = 0
-        for name in owned:
-            if name in engines and self._order(members[name], engines, configuration):
-                order_count += 1
-        return order_count
+        owned = {
+            name: member
+            for name, member in members.items()
+            if self._sources.is_owner(name)
+        }
+        engines = self._observe(owned, configuration)
+        unsettled = {
+            name: engine for name, engine in engines.items() if not is_settled(engine)
+        }
+        # Whether an engine may drop a copy depends on what the others hold now;
+        # they are read only when something is to be done.
+        concerned = _concerned(members, unsettled, configuration)
+        engines |= self._observe(
+            {name: concerned[name] for name in concerned.keys() - engines.keys()},
+            configuration,
+        )
+        return sum(
+            self._order(members[name], engines, configuration) for name in unsettled
+        )
 
     def _run(self) -> None:
         while True:
@@ -119,8 +130,6 @@
     def _observe(
         self, members: dict[str, Member], configuration: Configuration
     ) -> dict[str, ObservedEngine]:
-        # Each host reads all engines of its zone: whether an engine may drop a
-        # copy depends on what the others hold now.
         pool = Pool(READERS)
         found = pool.map(self._read, list(members.values()))
         return {
@@ -220,3 +229,21 @@
             pause_ms = max(pause_ms, error.retry_after_ms)
         self._retry_at_ms[name] = self._clock.monotonic_ms() + pause_ms
         self._emit(events.OrderFailed(backend_server=name, reason=reason))
+
+
+def _concerned(
+    members: dict[str, Member],
+    unsettled: dict[str, ObservedEngine],
+    configuration: Configuration,
+) -> dict[str, Member]:
+    """Return the engines that share a model with one that is to be changed."""
+    models = {model.model for engine in unsettled.values() for model in engine.wanted}
+    models.update(*(engine.models for engine in unsettled.values()))
+    return {
+        name: member
+        for name, member in members.items()
+        if any(
+            model.model in models
+            for model in wanted_models(configuration.services, member.services)
+        )
+    }
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,8 +6,7 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
-from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.engines import fetch_json
+from gypsumfield.adapters.engines import read_inventory
 from gypsumfield.adapters.engines import send_order
 from gypsumfield.clock import ManualClock
 from gypsumfield.configuration import EMPTY_CONFIGURATION
@@ -311,15 +310,10 @@
 
 def test_order_reaches_a_real_engine_and_an_old_one_is_refused(engine_standin):
     address = engine_standin.url.removeprefix("http://")
-    timeouts = ExchangeTimeouts(5_000.0, 5_000.0, 5_000.0)
     order = Order("load_model", "tags", "2", 9)
-    outcome = send_order(address, order, "r1", timeouts, lambda: "")
-    assert outcome == OrderOutcome(True, 9)
+    assert send_order(address, order, lambda: "") == OrderOutcome(True, 9)
     old = Order("load_model", "tags", "1", 8)
-    assert send_order(address, old, "r2", timeouts, lambda: "") == OrderOutcome(
-        False, 9
-    )
+    assert send_order(address, old, lambda: "") == OrderOutcome(False, 9)
     with pytest.raises(BackendError, match="no longer"):
-        send_order(address, order, "r3", timeouts, lambda: "no longer")
-    inventory = fetch_json(address, "/v1/inventory", Inventory, "r4", timeouts)
-    assert inventory.models["tags"] == "2"
+        send_order(address, order, lambda: "no longer")
+    assert read_inventory(address).models["tags"] == "2"
