--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -27,9 +27,7 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 STATUS_OK = 200
 STATUS_CONFLICT = 409
-ORDER_TIMEOUTS = ExchangeTimeouts(
-    connect_ms=1_000.0, answer_ms=10_000.0, silence_ms=1_000.0
-)
+CONTROL_TIMEOUTS = ExchangeTimeouts(1_000.0, 5_000.0, 5_000.0)
 REFUSAL_STATUSES = frozenset({400, 409, 429, 503})
 
 AnswerT = TypeVar("AnswerT")
@@ -182,6 +180,16 @@
         raise BackendError(f"{target}: {error}", RunVerdict.RAN) from error
 
 
+def read_inventory(address: str) -> Inventory:
+    """Return what the engine at ``address`` holds.
+
+    Raises:
+        BackendError: The engine did not answer, or not in the wanted shape.
+    """
+    request_id = uuid.uuid4().hex
+    return fetch_json(address, "/v1/inventory", Inventory, request_id, CONTROL_TIMEOUTS)
+
+
 def _check_status(exchange: Exchange, status: int) -> None:
     if status == STATUS_OK:
         return
@@ -204,18 +212,12 @@
     return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN, code)
 
 
-def read_inventory(address: str) -> Inventory:
-    """Return what the engine at ``address`` holds.
-
-    Raises:
-        BackendError: The engine did not answer.
-    """
-    request_id = uuid.uuid4().hex
-    return fetch_json(address, "/v1/inventory", Inventory, request_id, ORDER_TIMEOUTS)
-
-
 def send_order(
-    address: str, order: Order, check_before_send: Callable[[], str]
+    address: str,
+    order: Order,
+    request_id: str,
+    timeouts: ExchangeTimeouts,
+    check_before_send: Callable[[], str],
 ) -> OrderOutcome:
     """Give an engine an order, unless ``check_before_send`` names a reason not to.
 
@@ -229,9 +231,9 @@
         target="/v1/orders",
         headers=JSON_HEADERS,
         body=msgspec.json.encode(order),
-        request_id=uuid.uuid4().hex,
+        request_id=request_id,
     )
-    exchange = Exchange(request, ORDER_TIMEOUTS, AbortHandle())
+    exchange = Exchange(request, timeouts, AbortHandle())
     status = exchange.open(check_before_send)
     try:
         body = exchange.read_body(ANSWER_LIMIT_BYTES)
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -1,6 +1,7 @@
 """Composition root: wires one entry host from its settings."""
 
 import random
+import uuid
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
 from gypsumfield.adapters.caller_server import WorkGate
 from gypsumfield.adapters.callers import build_application
 from gypsumfield.adapters.callers import HostPages
+from gypsumfield.adapters.engines import CONTROL_TIMEOUTS
 from gypsumfield.adapters.engines import read_inventory
 from gypsumfield.adapters.engines import send_order
 from gypsumfield.adapters.metrics import emit_to_all
@@ -20,6 +22,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
 from gypsumfield.configuration import Profile
+from gypsumfield.control_plane import AdmissionPorts
 from gypsumfield.control_plane import build_control_plane
 from gypsumfield.control_plane import ControlPlane
 from gypsumfield.decisions.admission import make_admission
@@ -34,6 +37,7 @@
 from gypsumfield.engine_watch import EngineWatch
 from gypsumfield.engine_watch import EngineWatchPorts
 from gypsumfield.entry_host import EntryHost
+from gypsumfield.entry_host import Farewell
 from gypsumfield.entry_host import HostIdentity
 from gypsumfield.generations import GenerationPorts
 from gypsumfield.intake import Intake
@@ -97,12 +101,8 @@
         settings,
         identity,
         server,
-        [
-            choice.plane,
-            _build_engine_watch(base, choice),
-            _build_order_service(base, choice),
-        ],
-        choice.plane.members.leave,
+        [choice.plane, _build_engine_watch(base, choice), _build_orders(base, choice)],
+        Farewell(choice.plane.retirement.retire, choice.plane.members.leave),
         pool,
         clock,
         base.emit,
@@ -118,12 +118,18 @@
 
 def _build_choice(base: _Base) -> _Choice:
     lengths = LengthModel()
-    may_admit = make_admission(lengths, lambda name: _profile(base.store, name))
+    admission = AdmissionPorts(
+        may_admit=make_admission(lengths, lambda name: _profile(base.store, name)),
+        read_target_ms=lambda name: _profile(base.store, name).between_tokens_target_ms,
+        learn_length=lambda finished: lengths.record(
+            finished, base.clock.monotonic_ms()
+        ),
+    )
     plane = build_control_plane(
         base.settings,
         base.store,
         PlatformClient(base.settings.platform_url),
-        may_admit,
+        admission,
         base.clock,
         base.emit,
         base.rng,
@@ -177,24 +183,27 @@
     return EngineWatch(base.settings.availability_zone, ports, base.clock, base.rng)
 
 
-def _build_order_service(base: _Base, choice: _Choice) -> OrderService:
+def _build_orders(base: _Base, choice: _Choice) -> OrderService:
     backends = choice.plane.members.membership.backends
     zone = base.settings.availability_zone
 
     def list_engines() -> list[Member]:
+        engines = _engines(base.store, choice.directory)
         return [
-            member
-            for member in _engines(base.store, choice.directory)
-            if owner_zone(base.store.current, member.availability_zone) == zone
-            and not backends.is_leaving(member)
+            engine
+            for engine in engines
+            if owner_zone(base.store.current, engine.availability_zone) == zone
+            and not backends.is_leaving(engine)
         ]
 
     sources = OrderSources(
         read_configuration=lambda: base.store.current,
         list_engines=list_engines,
-        is_owner=choice.plane.slots.is_owner,
+        is_owner=choice.plane.slots.may_act_for,
         read_inventory=read_inventory,
-        send_order=send_order,
+        send_order=lambda address, order, check: send_order(
+            address, order, uuid.uuid4().hex, CONTROL_TIMEOUTS, check
+        ),
     )
     return OrderService(sources, base.clock, base.emit)
 
