--- a/src/gypsumfield/retirement.py
+++ b/src/gypsumfield/retirement.py
@@ -52,7 +52,12 @@
         loop.register(ReleaseCheck, self._answer_check)
 
     def retire(self) -> None:
-        """Give everything up and tell the others; to be called at draining."""
+        """Give everything up and tell the others.
+
+        To be called together with leaving the membership, before answers are
+        drained: others ask this host in vain as long as they believe it live,
+        and count it again some seconds later if it has not left by then.
+        """
         self._is_retired = True
         for service in self._services:
             service.retire()
