Split the callers' routes by job

Change: the stream of one caller and the pages on the host's state are modules of their own; no behaviour changed. Conclusion: each module has one job.

--- a/src/gypsumfield/adapters/callers.py
+++ b/src/gypsumfield/adapters/callers.py
@@ -2,9 +2,7 @@
 
 import uuid
 from collections.abc import Callable
-from collections.abc import Iterator
 from typing import Any
-from typing import NamedTuple
 
 import falcon
 import msgspec
@@ -15,12 +13,14 @@
 from gypsumfield.adapters.caller_server import CALLER_SOCKET_KEY
 from gypsumfield.adapters.caller_server import CallerWatch
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
+from gypsumfield.adapters.caller_stream import CallerStream
+from gypsumfield.adapters.pages import add_pages
+from gypsumfield.adapters.pages import HostPages
 from gypsumfield.caller_api import chat_prompt
 from gypsumfield.caller_api import ChatBody
 from gypsumfield.caller_api import CompletionBody
 from gypsumfield.caller_api import DONE_EVENT
 from gypsumfield.caller_api import error_body
-from gypsumfield.caller_api import error_event
 from gypsumfield.caller_api import event_encoder
 from gypsumfield.caller_api import retry_after_seconds
 from gypsumfield.caller_api import whole_answer
@@ -30,7 +30,6 @@
 from gypsumfield.intake import GenerationAsk
 from gypsumfield.intake import PlainAsk
 from gypsumfield.intake import ResumeAsk
-from gypsumfield.relay import Delivery
 from gypsumfield.serving import Serving
 from gypsumfield.verdicts import RunVerdict
 
@@ -39,22 +38,6 @@
 PLAIN_PREFIX = r"/services/(?P<service>[^/]+)(?P<path>/.*)?$"
 
 
-class HostPages(NamedTuple):
-    """Pages on the state of the host.
-
-    Attributes:
-        health: Returns whether the balancer should send requests here.
-        readiness: Returns why the host does not serve, or an empty text.
-        metrics: Returns the Prometheus text.
-        status: Returns the status page as JSON.
-    """
-
-    health: Callable[[], bool]
-    readiness: Callable[[], str]
-    metrics: Callable[[], bytes]
-    status: Callable[[], bytes]
-
-
 def build_application(
     serving: Serving, pages: HostPages, body_limit_bytes: int
 ) -> Callable[..., Any]:
@@ -64,10 +47,7 @@
     app.add_route("/v1/completions", _Completions(serving, body_limit_bytes, False))
     app.add_route("/v1/chat/completions", _Completions(serving, body_limit_bytes, True))
     app.add_route("/v1/generations/resume", _Resume(serving))
-    app.add_route("/healthz", _Health(pages))
-    app.add_route("/readyz", _Ready(pages))
-    app.add_route("/metrics", _Metrics(pages))
-    app.add_route("/statusz", _Status(pages))
+    add_pages(app, pages)
     app.add_sink(_plain_sink(serving, body_limit_bytes), prefix=PLAIN_PREFIX)
     app.add_error_handler(RefusedError, _refusal_handler(serving))
     app.add_error_handler(CallerGoneError, _gone_handler(serving))
@@ -76,51 +56,6 @@
     return app
 
 
-class _CallerStream:
-    """Server-sent events of one generation; closing it frees all it holds."""
-
-    def __init__(
-        self,
-        first: Delivery,
-        rest: Iterator[Delivery],
-        encode: Callable[[Delivery], bytes],
-        watch: CallerWatch,
-        request_id: str,
-        serving: Serving,
-    ) -> None:
-        self._rest = rest
-        self._watch = watch
-        self._request_id = request_id
-        self._serving = serving
-        self._events = self._encode_all(first, encode)
-
-    def __iter__(self) -> Any:
-        return self._events
-
-    def close(self) -> None:
-        """Stop the generation if it still runs."""
-        self._watch.stop()
-        self._events.close()
-        self._rest.close()  # type: ignore[attr-defined]
-
-    def _encode_all(self, first: Delivery, encode: Callable[[Delivery], bytes]) -> Any:
-        try:
-            yield encode(first)
-            for delivery in self._rest:
-                yield encode(delivery)
-        except RefusedError as error:
-            if self._watch.is_gone:
-                self._serving.note_gone(self._request_id)
-                return
-            self._serving.note_failed(self._request_id, error.refusal)
-            yield error_event(error.refusal, self._request_id)
-            return
-        except GeneratorExit:
-            self._serving.note_gone(self._request_id)
-            raise
-        yield DONE_EVENT
-
-
 class _Completions:
     def __init__(self, serving: Serving, body_limit_bytes: int, is_chat: bool) -> None:
         self._serving = serving
@@ -173,7 +108,7 @@
             raise
         encode = event_encoder(ask.request_id, ask.model, ask.is_chat)
         _begin_events(resp)
-        resp.stream = _CallerStream(
+        resp.stream = CallerStream(
             first,
             rest,
             encode,
@@ -221,7 +156,7 @@
             resp.stream = iter((DONE_EVENT,))
             return
         encode = event_encoder(origin.request_id, origin.service, origin.is_chat)
-        resp.stream = _CallerStream(
+        resp.stream = CallerStream(
             first,
             rest,
             encode,
@@ -231,46 +166,6 @@
         )
 
 
-class _Health:
-    def __init__(self, pages: HostPages) -> None:
-        self._pages = pages
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        is_healthy = self._pages.health()
-        resp.status = falcon.HTTP_200 if is_healthy else falcon.HTTP_503
-        resp.content_type = falcon.MEDIA_TEXT
-        resp.text = "ok\n" if is_healthy else "draining\n"
-
-
-class _Ready:
-    def __init__(self, pages: HostPages) -> None:
-        self._pages = pages
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        hindrance = self._pages.readiness()
-        resp.status = falcon.HTTP_503 if hindrance else falcon.HTTP_200
-        resp.content_type = falcon.MEDIA_TEXT
-        resp.text = f"{hindrance or 'ready'}\n"
-
-
-class _Metrics:
-    def __init__(self, pages: HostPages) -> None:
-        self._pages = pages
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        resp.content_type = "text/plain; version=0.0.4; charset=utf-8"
-        resp.data = self._pages.metrics()
-
-
-class _Status:
-    def __init__(self, pages: HostPages) -> None:
-        self._pages = pages
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        resp.content_type = falcon.MEDIA_JSON
-        resp.data = self._pages.status()
-
-
 def _plain_sink(serving: Serving, body_limit_bytes: int) -> Callable[..., None]:
     def handle(
         req: falcon.Request,
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -9,13 +9,13 @@
 from gypsumfield.adapters.caller_server import CallerServer
 from gypsumfield.adapters.caller_server import WorkGate
 from gypsumfield.adapters.callers import build_application
-from gypsumfield.adapters.callers import HostPages
 from gypsumfield.adapters.engines import CONTROL_TIMEOUTS
 from gypsumfield.adapters.engines import read_inventory
 from gypsumfield.adapters.engines import send_order
 from gypsumfield.adapters.metrics import emit_to_all
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
+from gypsumfield.adapters.pages import HostPages
 from gypsumfield.adapters.platform import PlatformClient
 from gypsumfield.attempts import AttemptPorts
 from gypsumfield.backend_choice import BackendChooser
