Let a test's fleet fill its buckets before the first call

Change: the fleet of the tests waits 0.3 s more before it is handed out. Conclusion: no check changes.

--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -24,6 +24,7 @@
 from httpcalls import call
 
 WAIT_LIMIT_S = 20.0
+FILL_S = 0.3
 ZONES = ("manta", "salinas")
 KEY = "carts-key-0001"
 OTHER_KEY = "office-key-0002"
@@ -85,6 +86,8 @@
             wait_for(lambda url=url: call("GET", f"{url}/readyz").status == 200)
             wait_for(lambda url=url: self.knows_all(url))
         wait_for(self.is_share_whole)
+        # A new host's buckets are empty and fill from now on.
+        gevent.sleep(FILL_S)
 
     def knows_all(self, url: str) -> bool:
         members = self.status(url)["members"].values()
