Plan with what the engines' reports leave

Cause: the bench learned memory and batch limits from load reports, the owner of an engine's slots did not. Change: BackendSlots feeds EngineLimits with its reports: memory beyond its leases and preemptions lower the memory to plan with, step times bound the batch for the profile's time between tokens (SlotSources.target_of_profile, no bound by default). Measured: nothing; the bench ran with these limits before. Conclusion: production and bench decide alike once the composition names the target.

--- a/bench/engine_run.py
+++ b/bench/engine_run.py
@@ -11,9 +11,8 @@
 from gypsumfield.configuration import Profile
 from gypsumfield.decisions.admission import is_crowding
 from gypsumfield.decisions.admission import MayAdmit
+from gypsumfield.decisions.engine_limits import EngineLimits
 from gypsumfield.decisions.engine_limits import EngineSight
-from gypsumfield.decisions.engine_limits import MemoryBudget
-from gypsumfield.decisions.engine_limits import StepTimeModel
 from gypsumfield.decisions.fairness import FairQueue
 from gypsumfield.decisions.fairness import QueueEntry
 from gypsumfield.decisions.lengths import FinishedLength
@@ -130,8 +129,7 @@
         self.policy = make_policy(self.lengths, by_id)
         self.queue = FairQueue(profile.queue_limit) if queue is None else queue
         self.engine = EngineModel(engine, 0.0)
-        self.budget = MemoryBudget()
-        self.step_times = StepTimeModel()
+        self.limits = EngineLimits()
         self.by_id = by_id
         self.streams: dict[str, _Stream] = {}
         self.measures = _Measures()
@@ -139,7 +137,7 @@
         self._next_arrival = 0
         self._next_report_ms = 0.0
         self._is_view_new = True
-        self._late_views: list[tuple[float, dict[str, int], EngineSight, float]] = []
+        self._late_views: list[tuple[float, dict[str, int], EngineSight]] = []
 
     def run(self) -> RunResult:
         """Play all arrivals to the last answer."""
@@ -189,8 +187,8 @@
             self._next_report_ms = self.now_ms + REPORT_LAG_MS
             self._take_view()
         while self._late_views and self._late_views[0][0] <= self.now_ms:
-            _, progress, sight, step_time_ms = self._late_views.pop(0)
-            self._see(progress, sight, step_time_ms)
+            _, progress, sight = self._late_views.pop(0)
+            self._see(progress, sight)
 
     def _take_view(self) -> None:
         report = self.engine.load_report(self.now_ms)
@@ -203,21 +201,20 @@
             report.memory_used_tokens,
             report.preemption_count,
             report.boot_id,
+            report.running_count,
+            report.step_time_ms,
         )
         seen_ms = self.now_ms + REPORT_LAG_MS
-        self._late_views.append((seen_ms, progress, sight, report.step_time_ms))
+        self._late_views.append((seen_ms, progress, sight))
 
-    def _see(
-        self, progress: dict[str, int], sight: EngineSight, step_time_ms: float
-    ) -> None:
+    def _see(self, progress: dict[str, int], sight: EngineSight) -> None:
         accounted = 0
         for generation_id, tokens in progress.items():
             accounted += self.by_id[generation_id].demand.prompt_tokens + tokens
             stream = self.streams.get(generation_id)
             if stream is not None:
                 self._learn_progress(stream, tokens)
-        self.budget.observe(sight, accounted, self.now_ms)
-        self.step_times.observe(len(progress), step_time_ms)
+        self.limits.observe(sight, accounted, self.now_ms)
         self._is_view_new = True
 
     def _learn_progress(self, stream: _Stream, tokens: int) -> None:
@@ -247,10 +244,9 @@
     def _may_admit(self, demand: GenerationDemand) -> bool:
         limit_tokens = self.engine.settings.memory_limit_tokens
         if self.policy.learns_limits and self.now_ms > 2 * REPORT_LAG_MS:
-            limit_tokens = self.budget.limit_tokens(self.now_ms)
+            limit_tokens = self.limits.memory_limit_tokens(self.now_ms)
             target_ms = self.profile.between_tokens_target_ms
-            batch_limit = self.step_times.batch_limit(target_ms)
-            if batch_limit is not None and len(self.streams) >= batch_limit:
+            if self.limits.is_batch_full(len(self.streams), target_ms):
                 return False
         return self.policy.may_admit(self._running(), demand, limit_tokens)
 
--- a/src/gypsumfield/decisions/engine_limits.py
+++ b/src/gypsumfield/decisions/engine_limits.py
@@ -12,12 +12,16 @@
         memory_used_tokens: Memory in use by the latest report.
         preemption_count: Preemptions since boot by the latest report.
         boot_id: Boot that the report is of.
+        running_count: Generations in the batch.
+        step_time_ms: Duration of the latest decode step; 0 when unknown.
     """
 
     memory_limit_tokens: int
     memory_used_tokens: int
     preemption_count: int
     boot_id: str
+    running_count: int = 0
+    step_time_ms: float = 0.0
 
 
 class MemoryBudget:
@@ -132,3 +136,30 @@
             return None if self._mean_ms <= target_ms else 1
         base_ms = self._mean_ms - slope * self._mean_count
         return max(1, int((target_ms - base_ms) / slope))
+
+
+class EngineLimits:
+    """Memory and batch size that one engine bears, learned from its reports."""
+
+    def __init__(self) -> None:
+        self._budget = MemoryBudget()
+        self._step_times = StepTimeModel()
+        self._boot_id = ""
+
+    def observe(self, sight: EngineSight, accounted_tokens: int, now_ms: float) -> None:
+        """Learn from a load report; see `MemoryBudget.observe`."""
+        if sight.boot_id != self._boot_id:
+            # Another boot may hold another model, or run on another accelerator.
+            self._boot_id = sight.boot_id
+            self._step_times = StepTimeModel()
+        self._budget.observe(sight, accounted_tokens, now_ms)
+        self._step_times.observe(sight.running_count, sight.step_time_ms)
+
+    def memory_limit_tokens(self, now_ms: float) -> int:
+        """Return the memory to plan with; 0 before the first report."""
+        return self._budget.limit_tokens(now_ms)
+
+    def is_batch_full(self, running_count: int, target_ms: float) -> bool:
+        """Return whether one more generation would pass the time between tokens."""
+        limit = self._step_times.batch_limit(target_ms)
+        return limit is not None and running_count >= limit
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from gypsumfield.decisions.engine_limits import EngineLimits
+from gypsumfield.decisions.engine_limits import EngineSight
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.decisions.workload import RunningGeneration
 from gypsumfield.ports import SlotOutcome
@@ -29,9 +31,15 @@
 RETRY_AFTER_FULL_MS = 100.0
 CLOSED_LEASE_MEMORY_MS = 2 * LEASE_MS
 
+TargetOfProfile = Callable[[str], float]
 MayAdmit = Callable[[Sequence[RunningGeneration], GenerationDemand, int], bool]
 
 
+def no_target(_profile: str) -> float:
+    """Set no bound on the time between two tokens."""
+    return math.inf
+
+
 def admit_always(
     _running: Sequence[RunningGeneration],
     _candidate: GenerationDemand,
@@ -59,6 +67,9 @@
     waiting_count: int
     memory_limit_tokens: int
     taken_at_ms: float
+    memory_used_tokens: int = 0
+    preemption_count: int = 0
+    step_time_ms: float = 0.0
 
     @property
     def request_count(self) -> int:
@@ -103,6 +114,7 @@
             reporting server gets nothing without a recent report.
         warm_limit: Largest number of requests in flight.
         lease_ms: How long a lease lasts unless it is renewed.
+        target_of_profile: Returns the wanted time between two tokens, in ms.
     """
 
     def __init__(
@@ -111,6 +123,7 @@
         is_reporting: bool = False,
         warm_limit: int = WARM_LIMIT,
         lease_ms: float = LEASE_MS,
+        target_of_profile: TargetOfProfile = no_target,
     ) -> None:
         self.limit = COLD_LIMIT
         self.boot_id = ""
@@ -122,6 +135,8 @@
         self._lease_ms = lease_ms
         self._grants: dict[str, _Grant] = {}
         self._closed_until_ms: dict[str, float] = {}
+        self._target_of_profile = target_of_profile
+        self._limits = EngineLimits()
         self._load: LoadObservation | None = None
         self._usual_first_token_ms: float | None = None
         self._trouble_at_ms = -math.inf
@@ -175,6 +190,7 @@
         if self._load is not None and load.taken_at_ms < self._load.taken_at_ms:
             return
         self._load = load
+        self._learn_limits(load, now_ms)
         self.observe_boot(load.boot_id, now_ms)
         if load.is_cold and not self.is_cold:
             self._turn_cold("it says that it is cold", now_ms)
@@ -273,12 +289,36 @@
     def _has_memory_for(self, demand: GenerationDemand, now_ms: float) -> bool:
         if self._load is None or self._load.memory_limit_tokens <= 0:
             return True
-        running = [
+        running = self._running(now_ms)
+        target_ms = self._target_of_profile(demand.profile)
+        if self._limits.is_batch_full(len(running), target_ms):
+            return False
+        limit_tokens = self._limits.memory_limit_tokens(now_ms)
+        return self._may_admit(running, demand, limit_tokens)
+
+    def _running(self, now_ms: float) -> list[RunningGeneration]:
+        return [
             RunningGeneration(grant.lease.demand, grant.lease.generated_tokens)
             for grant in self._grants.values()
             if not grant.is_lost(now_ms)
         ]
-        return self._may_admit(running, demand, self._load.memory_limit_tokens)
+
+    def _learn_limits(self, load: LoadObservation, now_ms: float) -> None:
+        if load.memory_limit_tokens <= 0:
+            return
+        sight = EngineSight(
+            memory_limit_tokens=load.memory_limit_tokens,
+            memory_used_tokens=load.memory_used_tokens,
+            preemption_count=load.preemption_count,
+            boot_id=load.boot_id,
+            running_count=load.running_count,
+            step_time_ms=load.step_time_ms,
+        )
+        accounted_tokens = sum(
+            demand.prompt_tokens + generated_tokens
+            for demand, generated_tokens in self._running(now_ms)
+        )
+        self._limits.observe(sight, accounted_tokens, now_ms)
 
     def _has_report(self, now_ms: float) -> bool:
         load = self._load
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -24,6 +24,8 @@
 from gypsumfield.decisions.slots import LEASE_MS
 from gypsumfield.decisions.slots import LoadObservation
 from gypsumfield.decisions.slots import MayAdmit
+from gypsumfield.decisions.slots import no_target
+from gypsumfield.decisions.slots import TargetOfProfile
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.engine_api import LoadReport
 from gypsumfield.events import BackendTurnedCold
@@ -73,12 +75,14 @@
         read_hosts: Live entry hosts by zone, to find the owner to ask.
         describe_backend: Describes a backend server; None if it is unknown.
         may_admit: Judges a candidate by predicted memory.
+        target_of_profile: Returns the wanted time between two tokens, in ms.
     """
 
     read_view: Callable[[], ZoneView]
     read_hosts: Callable[[], Mapping[str, frozenset[str]]]
     describe_backend: Callable[[str], BackendDescription | None]
     may_admit: MayAdmit
+    target_of_profile: TargetOfProfile = no_target
 
 
 class _Holding(NamedTuple):
@@ -200,6 +204,9 @@
             waiting_count=report.waiting_count,
             memory_limit_tokens=report.memory_limit_tokens,
             taken_at_ms=requested_at_ms - report.report_age_ms,
+            memory_used_tokens=report.memory_used_tokens,
+            preemption_count=report.preemption_count,
+            step_time_ms=report.step_time_ms,
         )
         was_cold = slots.is_cold
         slots.observe(observation, self._clock.monotonic_ms())
@@ -378,6 +385,7 @@
                 self._sources.may_admit,
                 description.is_reporting,
                 lease_ms=self._lease_ms,
+                target_of_profile=self._sources.target_of_profile,
             )
             self._backends[backend_server] = slots
         if description.boot_id and not description.is_reporting:
--- a/tests/test_backend_slots.py
+++ b/tests/test_backend_slots.py
@@ -104,3 +104,41 @@
     assert isinstance(refusal, SlotRefusal)
     assert "memory" in refusal.reason
     assert seen == [(0, DEMAND, 1_000), (1, DEMAND, 1_000)]
+
+
+def crowded_load(taken_at_ms, used=0, preemptions=0, count=0, step_time_ms=0.0):
+    return LoadObservation(
+        "boot-1", False, count, 0, 1_000, taken_at_ms, used, preemptions, step_time_ms
+    )
+
+
+def test_admission_plans_with_what_the_reports_leave():
+    limits = []
+
+    def may_admit(_running, _candidate, limit_tokens):
+        limits.append(limit_tokens)
+        return True
+
+    slots = BackendSlots(may_admit)
+    for taken_at_ms in (-2.0, -1.0):
+        slots.observe(crowded_load(taken_at_ms, count=9), taken_at_ms)
+    slots.observe(crowded_load(0.0), 0.0)
+    slots.request(lease(1), 1.0)
+    held = DEMAND.prompt_tokens
+    slots.observe(crowded_load(2.0, used=held + 300), 2.0)
+    slots.request(lease(2), 3.0)
+    slots.observe(crowded_load(4.0, used=2 * held, preemptions=3), 4.0)
+    slots.request(lease(3), 4.0)
+    assert limits == [1_000, 700, 980]
+
+
+def test_batch_is_held_to_the_time_between_tokens():
+    slots = BackendSlots(target_of_profile=lambda _profile: 40.0)
+    for number in range(200):
+        count = 11 + 4 * (number % 3)
+        step_ms = 10.0 * count - 80.0
+        slots.observe(crowded_load(number, count=count, step_time_ms=step_ms), number)
+    slots.observe(crowded_load(200.0), 200.0)
+    answers = [slots.request(lease(number), 200.0) for number in range(13)]
+    granted = [isinstance(each, HeldLease) for each in answers]
+    assert granted == [True] * 12 + [False]
