Learn shared lengths from accounts inside their rate alone

Cause: a flood with odd lengths bends the estimate that the others lean on. Change: the shared estimate learns from accounts inside their rate (after Herley, Automated Detection of Automated Traffic); an account beyond it leans on the prior alone. bench/estimates.py compares this with plain pooling.

--- a/src/gypsumfield/decisions/length_estimates.py
+++ b/src/gypsumfield/decisions/length_estimates.py
@@ -69,10 +69,16 @@
     For each bucket it counts the generations that grew past it and those that
     ended in it. Both are counted when they happen, so that answers still on
     their way count for the lengths they have reached.
+
+    Attributes:
+        is_apart: Whether its account is beyond its rate.
+        table: The table made of the counts; see `is_stale`.
+        parent: The table that it leant on when it was made.
     """
 
     __slots__ = (
         "ended",
+        "is_apart",
         "last_ms",
         "parent",
         "passed",
@@ -85,6 +91,7 @@
     def __init__(self) -> None:
         self.ended = array("d", bytes(8 * BUCKET_COUNT))
         self.passed = array("d", bytes(8 * BUCKET_COUNT))
+        self.is_apart = False
         self.weight = 1.0
         self.total = 0.0
         self.last_ms: float | None = None
--- a/src/gypsumfield/decisions/lengths.py
+++ b/src/gypsumfield/decisions/lengths.py
@@ -55,7 +55,8 @@
         is_complete: False when the answer was cut before its own end, by its
             token limit or by a cancellation.
         is_within_rate: Whether the account kept to its rate. An account
-            beyond its rate teaches only its own estimate.
+            beyond its rate teaches only its own estimate, and that estimate
+            leans on the prior alone, since its lengths may be unlike all others.
         known_tokens: Tokens that `LengthModel.record_progress` was told of.
     """
 
@@ -147,6 +148,7 @@
     def __init__(self, settings: LengthSettings | None = None) -> None:
         self.settings = settings or LengthSettings()
         prior = _prior_reached(self.settings)
+        self._prior_table = LengthTable(prior)
         self._prior_hazards = hazards_of(prior)
         self._prior_strength = [self.settings.prior_weight * each for each in prior]
         self._pool_strength = [self.settings.pool_weight] * BUCKET_COUNT
@@ -182,6 +184,7 @@
         key = (*pool, demand.account)
         account = self._accounts.setdefault(key, LengthEstimate())
         self._accounts.move_to_end(key)
+        account.is_apart = not is_within_rate
         if len(self._accounts) > self.settings.account_limit:
             self._accounts.popitem(last=False)
         return [account, self._pool(pool)] if is_within_rate else [account]
@@ -193,11 +196,16 @@
         estimate = self._accounts.get((*pool_key, demand.account))
         if estimate is None:
             return pool_table
-        if estimate.parent is pool_table and not estimate.is_stale:
+        parent = self._prior_table if estimate.is_apart else pool_table
+        if estimate.parent is parent and not estimate.is_stale:
             return estimate.table
-        hazards = self._pool_hazards[pool_key]
-        estimate.table = LengthTable(estimate.reached(hazards, self._pool_strength))
-        estimate.parent = pool_table
+        if estimate.is_apart:
+            reached = estimate.reached(self._prior_hazards, self._prior_strength)
+        else:
+            hazards = self._pool_hazards[pool_key]
+            reached = estimate.reached(hazards, self._pool_strength)
+        estimate.table = LengthTable(reached)
+        estimate.parent = parent
         return estimate.table
 
     def _pool_table(self, key: tuple[str, str]) -> LengthTable:
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -118,6 +118,9 @@
     teach(model, [5_000] * 300, account="flood", is_within_rate=False)
     assert model.remaining(demand("new"), 0).quantile(0.9) < 200
     assert model.remaining(demand("flood"), 0).quantile(0.5) > 4_000
+    # It leans on the prior, not on the accounts that it may be unlike.
+    teach(model, [5_000], account="late-flood", is_within_rate=False)
+    assert model.remaining(demand("late-flood"), 0).quantile(0.9) > 500
 
 
 def test_max_tokens_bounds_what_is_to_come():
--- a/tests/test_policy_benches.py
+++ b/tests/test_policy_benches.py
@@ -58,6 +58,17 @@
         )
 
 
+def test_estimates_bench():
+    command = [sys.executable, str(BENCH / "estimates.py"), "--json", "--quick"]
+    output = subprocess.run(command, check=True, capture_output=True)
+    floods = json.loads(output.stdout)["floods"]
+    assert set(floods) == {"short", "long"}
+    for ways in floods.values():
+        # The flood's odd lengths must not reach the estimate of the others.
+        plain, clean = (ways[way]["shared_estimate_error"] for way in ways)
+        assert clean < plain
+
+
 def test_routing_bench():
     policies = run_bench("routing.py", "--seed", "2")["policies"]
     wanted = {"random", "round_robin", "least_in_flight", "two_choices", "ours"}
