Count the error of a young length estimate into the forecast

Cause: most preemptions fell into the first minute, while the estimate rested on few answers, and what it is off by it is off by for the whole batch at once. Change: the forecast's variance gains the estimate's own error, fully correlated over the batch and shrinking with the number of answers it rests on.

--- a/src/gypsumfield/decisions/admission.py
+++ b/src/gypsumfield/decisions/admission.py
@@ -59,6 +59,7 @@
     generated_tokens: int
     max_tokens: int
     alive: float
+    answer_count: float
 
 
 class MemoryForecast(NamedTuple):
@@ -154,6 +155,7 @@
                 generated_tokens,
                 demand.max_tokens,
                 table.longer_than(generated_tokens),
+                table.answer_count,
             )
         )
     return members
@@ -164,7 +166,10 @@
     mean = 0.0
     variance = 0.0
     third_moment = 0.0
-    for longer_than, used_tokens, generated_tokens, max_tokens, alive in members:
+    # What the shared estimate is off by, it is off by for all members at once.
+    shared_error = 0.0
+    for each in members:
+        longer_than, used_tokens, generated_tokens, max_tokens, alive, count = each
         length_tokens = generated_tokens + steps
         if length_tokens >= max_tokens or alive <= 0.0:
             continue
@@ -173,7 +178,9 @@
         spread = runs * (1.0 - runs) * size * size
         mean += runs * size
         variance += spread
+        shared_error += math.sqrt(spread / count)
         third_moment += spread * (1.0 - 2.0 * runs) * size
+    variance += shared_error * shared_error
     if variance <= 0.0:
         return MemoryForecast(mean, 0.0, 0.0)
     deviation = math.sqrt(variance)
--- a/src/gypsumfield/decisions/length_estimates.py
+++ b/src/gypsumfield/decisions/length_estimates.py
@@ -35,12 +35,15 @@
 
     Args:
         reached: Chance to reach the start of each bucket, and of its end.
+        answer_count: Answers that the shared estimate rests on, the prior's
+            included; the fewer, the further it may be off.
     """
 
-    __slots__ = ("_reached",)
+    __slots__ = ("_reached", "answer_count")
 
-    def __init__(self, reached: Sequence[float]) -> None:
+    def __init__(self, reached: Sequence[float], answer_count: float = 1.0) -> None:
         self._reached = reached
+        self.answer_count = answer_count
 
     def longer_than(self, tokens: int) -> float:
         """Return the chance that an output is longer than ``tokens``."""
@@ -77,6 +80,7 @@
     """
 
     __slots__ = (
+        "end_total",
         "ended",
         "is_apart",
         "last_ms",
@@ -94,6 +98,7 @@
         self.is_apart = False
         self.weight = 1.0
         self.total = 0.0
+        self.end_total = 0.0
         self.last_ms: float | None = None
         self.pending = 0
         self.table = EMPTY_TABLE
@@ -120,6 +125,7 @@
         """Count a generation that ended of itself."""
         length_tokens = min(max(1, output_tokens), LARGEST_LENGTH_TOKENS)
         self.ended[bucket_of(length_tokens)] += self.weight
+        self.end_total += self.weight
         self._count()
 
     def _count(self) -> None:
@@ -131,8 +137,14 @@
             for index, count in enumerate(counts):
                 counts[index] = count / self.weight
         self.total /= self.weight
+        self.end_total /= self.weight
         self.weight = 1.0
 
+    @property
+    def answer_count(self) -> float:
+        """Answers that ended, weakened by their age."""
+        return self.end_total / self.weight
+
     @property
     def is_stale(self) -> bool:
         """Whether the table misses a fair share of the counts."""
--- a/src/gypsumfield/decisions/lengths.py
+++ b/src/gypsumfield/decisions/lengths.py
@@ -148,7 +148,7 @@
     def __init__(self, settings: LengthSettings | None = None) -> None:
         self.settings = settings or LengthSettings()
         prior = _prior_reached(self.settings)
-        self._prior_table = LengthTable(prior)
+        self._prior_table = LengthTable(prior, self.settings.prior_weight)
         self._prior_hazards = hazards_of(prior)
         self._prior_strength = [self.settings.prior_weight * each for each in prior]
         self._pool_strength = [self.settings.pool_weight] * BUCKET_COUNT
@@ -204,7 +204,10 @@
         else:
             hazards = self._pool_hazards[pool_key]
             reached = estimate.reached(hazards, self._pool_strength)
-        estimate.table = LengthTable(reached)
+        answer_count = pool_table.answer_count
+        if estimate.is_apart:
+            answer_count = estimate.answer_count + self.settings.prior_weight
+        estimate.table = LengthTable(reached, answer_count)
         estimate.parent = parent
         return estimate.table
 
@@ -212,7 +215,8 @@
         pool = self._pool(key)
         if pool.is_stale or key not in self._pool_hazards:
             reached = pool.reached(self._prior_hazards, self._prior_strength)
-            pool.table = LengthTable(reached)
+            answer_count = pool.answer_count + self.settings.prior_weight
+            pool.table = LengthTable(reached, answer_count)
             self._pool_hazards[key] = hazards_of(reached)
         return pool.table
 
