Compute the forecast's chances once for near lengths

Cause: most of a decision's time went into looking up chances. Change: a table keeps the chances at all forecast steps by length in steps of 8.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from admission_policies import BASELINES
+from admission_policies import fixed_concurrency
 from admission_policies import oracle
 from admission_policies import predicted
 from engine_run import EngineRun
@@ -26,6 +27,7 @@
 from workloads import usual_accounts
 
 ENGINE = EngineModelSettings(memory_limit_tokens=32_768, batch_limit=256)
+AMPLE_ENGINE = EngineModelSettings(memory_limit_tokens=1_048_576, batch_limit=256)
 NOMINAL_TOKENS_PER_S = 2_100.0
 OFFERED_LOAD = 1.6
 LIGHT_LOAD = 0.03
@@ -44,10 +46,13 @@
 
 
 def measure(
-    requests: list[BenchRequest], make_policy: MakePolicy, profile: Profile
+    requests: list[BenchRequest],
+    make_policy: MakePolicy,
+    profile: Profile,
+    engine: EngineModelSettings = ENGINE,
 ) -> RunResult:
     """Run one policy over the arrivals."""
-    return EngineRun(requests, make_policy, ENGINE, profile).run()
+    return EngineRun(requests, make_policy, engine, profile).run()
 
 
 def tune(
@@ -80,11 +85,16 @@
     results["oracle"] = measure(requests, oracle(), profile)._asdict()
     quiet = requests_for(shape, LIGHT_LOAD, LIGHT_DURATION_FACTOR * duration_ms, seed)
     uncrowded = measure(quiet, oracle(), profile)
+    # An engine whose memory never fills, at the batch that ours reached.
+    ample = measure(
+        requests, fixed_concurrency(round(ours.mean_batch)), profile, AMPLE_ENGINE
+    )
     return {
         "seed": seed,
         "shape": shape,
         "duration_ms": duration_ms,
         "uncrowded_between_tokens_ms_p99": uncrowded.between_tokens_ms_p99,
+        "ample_memory_between_tokens_ms_p99": ample.between_tokens_ms_p99,
         "policies": results,
     }
 
--- a/src/gypsumfield/decisions/admission.py
+++ b/src/gypsumfield/decisions/admission.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from gypsumfield.configuration import Profile
+from gypsumfield.decisions.length_estimates import FORECAST_STEPS
 from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.decisions.workload import RunningGeneration
@@ -21,7 +22,6 @@
 MayAdmit = Callable[[Sequence[RunningGeneration], GenerationDemand, int], bool]
 LookUpProfile = Callable[[str], Profile]
 
-_HORIZON_STEPS = (16, 48, 96, 160, 256, 400, 640, 1_024, 2_048, 4_096)
 _SMALLEST_PROBABILITY = 1e-9
 # The bound is for a whole run and each step may break it; over the steps near
 # the peak the chances add up to about this multiple of a single one.
@@ -52,13 +52,18 @@
 
 
 class _Member(NamedTuple):
-    """One generation of the batch, candidate included."""
+    """One generation of the batch, candidate included.
 
-    longer_than: Callable[[int], float]
+    Attributes:
+        chances: Chances to run on after each of `FORECAST_STEPS`.
+        used_tokens: Memory it holds now.
+        left_tokens: Most tokens that are to come.
+        answer_count: Answers that its estimate rests on.
+    """
+
+    chances: Sequence[float]
     used_tokens: int
-    generated_tokens: int
-    max_tokens: int
-    alive: float
+    left_tokens: int
     answer_count: float
 
 
@@ -119,8 +124,8 @@
             return True
         deviations = deviations_of(bound)
         return all(
-            forecast(members, steps).quantile(deviations) <= limit_tokens
-            for steps in _HORIZON_STEPS
+            forecast(members, index).quantile(deviations) <= limit_tokens
+            for index in range(len(FORECAST_STEPS))
         )
 
     return may_admit
@@ -150,35 +155,32 @@
         table = lengths.table(demand)
         members.append(
             _Member(
-                table.longer_than,
+                table.chances_ahead(generated_tokens),
                 demand.prompt_tokens + generated_tokens,
-                generated_tokens,
-                demand.max_tokens,
-                table.longer_than(generated_tokens),
+                demand.max_tokens - generated_tokens,
                 table.answer_count,
             )
         )
     return members
 
 
-def forecast(members: Sequence[_Member], steps: int) -> MemoryForecast:
-    """Return the distribution of the memory in use after ``steps`` steps."""
+def forecast(members: Sequence[_Member], index: int) -> MemoryForecast:
+    """Return the memory in use after the step count with this index."""
+    steps = FORECAST_STEPS[index]
     mean = 0.0
     variance = 0.0
     third_moment = 0.0
     # What the shared estimate is off by, it is off by for all members at once.
     shared_error = 0.0
-    for each in members:
-        longer_than, used_tokens, generated_tokens, max_tokens, alive, count = each
-        length_tokens = generated_tokens + steps
-        if length_tokens >= max_tokens or alive <= 0.0:
+    for chances, used_tokens, left_tokens, answer_count in members:
+        runs = chances[index]
+        if steps >= left_tokens or runs <= 0.0:
             continue
-        runs = longer_than(length_tokens) / alive
         size = used_tokens + steps
         spread = runs * (1.0 - runs) * size * size
         mean += runs * size
         variance += spread
-        shared_error += math.sqrt(spread / count)
+        shared_error += math.sqrt(spread / answer_count)
         third_moment += spread * (1.0 - 2.0 * runs) * size
     variance += shared_error * shared_error
     if variance <= 0.0:
--- a/src/gypsumfield/decisions/length_estimates.py
+++ b/src/gypsumfield/decisions/length_estimates.py
@@ -6,6 +6,8 @@
 _SUB_BUCKET_BITS = 2
 _SUB_BUCKETS = 1 << _SUB_BUCKET_BITS
 LARGEST_LENGTH_TOKENS = 65_535
+FORECAST_STEPS = (16, 48, 96, 160, 256, 400, 640, 1_024, 2_048, 4_096)
+AHEAD_TOKENS = 8
 _RENORMALISE_ABOVE_WEIGHT = 1e9
 _REFRESH_SHARE = 0.02
 
@@ -39,11 +41,12 @@
             included; the fewer, the further it may be off.
     """
 
-    __slots__ = ("_reached", "answer_count")
+    __slots__ = ("_ahead", "_reached", "answer_count")
 
     def __init__(self, reached: Sequence[float], answer_count: float = 1.0) -> None:
         self._reached = reached
         self.answer_count = answer_count
+        self._ahead: dict[int, tuple[float, ...]] = {}
 
     def longer_than(self, tokens: int) -> float:
         """Return the chance that an output is longer than ``tokens``."""
@@ -62,6 +65,26 @@
         share = (length_tokens / (1 << shift)) - whole
         return at_start + (reached[index + 1] - at_start) * share
 
+    def chances_ahead(self, generated_tokens: int) -> tuple[float, ...]:
+        """Return the chances to run on after each of `FORECAST_STEPS`.
+
+        Lengths that differ by less than `AHEAD_TOKENS` share one answer.
+        """
+        key = generated_tokens // AHEAD_TOKENS
+        chances = self._ahead.get(key)
+        if chances is None:
+            chances = self._compute_ahead(key * AHEAD_TOKENS)
+            self._ahead[key] = chances
+        return chances
+
+    def _compute_ahead(self, tokens: int) -> tuple[float, ...]:
+        alive = self.longer_than(tokens)
+        if alive <= 0.0:
+            return (0.0,) * len(FORECAST_STEPS)
+        return tuple(
+            self.longer_than(tokens + ahead) / alive for ahead in FORECAST_STEPS
+        )
+
 
 EMPTY_TABLE = LengthTable(())
 
