--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -63,6 +63,7 @@
 
     configuration_revision: int = 0
     members_version: int = 0
+    platform_age_ms: int = -1
 
 
 class _Entry:
@@ -151,6 +152,18 @@
             if entry.ended_ms is None or now_ms - entry.ended_ms < hold_down_ms
         )
 
+    def possible_hosts(self, zone: str | None = None) -> frozenset[str]:
+        """Return the live hosts and the silent ones that may live all the same.
+
+        A silent host may be parted from this one alone. It is surely gone only
+        when the platform's list lacks it.
+        """
+        return frozenset(
+            entry.news.host_id
+            for entry in self._in_zone(zone)
+            if entry.news.state == "live" or self._may_be_parted(entry)
+        )
+
     def members_for_growing(
         self, now_ms: float, zone: str | None = None
     ) -> frozenset[str]:
@@ -280,11 +293,14 @@
     def _missing_count(self) -> int:
         """Return how many hosts of the zone are silent and not known as gone."""
         return sum(
-            entry.news.state == "silent"
-            and (not self._listed or entry.news.host_id in self._listed)
+            self._may_be_parted(entry)
             for entry in self._in_zone(self.availability_zone)
         )
 
+    def _may_be_parted(self, entry: _Entry) -> bool:
+        is_listed = not self._listed or entry.news.host_id in self._listed
+        return entry.news.state == "silent" and is_listed
+
     def _is_fresh(self, at_ms: float | None, now_ms: float) -> bool:
         return at_ms is not None and now_ms - at_ms <= self.times.confirmed_within_ms
 
@@ -471,6 +487,7 @@
             heard_age_ms=-1 if heard_ms is None else int(now_ms - heard_ms),
             configuration_revision=position.configuration_revision,
             members_version=position.members_version,
+            platform_age_ms=position.platform_age_ms,
             view_digest=self._view_digest(self.availability_zone),
             news=tuple(self._rumours.take(NEWS_LIMIT, repeats)),
             backend_news=tuple(self.backends.rumours.take(NEWS_LIMIT, repeats)),
