--- a/bench/admission_policies.py
+++ b/bench/admission_policies.py
@@ -8,6 +8,7 @@
 from engine_run import MakePolicy
 from engine_run import Policy
 from gypsumfield.configuration import Profile
+from gypsumfield.decisions.admission import CROWD_RESERVE_RATIO
 from gypsumfield.decisions.admission import make_admission
 from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.workload import GenerationDemand
@@ -72,11 +73,17 @@
     return lengths.remaining(demand, 0).mean_tokens
 
 
-def predicted(profile: Profile) -> MakePolicy:
-    """Admit as production does."""
+def predicted(
+    profile: Profile, crowd_reserve_ratio: float = CROWD_RESERVE_RATIO
+) -> MakePolicy:
+    """Admit as production does; a reserve of 0 leaves out what floods meet."""
 
     def make(lengths: LengthModel, _truth: Mapping[str, BenchRequest]) -> Policy:
-        return Policy(make_admission(lengths, lambda _name: profile), True)
+        may_admit = make_admission(
+            lengths, lambda _name: profile, crowd_reserve_ratio=crowd_reserve_ratio
+        )
+        passes_over = crowd_reserve_ratio > 0.0
+        return Policy(may_admit, learns_limits=True, passes_over=passes_over)
 
     return make
 
--- a/src/gypsumfield/decisions/fairness.py
+++ b/src/gypsumfield/decisions/fairness.py
@@ -15,6 +15,9 @@
 from gypsumfield.decisions.workload import GenerationDemand
 
 SMALLEST_RETRY_AFTER_MS = 100.0
+# Room comes in bursts, so the estimated wait errs; a request that might still
+# start in time is not refused for it.
+EARLY_REFUSAL_FACTOR = 2.0
 # One pick in this many goes to the oldest entry below the highest priority.
 _LOWER_PRIORITY_TURN = 8
 _RATE_KEEP = 0.98
@@ -120,7 +123,7 @@
         """Take an entry, or refuse it or another one at once."""
         wait_ms = self.estimated_wait_ms(entry, now_ms)
         limit_ms = entry.give_up_at_ms - now_ms
-        if wait_ms > limit_ms:
+        if wait_ms > EARLY_REFUSAL_FACTOR * limit_ms:
             return OfferOutcome(
                 False, (QueueRefusal(entry, "wait_too_long", _come_back(wait_ms)),)
             )
