--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -1,3 +1,5 @@
+import random
+
 import pytest
 from hypothesis import given
 from hypothesis import settings
@@ -6,6 +8,11 @@
 from gypsumfield.decisions.ejection import BackendHealth
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
+from gypsumfield.decisions.retries import RetryBudget
+from gypsumfield.decisions.routing import BackendView
+from gypsumfield.decisions.routing import choose_backend
+from gypsumfield.decisions.routing import RoutingRules
+from gypsumfield.decisions.workload import GenerationDemand
 
 HOSTS = [f"m{number}" for number in range(6)]
 SETTINGS = EjectionSettings()
@@ -127,3 +134,36 @@
         else:
             ejector.note_success(host_id, 2_000.0 if kind == "slow" else 50.0, now_ms)
         assert len(ejector.excluded(now_ms)) <= 2
+
+
+def test_dead_half_of_a_fleet_is_no_storm():
+    """Total tries stay in the budget, and ejection brings most answers back."""
+    ejector = make_ejector()
+    budget = RetryBudget()
+    rng = random.Random(7)
+    dead = set(HOSTS[:3])
+    demand = GenerationDemand("r", "assistant", "dawn", "cart-7", 10, 50)
+    views = [BackendView(host_id, "manta") for host_id in HOSTS]
+    tries = 0
+    answered = []
+    for number in range(2_000):
+        now_ms = 10.0 * number
+        budget.note_first_try(0.1)
+        tried = frozenset()
+        while True:
+            rules = RoutingRules("manta", excluded=tried | ejector.excluded(now_ms))
+            host_id = choose_backend(views, demand, rules, rng)[0].host_id
+            ejector.note_sent(host_id, now_ms)
+            tries += 1
+            if host_id not in dead:
+                ejector.note_success(host_id, 50.0, now_ms)
+                break
+            ejector.note_failure(host_id, now_ms)
+            tried |= {host_id}
+            if not budget.has_retry():
+                break
+            budget.spend()
+        answered.append(host_id not in dead)
+    assert tries <= 2_000 * 1.1 + 10
+    # Two of the three dead ones are out: one request in four meets the third.
+    assert sum(answered[100:]) / 1_900 > 0.75
