--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -212,6 +212,7 @@
                 record_length=lambda finished: lengths.record(
                     finished, clock.monotonic_ms()
                 ),
+                record_progress=lengths.record_progress,
             ),
             plain=PlainPorts(attempts, relay, pool),
             quotas=static_quotas(
--- a/src/gypsumfield/generations.py
+++ b/src/gypsumfield/generations.py
@@ -13,6 +13,7 @@
 from gypsumfield.cursors import open_writer_if_any
 from gypsumfield.cursors import StreamOrigin
 from gypsumfield.decisions.lengths import FinishedLength
+from gypsumfield.decisions.lengths import LengthProgress
 from gypsumfield.dispatch import UNUSED
 from gypsumfield.engine_api import StartGeneration
 from gypsumfield.exceptions import BackendError
@@ -50,12 +51,14 @@
         relay: What the relays need.
         find_backend: Returns a member by host id, or None.
         record_length: Learns from a generation that ended or was cut.
+        record_progress: Learns from a generation that still runs.
     """
 
     attempts: AttemptPorts
     relay: RelayPorts
     find_backend: Callable[[str], Member | None]
     record_length: Callable[[FinishedLength], None]
+    record_progress: Callable[[LengthProgress], None]
 
 
 def stream_generation(
@@ -211,6 +214,7 @@
         for delivery in primed.rest:
             if delivery.sequence % PROGRESS_REPORT_TOKENS == 0:
                 dispatcher.report_progress(placement, delivery.sequence)
+                _record_progress(ports, request, delivery)
             yield delivery
     except BackendError as error:
         _abandon(ports, request, primed)
@@ -251,6 +255,18 @@
     _record_length(ports, request, primed, is_complete)
 
 
+def _record_progress(
+    ports: GenerationPorts, request: GenerationRequest, delivery: Delivery
+) -> None:
+    if delivery.finish_reason is not None:
+        # The final event is no token.
+        return
+    before_tokens = delivery.sequence - PROGRESS_REPORT_TOKENS
+    ports.record_progress(
+        LengthProgress(request.job.demand, before_tokens, delivery.sequence)
+    )
+
+
 def _record_length(
     ports: GenerationPorts,
     request: GenerationRequest,
@@ -261,7 +277,10 @@
     is_at_limit = tokens >= request.job.demand.max_tokens
     ports.record_length(
         FinishedLength(
-            request.job.demand, tokens, is_complete=is_complete and not is_at_limit
+            request.job.demand,
+            tokens,
+            is_complete=is_complete and not is_at_limit,
+            known_tokens=tokens - tokens % PROGRESS_REPORT_TOKENS,
         )
     )
 
