--- a/src/gypsumfield/decisions/admission.py
+++ b/src/gypsumfield/decisions/admission.py
@@ -31,7 +31,7 @@
 # Room that accounts far above the others leave, as a share of the memory, and
 # the multiple of the others' mean that counts as far above.
 CROWD_RESERVE_RATIO = 0.2
-CROWDING_FACTOR = 3.0
+CROWDING_FACTOR = 2.0
 
 
 def is_crowding(running: Sequence[RunningGeneration], account: str) -> bool:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -116,9 +116,9 @@
     [
         ({}, False),
         ({"flood": 9_000}, False),
-        ({"flood": 2_900, "b": 1_000}, False),
-        ({"flood": 3_100, "b": 1_000}, True),
-        ({"flood": 3_100, "b": 1_000, "c": 1_400}, False),
+        ({"flood": 1_900, "b": 1_000}, False),
+        ({"flood": 2_100, "b": 1_000}, True),
+        ({"flood": 2_100, "b": 1_000, "c": 1_400}, False),
         ({"b": 5_000, "c": 100}, False),
     ],
 )
