--- a/bench/engine_run.py
+++ b/bench/engine_run.py
@@ -11,8 +11,9 @@
 from gypsumfield.configuration import Profile
 from gypsumfield.decisions.admission import is_crowding
 from gypsumfield.decisions.admission import MayAdmit
-from gypsumfield.decisions.engine_limits import EngineLimits
 from gypsumfield.decisions.engine_limits import EngineSight
+from gypsumfield.decisions.engine_limits import MemoryBudget
+from gypsumfield.decisions.engine_limits import StepTimeModel
 from gypsumfield.decisions.fairness import FairQueue
 from gypsumfield.decisions.fairness import QueueEntry
 from gypsumfield.decisions.lengths import FinishedLength
@@ -131,7 +132,8 @@
         self.policy = make_policy(self.lengths, by_id)
         self.queue = FairQueue(profile.queue_limit) if queue is None else queue
         self.engine = EngineModel(engine, 0.0)
-        self.limits = EngineLimits()
+        self.budget = MemoryBudget()
+        self.step_times = StepTimeModel()
         self.by_id = by_id
         self.streams: dict[str, _Stream] = {}
         self.measures = _Measures()
@@ -203,9 +205,8 @@
             report.memory_used_tokens,
             report.preemption_count,
             report.boot_id,
-            report.running_count,
-            report.step_time_ms,
         )
+        self.step_times.observe(report.running_count, report.step_time_ms)
         seen_ms = self.now_ms + REPORT_LAG_MS
         self._late_views.append((seen_ms, progress, sight))
 
@@ -216,7 +217,7 @@
             stream = self.streams.get(generation_id)
             if stream is not None:
                 self._learn_progress(stream, tokens)
-        self.limits.observe(sight, accounted, self.now_ms)
+        self.budget.observe(sight, accounted, self.now_ms)
         self._is_view_new = True
 
     def _learn_progress(self, stream: _Stream, tokens: int) -> None:
@@ -246,9 +247,10 @@
     def _may_admit(self, demand: GenerationDemand) -> bool:
         limit_tokens = self.engine.settings.memory_limit_tokens
         if self.policy.learns_limits and self.now_ms > 2 * REPORT_LAG_MS:
-            limit_tokens = self.limits.memory_limit_tokens(self.now_ms)
+            limit_tokens = self.budget.limit_tokens(self.now_ms)
             target_ms = self.profile.between_tokens_target_ms
-            if self.limits.is_batch_full(len(self.streams), target_ms):
+            batch_limit = self.step_times.batch_limit(target_ms)
+            if batch_limit is not None and len(self.streams) >= batch_limit:
                 return False
         return self.policy.may_admit(self._running(), demand, limit_tokens)
 
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -12,8 +12,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from gypsumfield.decisions.engine_limits import EngineLimits
 from gypsumfield.decisions.engine_limits import EngineSight
+from gypsumfield.decisions.engine_limits import MemoryBudget
+from gypsumfield.decisions.engine_limits import StepTimeModel
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.decisions.workload import RunningGeneration
 from gypsumfield.ports import SlotOutcome
@@ -31,12 +32,12 @@
 RETRY_AFTER_FULL_MS = 100.0
 CLOSED_LEASE_MEMORY_MS = 2 * LEASE_MS
 
-TargetOfProfile = Callable[[str], float]
+ReadTarget = Callable[[str], float]
 MayAdmit = Callable[[Sequence[RunningGeneration], GenerationDemand, int], bool]
 
 
 def no_target(_profile: str) -> float:
-    """Set no bound on the time between two tokens."""
+    """Set no target between tokens."""
     return math.inf
 
 
@@ -59,6 +60,9 @@
         waiting_count: Requests that wait there for memory.
         memory_limit_tokens: Its key-value memory; 0 when it has none.
         taken_at_ms: When it was so, on this host's monotonic clock.
+        memory_used_tokens: Key-value memory in use.
+        preemption_count: Preemptions since its boot.
+        step_time_ms: Duration of its latest decode step.
     """
 
     boot_id: str
@@ -114,7 +118,7 @@
             reporting server gets nothing without a recent report.
         warm_limit: Largest number of requests in flight.
         lease_ms: How long a lease lasts unless it is renewed.
-        target_of_profile: Returns the wanted time between two tokens, in ms.
+        read_target_ms: Returns the target between tokens of a profile.
     """
 
     def __init__(
@@ -123,8 +127,11 @@
         is_reporting: bool = False,
         warm_limit: int = WARM_LIMIT,
         lease_ms: float = LEASE_MS,
-        target_of_profile: TargetOfProfile = no_target,
+        read_target_ms: ReadTarget = no_target,
     ) -> None:
+        self._read_target_ms = read_target_ms
+        self._budget = MemoryBudget()
+        self._step_times = StepTimeModel()
         self.limit = COLD_LIMIT
         self.boot_id = ""
         self.is_cold = True
@@ -136,8 +143,6 @@
         self._grants: dict[str, _Grant] = {}
         self._closed_until_ms: dict[str, float] = {}
         self._forget_closed_ms = 0.0
-        self._target_of_profile = target_of_profile
-        self._limits = EngineLimits()
         self._load: LoadObservation | None = None
         self._usual_first_token_ms: float | None = None
         self._trouble_at_ms = -math.inf
@@ -172,12 +177,17 @@
         expires_at_ms = now_ms + self._lease_ms
         self._grants[lease.lease_id] = _Grant(lease, granted_at_ms, expires_at_ms)
 
-    def give_back(self, lease_id: str, use: SlotUse, now_ms: float) -> None:
-        """Close a lease and learn from its evidence, once."""
+    def give_back(self, lease_id: str, use: SlotUse, now_ms: float) -> HeldLease | None:
+        """Close a lease and learn from its evidence, once.
+
+        Returns:
+            The lease, or None when it was not known any more.
+        """
         self._closed_until_ms[lease_id] = now_ms + CLOSED_LEASE_MEMORY_MS
         grant = self._grants.pop(lease_id, None)
         if grant is not None and grant.lease.boot_id == self.boot_id:
             self._learn(use, grant, now_ms)
+        return None if grant is None else grant.lease
 
     def observe_boot(self, boot_id: str, now_ms: float) -> None:
         """Take in the boot of the server; another one than before is cold."""
@@ -202,6 +212,24 @@
                 borne_count = min(load.running_count, self._warm_limit)
                 self.limit = max(self.limit, borne_count)
 
+    def _learn_limits(self, load: LoadObservation, now_ms: float) -> None:
+        self._step_times.observe(load.running_count, load.step_time_ms)
+        sight = EngineSight(
+            load.memory_limit_tokens,
+            load.memory_used_tokens,
+            load.preemption_count,
+            load.boot_id,
+        )
+        # Leases tell their progress late. Memory is somebody else's only when
+        # the server runs more than the leases.
+        accounted_tokens = load.memory_used_tokens
+        if load.request_count > len(self._grants):
+            accounted_tokens = sum(
+                grant.lease.demand.prompt_tokens + grant.lease.generated_tokens
+                for grant in self._grants.values()
+            )
+        self._budget.observe(sight, accounted_tokens, now_ms)
+
     def observe_silence(self, now_ms: float) -> None:
         """Take in that the server did not answer: it may be restarting."""
         self._turn_cold("it did not answer", now_ms)
@@ -230,8 +258,14 @@
             return SlotRefusal(
                 "the backend server has not reported its load", RETRY_AFTER_COLD_MS
             )
-        if self.in_flight_count(now_ms) >= self._limit_now(now_ms):
+        in_flight_count = self.in_flight_count(now_ms)
+        if in_flight_count >= self._limit_now(now_ms):
             return self._refuse_full()
+        batch_limit = self._step_times.batch_limit(self._read_target_ms(demand.profile))
+        if batch_limit is not None and in_flight_count >= batch_limit:
+            return SlotRefusal(
+                "one more would pass the target between tokens", RETRY_AFTER_FULL_MS
+            )
         if not self._has_memory_for(demand, now_ms):
             return SlotRefusal(
                 "the memory of the backend server is full", RETRY_AFTER_FULL_MS
@@ -290,36 +324,12 @@
     def _has_memory_for(self, demand: GenerationDemand, now_ms: float) -> bool:
         if self._load is None or self._load.memory_limit_tokens <= 0:
             return True
-        running = self._running(now_ms)
-        target_ms = self._target_of_profile(demand.profile)
-        if self._limits.is_batch_full(len(running), target_ms):
-            return False
-        limit_tokens = self._limits.memory_limit_tokens(now_ms)
-        return self._may_admit(running, demand, limit_tokens)
-
-    def _running(self, now_ms: float) -> list[RunningGeneration]:
-        return [
+        running = [
             RunningGeneration(grant.lease.demand, grant.lease.generated_tokens)
             for grant in self._grants.values()
             if not grant.is_lost(now_ms)
         ]
-
-    def _learn_limits(self, load: LoadObservation, now_ms: float) -> None:
-        if load.memory_limit_tokens <= 0:
-            return
-        sight = EngineSight(
-            memory_limit_tokens=load.memory_limit_tokens,
-            memory_used_tokens=load.memory_used_tokens,
-            preemption_count=load.preemption_count,
-            boot_id=load.boot_id,
-            running_count=load.running_count,
-            step_time_ms=load.step_time_ms,
-        )
-        accounted_tokens = sum(
-            demand.prompt_tokens + generated_tokens
-            for demand, generated_tokens in self._running(now_ms)
-        )
-        self._limits.observe(sight, accounted_tokens, now_ms)
+        return self._may_admit(running, demand, self._budget.limit_tokens(now_ms))
 
     def _has_report(self, now_ms: float) -> bool:
         load = self._load
