--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -184,6 +184,7 @@
 
 
 def _build_orders(base: _Base, choice: _Choice) -> OrderService:
+    backends = choice.plane.members.membership.backends
     zone = base.settings.availability_zone
 
     def list_engines() -> list[Member]:
@@ -192,6 +193,7 @@
             engine
             for engine in engines
             if owner_zone(base.store.current, engine.availability_zone) == zone
+            and not backends.is_leaving(engine)
         ]
 
     sources = OrderSources(
