--- a/src/gypsumfield/decisions/length_estimates.py
+++ b/src/gypsumfield/decisions/length_estimates.py
@@ -6,6 +6,8 @@
 _SUB_BUCKET_BITS = 2
 _SUB_BUCKETS = 1 << _SUB_BUCKET_BITS
 LARGEST_LENGTH_TOKENS = 65_535
+FORECAST_STEPS = (16, 48, 96, 160, 256, 400, 640, 1_024, 2_048, 4_096)
+AHEAD_TOKENS = 8
 _RENORMALISE_ABOVE_WEIGHT = 1e9
 _REFRESH_SHARE = 0.02
 
@@ -35,12 +37,16 @@
 
     Args:
         reached: Chance to reach the start of each bucket, and of its end.
+        answer_count: Answers that the shared estimate rests on, the prior's
+            included; the fewer, the further it may be off.
     """
 
-    __slots__ = ("_reached",)
+    __slots__ = ("_ahead", "_reached", "answer_count")
 
-    def __init__(self, reached: Sequence[float]) -> None:
+    def __init__(self, reached: Sequence[float], answer_count: float = 1.0) -> None:
         self._reached = reached
+        self.answer_count = answer_count
+        self._ahead: dict[int, tuple[float, ...]] = {}
 
     def longer_than(self, tokens: int) -> float:
         """Return the chance that an output is longer than ``tokens``."""
@@ -59,6 +65,26 @@
         share = (length_tokens / (1 << shift)) - whole
         return at_start + (reached[index + 1] - at_start) * share
 
+    def chances_ahead(self, generated_tokens: int) -> tuple[float, ...]:
+        """Return the chances to run on after each of `FORECAST_STEPS`.
+
+        Lengths that differ by less than `AHEAD_TOKENS` share one answer.
+        """
+        key = generated_tokens // AHEAD_TOKENS
+        chances = self._ahead.get(key)
+        if chances is None:
+            chances = self._compute_ahead(key * AHEAD_TOKENS)
+            self._ahead[key] = chances
+        return chances
+
+    def _compute_ahead(self, tokens: int) -> tuple[float, ...]:
+        alive = self.longer_than(tokens)
+        if alive <= 0.0:
+            return (0.0,) * len(FORECAST_STEPS)
+        return tuple(
+            self.longer_than(tokens + ahead) / alive for ahead in FORECAST_STEPS
+        )
+
 
 EMPTY_TABLE = LengthTable(())
 
@@ -69,10 +95,17 @@
     For each bucket it counts the generations that grew past it and those that
     ended in it. Both are counted when they happen, so that answers still on
     their way count for the lengths they have reached.
+
+    Attributes:
+        is_apart: Whether its account is beyond its rate.
+        table: The table made of the counts; see `is_stale`.
+        parent: The table that it leant on when it was made.
     """
 
     __slots__ = (
+        "end_total",
         "ended",
+        "is_apart",
         "last_ms",
         "parent",
         "passed",
@@ -85,8 +118,10 @@
     def __init__(self) -> None:
         self.ended = array("d", bytes(8 * BUCKET_COUNT))
         self.passed = array("d", bytes(8 * BUCKET_COUNT))
+        self.is_apart = False
         self.weight = 1.0
         self.total = 0.0
+        self.end_total = 0.0
         self.last_ms: float | None = None
         self.pending = 0
         self.table = EMPTY_TABLE
@@ -113,6 +148,7 @@
         """Count a generation that ended of itself."""
         length_tokens = min(max(1, output_tokens), LARGEST_LENGTH_TOKENS)
         self.ended[bucket_of(length_tokens)] += self.weight
+        self.end_total += self.weight
         self._count()
 
     def _count(self) -> None:
@@ -124,8 +160,14 @@
             for index, count in enumerate(counts):
                 counts[index] = count / self.weight
         self.total /= self.weight
+        self.end_total /= self.weight
         self.weight = 1.0
 
+    @property
+    def answer_count(self) -> float:
+        """Answers that ended, weakened by their age."""
+        return self.end_total / self.weight
+
     @property
     def is_stale(self) -> bool:
         """Whether the table misses a fair share of the counts."""
