Pass by an account that crowds an engine; keep accounts above their rate out of the shared estimates

The dispatcher could not see that an owner refused because of the account, so others waited behind it; and nothing told the length model which accounts were above their rate. Answers that were collected whole also counted their first tokens as told of, without telling. Change: an owner's refusal says whether another account might get the slot, and the dispatcher passes by; accounts refused as over rate in the last minute teach only their own estimate; progress is told for streamed and collected answers alike.

--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -26,6 +26,7 @@
 from gypsumfield.control_plane import build_control_plane
 from gypsumfield.control_plane import ControlPlane
 from gypsumfield.decisions.admission import make_admission
+from gypsumfield.decisions.lengths import FinishedLength
 from gypsumfield.decisions.lengths import LengthModel
 from gypsumfield.decisions.retries import RetryBudget
 from gypsumfield.decisions.workload import GenerationDemand
@@ -130,9 +131,7 @@
     admission = AdmissionPorts(
         may_admit=make_admission(lengths, lambda name: _profile(base.store, name)),
         read_target_ms=lambda name: _profile(base.store, name).between_tokens_target_ms,
-        learn_length=lambda finished: lengths.record(
-            finished, base.clock.monotonic_ms()
-        ),
+        learn_length=lambda finished: _record_length(base, lengths, finished),
     )
     plane = build_control_plane(
         base.settings,
@@ -230,10 +229,12 @@
         attempts=attempts,
         relay=relay,
         find_backend=choice.directory.find,
-        record_length=lambda finished: choice.lengths.record(
-            finished, base.clock.monotonic_ms()
+        record_length=lambda finished: _record_length(base, choice.lengths, finished),
+        record_progress=lambda progress: choice.lengths.record_progress(
+            progress._replace(
+                is_within_rate=_is_within_rate(base, progress.demand.account)
+            )
         ),
-        record_progress=choice.lengths.record_progress,
     )
     intake = Intake(
         IntakePorts(
@@ -328,6 +329,18 @@
     return _configuration_hindrance(base, plane)
 
 
+def _record_length(base: _Base, lengths: LengthModel, finished: FinishedLength) -> None:
+    is_within_rate = _is_within_rate(base, finished.demand.account)
+    lengths.record(
+        finished._replace(is_within_rate=is_within_rate), base.clock.monotonic_ms()
+    )
+
+
+def _is_within_rate(base: _Base, account: str) -> bool:
+    # An account above its rate does not bend the estimates of the others.
+    return not base.refusals.is_over_rate(account, base.clock.monotonic_ms())
+
+
 def _expected_tokens(lengths: LengthModel, demand: GenerationDemand) -> float:
     if demand.max_tokens == 0:
         return 1.0
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from gypsumfield.decisions.admission import is_crowding
 from gypsumfield.decisions.engine_limits import EngineSight
 from gypsumfield.decisions.engine_limits import MemoryBudget
 from gypsumfield.decisions.engine_limits import StepTimeModel
@@ -268,7 +269,9 @@
             )
         if not self._has_memory_for(demand, now_ms):
             return SlotRefusal(
-                "the memory of the backend server is full", RETRY_AFTER_FULL_MS
+                "the memory of the backend server is full",
+                RETRY_AFTER_FULL_MS,
+                is_crowding(self._running(now_ms), demand.account),
             )
         return None
 
@@ -324,12 +327,15 @@
     def _has_memory_for(self, demand: GenerationDemand, now_ms: float) -> bool:
         if self._load is None or self._load.memory_limit_tokens <= 0:
             return True
-        running = [
+        limit_tokens = self._budget.limit_tokens(now_ms)
+        return self._may_admit(self._running(now_ms), demand, limit_tokens)
+
+    def _running(self, now_ms: float) -> list[RunningGeneration]:
+        return [
             RunningGeneration(grant.lease.demand, grant.lease.generated_tokens)
             for grant in self._grants.values()
             if not grant.is_lost(now_ms)
         ]
-        return self._may_admit(running, demand, self._budget.limit_tokens(now_ms))
 
     def _has_report(self, now_ms: float) -> bool:
         load = self._load
--- a/src/gypsumfield/dispatch.py
+++ b/src/gypsumfield/dispatch.py
@@ -31,6 +31,7 @@
 QUEUE_RETRY_INTERVAL_MS = 20.0
 BACKENDS_ASKED_LIMIT = 4
 DEFAULT_RETRY_AFTER_MS = 1_000.0
+NOBODY_ASKED = "no backend server may get it"
 UNUSED = SlotUse(SlotOutcome.NOT_SENT)
 
 _MESSAGES = {
@@ -228,13 +229,20 @@
                 self._wake.wait(QUEUE_RETRY_INTERVAL_MS / MS_PER_S)
 
     def _place_next(self, now_ms: float) -> bool:
-        entry = self._queue.peek(now_ms)
-        if entry is None:
-            return False
-        waiting = self._waiting[entry.demand.request_id]
-        placed = self._try(waiting.job, waiting.tried)
-        if isinstance(placed, SlotRefusal):
-            return False
+        passed_over: set[str] = set()
+        while (entry := self._queue.peek(now_ms, passed_over)) is not None:
+            waiting = self._waiting[entry.demand.request_id]
+            placed = self._try(waiting.job, waiting.tried)
+            if isinstance(placed, Placement):
+                return self._hand_over(entry, waiting, placed)
+            if not placed.is_account_held_back:
+                return False
+            passed_over.add(entry.demand.account)
+        return False
+
+    def _hand_over(
+        self, entry: QueueEntry, waiting: _Waiting, placed: Placement
+    ) -> bool:
         if waiting.result.ready():
             # It was answered otherwise while the owner was asked.
             self._ports.slots.release(placed.lease, UNUSED)
@@ -244,12 +252,17 @@
         return True
 
     def _try(self, job: Job, tried: frozenset[str]) -> Placement | SlotRefusal:
-        refusal = SlotRefusal("no backend server may get it", DEFAULT_RETRY_AFTER_MS)
+        refusal = SlotRefusal(NOBODY_ASKED, DEFAULT_RETRY_AFTER_MS)
         for backend in self._rank(job, tried)[:BACKENDS_ASKED_LIMIT]:
             lease = self._ports.slots.acquire(backend.host_id, job.demand)
             if isinstance(lease, SlotLease):
                 return Placement(backend, lease)
-            refusal = lease
+            # Held back everywhere is what lets others pass by.
+            is_first = refusal.reason == NOBODY_ASKED
+            is_held_back = lease.is_account_held_back and (
+                is_first or refusal.is_account_held_back
+            )
+            refusal = lease._replace(is_account_held_back=is_held_back)
         self._last_refusal = refusal.reason
         return refusal
 
--- a/src/gypsumfield/generations.py
+++ b/src/gypsumfield/generations.py
@@ -95,7 +95,7 @@
     def perform(attempt: Attempt) -> list[Delivery]:
         primed = _prime(ports, request, attempt)
         try:
-            deliveries = [primed.first, *primed.rest]
+            deliveries = _read_all(ports, request, primed)
         except BaseException:
             _abandon(ports, request, primed)
             raise
@@ -141,6 +141,17 @@
     first_token_ms: float
 
 
+def _read_all(
+    ports: GenerationPorts, request: GenerationRequest, primed: _Primed
+) -> list[Delivery]:
+    deliveries = [primed.first]
+    for delivery in primed.rest:
+        if delivery.sequence % PROGRESS_REPORT_TOKENS == 0:
+            _report_progress(ports, request, primed, delivery)
+        deliveries.append(delivery)
+    return deliveries
+
+
 def _prime(
     ports: GenerationPorts, request: GenerationRequest, attempt: Attempt
 ) -> _Primed:
@@ -207,14 +218,11 @@
 def _deliver(
     ports: GenerationPorts, request: GenerationRequest, primed: _Primed
 ) -> Iterator[Delivery]:
-    dispatcher = ports.attempts.dispatcher
-    placement = primed.attempt.placement
     try:
         yield primed.first
         for delivery in primed.rest:
             if delivery.sequence % PROGRESS_REPORT_TOKENS == 0:
-                dispatcher.report_progress(placement, delivery.sequence)
-                _record_progress(ports, request, delivery)
+                _report_progress(ports, request, primed, delivery)
             yield delivery
     except BackendError as error:
         _abandon(ports, request, primed)
@@ -255,12 +263,17 @@
     _record_length(ports, request, primed, is_complete)
 
 
-def _record_progress(
-    ports: GenerationPorts, request: GenerationRequest, delivery: Delivery
+def _report_progress(
+    ports: GenerationPorts,
+    request: GenerationRequest,
+    primed: _Primed,
+    delivery: Delivery,
 ) -> None:
     if delivery.finish_reason is not None:
         # The final event is no token.
         return
+    placement = primed.attempt.placement
+    ports.attempts.dispatcher.report_progress(placement, delivery.sequence)
     before_tokens = delivery.sequence - PROGRESS_REPORT_TOKENS
     ports.record_progress(
         LengthProgress(request.job.demand, before_tokens, delivery.sequence)
--- a/src/gypsumfield/messages.py
+++ b/src/gypsumfield/messages.py
@@ -232,12 +232,14 @@
         reason: Why.
         retry_after_ms: When to ask again.
         lease_id: Name that the lease should have had.
+        is_account_held_back: Whether another account might get the slot.
     """
 
     backend_server: str = ""
     reason: str = ""
     retry_after_ms: float = 0.0
     lease_id: str = ""
+    is_account_held_back: bool = False
 
 
 class SlotReturn(ControlMessage, frozen=True, tag=23):
--- a/src/gypsumfield/ports.py
+++ b/src/gypsumfield/ports.py
@@ -65,10 +65,18 @@
 
 
 class SlotRefusal(NamedTuple):
-    """No slot was granted."""
+    """No slot was granted.
+
+    Attributes:
+        reason: Why, for the caller and the log.
+        retry_after_ms: When to ask again.
+        is_account_held_back: Whether another account's request might get the
+            slot now.
+    """
 
     reason: str
     retry_after_ms: float
+    is_account_held_back: bool = False
 
 
 class SlotOutcome(Enum):
--- a/src/gypsumfield/refusal_memory.py
+++ b/src/gypsumfield/refusal_memory.py
@@ -1,5 +1,6 @@
 """Keeps the last refusal of each client account, for the status page."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Mapping
 
@@ -9,6 +10,8 @@
 from gypsumfield.events import RequestRefused
 
 ACCOUNT_LIMIT = 2_048
+OVER_RATE_CODE = "account_over_rate"
+OVER_RATE_MEMORY_MS = 60_000.0
 
 
 class LastRefusal(msgspec.Struct, frozen=True):
@@ -34,6 +37,7 @@
 
     def __init__(self) -> None:
         self._refusals: OrderedDict[str, tuple[float, RequestRefused]] = OrderedDict()
+        self._over_rate_ms: dict[str, float] = {}
 
     def observe(self, event: Event, now_ms: float) -> None:
         """Note an event if it is the refusal of a known account's request."""
@@ -41,8 +45,16 @@
             return
         self._refusals[event.account] = (now_ms, event)
         self._refusals.move_to_end(event.account)
+        if event.code == OVER_RATE_CODE:
+            self._over_rate_ms[event.account] = now_ms
         if len(self._refusals) > ACCOUNT_LIMIT:
-            self._refusals.popitem(last=False)
+            forgotten, _ = self._refusals.popitem(last=False)
+            self._over_rate_ms.pop(forgotten, None)
+
+    def is_over_rate(self, account: str, now_ms: float) -> bool:
+        """Return whether an account was above its rate a short time ago."""
+        over_rate_ms = self._over_rate_ms.get(account, -math.inf)
+        return now_ms - over_rate_ms <= OVER_RATE_MEMORY_MS
 
     def last_refusals(self, now_ms: float) -> Mapping[str, LastRefusal]:
         """Return the last refusal of each account."""
--- a/src/gypsumfield/serving.py
+++ b/src/gypsumfield/serving.py
@@ -31,6 +31,7 @@
 from gypsumfield.ports import EmitEvent
 from gypsumfield.ports import QuotaDecision
 from gypsumfield.ports import QuotaPort
+from gypsumfield.refusal_memory import OVER_RATE_CODE
 from gypsumfield.relay import Delivery
 
 
@@ -234,7 +235,7 @@
             return decision
         refusal = Refusal(
             429,
-            "account_over_rate",
+            OVER_RATE_CODE,
             decision.reason,
             retry_after_ms=decision.retry_after_ms,
         )
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -316,7 +316,9 @@
         result = self._loop.request(owner, request, ControlMessage, ACQUIRE_TIMEOUT_MS)
         answer = result.unwrap() if isinstance(result, Success) else None
         if isinstance(answer, SlotRefused):
-            return SlotRefusal(answer.reason, answer.retry_after_ms)
+            return SlotRefusal(
+                answer.reason, answer.retry_after_ms, answer.is_account_held_back
+            )
         if isinstance(answer, SlotGrant) and answer.lease_id == wanted.lease_id:
             return wanted._replace(boot_id=answer.boot_id)
         # The owner may have granted it all the same.
@@ -366,6 +368,7 @@
                 backend_server=backend_server,
                 reason=answer.reason,
                 retry_after_ms=answer.retry_after_ms,
+                is_account_held_back=answer.is_account_held_back,
                 lease_id=message.lease_id,
             )
         return SlotGrant(
