Leave the membership when a draining host retires

Cause: a host that had retired but still counted as live was asked in vain for as long as its answers ran, and counted as a rival again after 6.5 s, so that nobody owned its backend servers. Change: entry_host.drain retires and leaves before it waits for the answers. Seen failing first: tests/test_entry_host.py with the former order.

--- a/src/gypsumfield/entry_host.py
+++ b/src/gypsumfield/entry_host.py
@@ -24,7 +24,7 @@
 
     Attributes:
         retire: Gives up what the host owns, while its answers still run.
-        leave: Says that the host is gone.
+        leave: Says that the host takes no new work.
     """
 
     retire: Callable[[], None]
@@ -112,11 +112,12 @@
         self.begin_drain()
         self._clock.sleep_ms(self.settings.drain_notice_ms)
         self._server.close()
+        # Others ask a host that has retired in vain until they know that it leaves.
         self._farewell.retire()
+        self._farewell.leave()
         started_ms = self._clock.monotonic_ms()
         while self.in_flight_count and not self._is_drain_over(started_ms):
             self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        self._farewell.leave()
         self._clock.sleep_ms(FAREWELL_MS)
         return self.stop()
 
