--- a/bench/engine_run.py
+++ b/bench/engine_run.py
@@ -39,11 +39,13 @@
         may_admit: The decision.
         learns_limits: Whether the load reports' limits are learned from.
         sees_present: Whether progress is seen without a lag; for the oracle.
+        passes_over: Whether others may pass by an account that crowds.
     """
 
     may_admit: MayAdmit
     learns_limits: bool = False
     sees_present: bool = False
+    passes_over: bool = False
 
 
 MakePolicy = Callable[[LengthModel, dict[str, BenchRequest]], Policy]
@@ -139,7 +141,7 @@
         self._next_arrival = 0
         self._next_report_ms = 0.0
         self._is_view_new = True
-        self._late_views: list[tuple[float, dict[str, int], EngineSight, float]] = []
+        self._late_views: list[tuple[float, dict[str, int], EngineSight]] = []
 
     def run(self) -> RunResult:
         """Play all arrivals to the last answer."""
@@ -189,8 +191,8 @@
             self._next_report_ms = self.now_ms + REPORT_LAG_MS
             self._take_view()
         while self._late_views and self._late_views[0][0] <= self.now_ms:
-            _, progress, sight, step_time_ms = self._late_views.pop(0)
-            self._see(progress, sight, step_time_ms)
+            _, progress, sight = self._late_views.pop(0)
+            self._see(progress, sight)
 
     def _take_view(self) -> None:
         report = self.engine.load_report(self.now_ms)
@@ -204,12 +206,11 @@
             report.preemption_count,
             report.boot_id,
         )
+        self.step_times.observe(report.running_count, report.step_time_ms)
         seen_ms = self.now_ms + REPORT_LAG_MS
-        self._late_views.append((seen_ms, progress, sight, report.step_time_ms))
+        self._late_views.append((seen_ms, progress, sight))
 
-    def _see(
-        self, progress: dict[str, int], sight: EngineSight, step_time_ms: float
-    ) -> None:
+    def _see(self, progress: dict[str, int], sight: EngineSight) -> None:
         accounted = 0
         for generation_id, tokens in progress.items():
             accounted += self.by_id[generation_id].demand.prompt_tokens + tokens
@@ -217,7 +218,6 @@
             if stream is not None:
                 self._learn_progress(stream, tokens)
         self.budget.observe(sight, accounted, self.now_ms)
-        self.step_times.observe(len(progress), step_time_ms)
         self._is_view_new = True
 
     def _learn_progress(self, stream: _Stream, tokens: int) -> None:
@@ -242,7 +242,7 @@
 
     def _is_held_back(self, account: str) -> bool:
         """Return whether others may pass by the entry that was not admitted."""
-        return self.policy.learns_limits and is_crowding(self._running(), account)
+        return self.policy.passes_over and is_crowding(self._running(), account)
 
     def _may_admit(self, demand: GenerationDemand) -> bool:
         limit_tokens = self.engine.settings.memory_limit_tokens
