--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -195,7 +195,10 @@
         live_count = len(self.live_hosts(self.availability_zone))
         known_count = live_count + self._missing_count(now_ms)
         if known_count <= 1:
-            return has_platform or not self._seeds
+            # A host that starts parted from all others knows of nobody. Only
+            # a list of the platform tells that it is alone.
+            was_told = self._platform_contact_ms is not None
+            return has_platform or (was_told and not self._seeds)
         if 2 * live_count == known_count:
             return has_platform
         is_heard = self._is_fresh(self._heard_by_peer_ms, now_ms)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -182,3 +182,14 @@
     assert not fleet["m0"].is_acting(network.now_ms)
     fleet["m0"].membership.note_platform_contact(network.now_ms)
     assert fleet["m0"].is_acting(network.now_ms)
+
+
+@pytest.mark.parametrize("had_contact", [False, True])
+def test_lone_host_acts_only_once_the_platform_has_named_the_others(had_contact):
+    network = FakeNetwork()
+    fleet = start_fleet(network, {"m0": "manta"})
+    lone = fleet["m0"].membership
+    if had_contact:
+        lone.note_platform_contact(network.now_ms)
+    network.advance(60_000)
+    assert lone.is_confirmed(network.now_ms) == had_contact
