Wait out the hold-down after a minority is healed; keep the latest word of a peer

Change: a host that is not confirmed begins its hold-down anew; the latest word counts. The test of a lone survivor of two now waits for the hold-down, which is stricter; a test holds the healed minority.

--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -234,7 +234,9 @@
         for backend_news in heartbeat.backend_news:
             self.backends.take_news(backend_news)
         if 0 <= heartbeat.heard_age_ms < self.times.silent_after_ms:
-            self._heard_by_peer_ms = now_ms - heartbeat.heard_age_ms
+            heard_ms = now_ms - heartbeat.heard_age_ms
+            # Another peer may have said so of a later moment already.
+            self._heard_by_peer_ms = max(self._heard_by_peer_ms or 0.0, heard_ms)
         if entry is not None and entry.news.state != sender.state:
             # The sender must hear what is said of it.
             return [Outgoing(sender.host_id, ViewAnswer(news=(entry.news,)))]
@@ -267,6 +269,10 @@
         """
         self._round += 1
         self._position = position
+        if not self.is_confirmed(now_ms):
+            # The others may act without this host until they hear of it again,
+            # and it may not know yet which of them do.
+            self._entries[self.host_id].joined_ms = now_ms
         if self.self_news.state == "live":
             self._report_silent(now_ms)
         self._forget(now_ms)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -180,5 +180,23 @@
     fleet["m1"].crash()
     network.advance(10_000)
     assert not fleet["m0"].is_acting(network.now_ms)
-    fleet["m0"].membership.note_platform_contact(network.now_ms)
+    for second in range(13):
+        # The hold-down begins anew with the confirmation.
+        assert second > 9 or not fleet["m0"].is_acting(network.now_ms)
+        fleet["m0"].membership.note_platform_contact(network.now_ms)
+        network.advance(1_000)
     assert fleet["m0"].is_acting(network.now_ms)
+
+
+def test_minority_that_is_healed_waits_before_it_acts():
+    network = FakeNetwork(5881)
+    fleet = start_fleet(network, {f"m{i}": "manta" for i in range(5)})
+    network.advance(15_000)
+    network.part([["m2", "m3", "m4"]])
+    network.advance(25_000)
+    network.heal()
+    for _ in range(90):
+        network.advance(100)
+        assert not fleet["m0"].is_acting(network.now_ms)
+    network.advance(10_000)
+    assert all(member.is_acting(network.now_ms) for member in fleet.values())
