--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -180,7 +180,11 @@
     fleet["m1"].crash()
     network.advance(10_000)
     assert not fleet["m0"].is_acting(network.now_ms)
-    fleet["m0"].membership.note_platform_contact(network.now_ms)
+    for second in range(13):
+        # The hold-down begins anew with the confirmation.
+        assert second > 9 or not fleet["m0"].is_acting(network.now_ms)
+        fleet["m0"].membership.note_platform_contact(network.now_ms)
+        network.advance(1_000)
     assert fleet["m0"].is_acting(network.now_ms)
 
 
@@ -193,3 +197,17 @@
         lone.note_platform_contact(network.now_ms)
     network.advance(60_000)
     assert lone.is_confirmed(network.now_ms) == had_contact
+
+
+def test_minority_that_is_healed_waits_before_it_acts():
+    network = FakeNetwork(5881)
+    fleet = start_fleet(network, {f"m{i}": "manta" for i in range(5)})
+    network.advance(15_000)
+    network.part([["m2", "m3", "m4"]])
+    network.advance(25_000)
+    network.heal()
+    for _ in range(90):
+        network.advance(100)
+        assert not fleet["m0"].is_acting(network.now_ms)
+    network.advance(10_000)
+    assert all(member.is_acting(network.now_ms) for member in fleet.values())
