--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -233,6 +233,7 @@
         record_length=lambda finished: choice.lengths.record(
             finished, base.clock.monotonic_ms()
         ),
+        record_progress=choice.lengths.record_progress,
     )
     intake = Intake(
         IntakePorts(
