Take a list that names a host for the word that it is alone

Change: a list that names the host is the word; a host that starts cut off has none. Conclusion: strict at the start, serving after it. Two hosts of one zone that are parted from each other, of which the platform has dropped one, remain a known limit.

--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -197,7 +197,7 @@
         if known_count <= 1:
             # A host that starts parted from all others knows of nobody. Only
             # a list of the platform tells that it is alone.
-            was_told = self._platform_contact_ms is not None
+            was_told = self.host_id in self._listed
             return has_platform or (was_told and not self._seeds)
         if 2 * live_count == known_count:
             return has_platform
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,15 +188,15 @@
     assert fleet["m0"].is_acting(network.now_ms)
 
 
-@pytest.mark.parametrize("had_contact", [False, True])
-def test_lone_host_acts_only_once_the_platform_has_named_the_others(had_contact):
+@pytest.mark.parametrize("is_told", [False, True])
+def test_lone_host_acts_only_once_a_list_has_told_that_it_is_alone(is_told):
     network = FakeNetwork()
-    fleet = start_fleet(network, {"m0": "manta"})
-    lone = fleet["m0"].membership
-    if had_contact:
-        lone.note_platform_contact(network.now_ms)
+    member = FakeMember(network, "m0", "manta", boot=1)
+    if is_told:
+        member.membership.take_platform_list([member.as_listed()], network.now_ms)
     network.advance(60_000)
-    assert lone.is_confirmed(network.now_ms) == had_contact
+    assert member.membership.is_confirmed(network.now_ms) == is_told
+    assert member.is_acting(network.now_ms) == is_told
 
 
 def test_minority_that_is_healed_waits_before_it_acts():
