--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,6 +188,17 @@
     assert fleet["m0"].is_acting(network.now_ms)
 
 
+@pytest.mark.parametrize("is_told", [False, True])
+def test_lone_host_acts_only_once_a_list_has_told_that_it_is_alone(is_told):
+    network = FakeNetwork()
+    member = FakeMember(network, "m0", "manta", boot=1)
+    if is_told:
+        member.membership.take_platform_list([member.as_listed()], network.now_ms)
+    network.advance(60_000)
+    assert member.membership.is_confirmed(network.now_ms) == is_told
+    assert member.is_acting(network.now_ms) == is_told
+
+
 def test_minority_that_is_healed_waits_before_it_acts():
     network = FakeNetwork(5881)
     fleet = start_fleet(network, {f"m{i}": "manta" for i in range(5)})
