Move lease messages and member news out of the two largest modules

Change: conversions between leases and their messages, and what is known of one member, are modules of their own; the demand of a request and of a report is built in one place. No behaviour changed.

--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -16,8 +16,8 @@
 from gypsumfield.configuration_spread import MemberListSpread
 from gypsumfield.control_loop import ControlLoop
 from gypsumfield.decisions.lengths import FinishedLength
+from gypsumfield.decisions.member_news import MembershipTimes
 from gypsumfield.decisions.membership import Membership
-from gypsumfield.decisions.membership import MembershipTimes
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import MayAdmit
 from gypsumfield.decisions.slots import ReadTarget
--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -13,6 +13,12 @@
 import xxhash
 
 from gypsumfield.decisions.backend_membership import BackendMembership
+from gypsumfield.decisions.member_news import DEFAULT_TIMES
+from gypsumfield.decisions.member_news import is_newer
+from gypsumfield.decisions.member_news import MemberEntry
+from gypsumfield.decisions.member_news import MembershipTimes
+from gypsumfield.decisions.member_news import with_key
+from gypsumfield.decisions.member_news import with_state
 from gypsumfield.decisions.rumours import RumourQueue
 from gypsumfield.messages import ControlMessage
 from gypsumfield.messages import Heartbeat
@@ -27,32 +33,6 @@
 URGENT_INTERVAL_MS = 100.0
 FORGET_AFTER_MS = 600_000.0
 LIST_LIFETIME_MS = 3_500.0
-_STATE_ORDER = {"live": 0, "silent": 1, "leaving": 2}
-
-
-class MembershipTimes(NamedTuple):
-    """Times of the membership protocol.
-
-    Attributes:
-        heartbeat_interval_ms: Time between two heartbeats to a neighbour.
-        silent_after_ms: Silence after which a neighbour is reported.
-        first_heard_within_ms: Silence after which a new neighbour is reported.
-        hold_down_ms: Wait before anybody's share may grow.
-        confirmed_within_ms: Age of evidence that this host is heard.
-        cross_zone_every: Heartbeat rounds between two to another zone.
-        view_request_interval_ms: Shortest time between two requests for a view.
-    """
-
-    heartbeat_interval_ms: float = 1_000.0
-    silent_after_ms: float = 3_500.0
-    first_heard_within_ms: float = 2_500.0
-    hold_down_ms: float = 10_000.0
-    confirmed_within_ms: float = 3_500.0
-    cross_zone_every: int = 2
-    view_request_interval_ms: float = 2_000.0
-
-
-DEFAULT_TIMES = MembershipTimes()
 
 
 class Outgoing(NamedTuple):
@@ -70,17 +50,6 @@
     platform_age_ms: int = -1
 
 
-class _Entry:
-    """One entry host as this host sees it."""
-
-    def __init__(self, news: MemberNews, now_ms: float) -> None:
-        self.news = news
-        self.joined_ms = now_ms
-        self.ended_ms: float | None = None
-        self.heard_ms: float | None = None
-        self.watched_since_ms: float | None = None
-
-
 class Membership:
     """Entry hosts as one host sees them; a new boot counts as a new host.
 
@@ -112,7 +81,7 @@
         self.availability_zone = self_news.availability_zone
         self.times = times
         self.backends = BackendMembership(self.availability_zone)
-        self._entries = {self.host_id: _Entry(self_news, now_ms)}
+        self._entries = {self.host_id: MemberEntry(self_news, now_ms)}
         self._rumours: RumourQueue[str, MemberNews] = RumourQueue()
         self.view_version = 0
         self._seeds = tuple(seed for seed in seeds if seed != self.host_id)
@@ -320,7 +289,7 @@
         if entry.news.state == "live":
             self._announce(entry.news.incarnation + 1, "live", now_ms)
 
-    def _in_zone(self, zone: str | None) -> list[_Entry]:
+    def _in_zone(self, zone: str | None) -> list[MemberEntry]:
         return [
             entry
             for entry in self._entries.values()
@@ -334,7 +303,7 @@
             for entry in self._in_zone(self.availability_zone)
         )
 
-    def _may_be_parted(self, entry: _Entry, now_ms: float) -> bool:
+    def _may_be_parted(self, entry: MemberEntry, now_ms: float) -> bool:
         if entry.news.state != "silent":
             return False
         if not self._listed or entry.news.host_id in self._listed:
@@ -366,18 +335,18 @@
             self._refute(news, now_ms)
             return
         entry = self._entries.get(news.host_id)
-        if entry is not None and not _is_newer(news, entry.news):
+        if entry is not None and not is_newer(news, entry.news):
             return
         self._adopt(news, now_ms)
         if news.state == "live" and self._is_told_to_leave(news):
-            self._adopt(_with_state(news, "leaving"), now_ms)
+            self._adopt(with_state(news, "leaving"), now_ms)
 
     def _is_told_to_leave(self, news: MemberNews) -> bool:
         return self._told_to_leave.get(news.host_id) == news.boot_id
 
     def _refute(self, news: MemberNews, now_ms: float) -> None:
         own = self.self_news
-        if not _is_newer(news, own):
+        if not is_newer(news, own):
             return
         is_told_to_leave = news.state == "leaving" and news.boot_id == own.boot_id
         state = "leaving" if is_told_to_leave else own.state
@@ -386,7 +355,7 @@
     def _adopt(self, news: MemberNews, now_ms: float) -> None:
         entry = self._entries.get(news.host_id)
         if entry is None:
-            entry = self._entries[news.host_id] = _Entry(news, now_ms)
+            entry = self._entries[news.host_id] = MemberEntry(news, now_ms)
         elif entry.news.boot_id != news.boot_id:
             entry.joined_ms = now_ms
             entry.heard_ms = entry.watched_since_ms = None
@@ -395,12 +364,12 @@
         self._note_end(entry, news, now_ms)
         if not news.control_public_key:
             key = entry.news.control_public_key
-            news = _with_key(news, key)
+            news = with_key(news, key)
         entry.news = news
         self.view_version += 1
         self._rumours.add(news.host_id, news)
 
-    def _note_end(self, entry: _Entry, news: MemberNews, now_ms: float) -> None:
+    def _note_end(self, entry: MemberEntry, news: MemberNews, now_ms: float) -> None:
         if news.state != "live":
             if entry.ended_ms is None:
                 entry.ended_ms = now_ms
@@ -418,7 +387,7 @@
         entry = self._entries.get(member.host_id)
         if entry is not None and entry.news.incarnation > 0:
             if entry.news.state == "live" and self._is_told_to_leave(entry.news):
-                self._adopt(_with_state(entry.news, "leaving"), now_ms)
+                self._adopt(with_state(entry.news, "leaving"), now_ms)
             return
         news = MemberNews(
             member.host_id,
@@ -430,7 +399,7 @@
             member.control_public_key,
         )
         is_other_boot = entry is not None and entry.news.boot_id != news.boot_id
-        if entry is None or is_other_boot or _is_newer(news, entry.news):
+        if entry is None or is_other_boot or is_newer(news, entry.news):
             self._adopt(news, now_ms)
 
     def _drop_unlisted(self, host_id: str, now_ms: float) -> None:
@@ -440,9 +409,9 @@
             return
         is_other_zone = entry.news.availability_zone != self.availability_zone
         if is_other_zone or not self._was_heard(entry, now_ms):
-            self._adopt(_with_state(entry.news, "silent"), now_ms)
+            self._adopt(with_state(entry.news, "silent"), now_ms)
 
-    def _was_heard(self, entry: _Entry, now_ms: float) -> bool:
+    def _was_heard(self, entry: MemberEntry, now_ms: float) -> bool:
         if entry.heard_ms is None:
             return False
         return now_ms - entry.heard_ms <= self.times.silent_after_ms
@@ -482,9 +451,11 @@
             if entry.watched_since_ms is None:
                 entry.watched_since_ms = now_ms
             if self._is_silent(entry, entry.watched_since_ms, now_ms):
-                self._adopt(_with_state(entry.news, "silent"), now_ms)
+                self._adopt(with_state(entry.news, "silent"), now_ms)
 
-    def _is_silent(self, entry: _Entry, watched_since_ms: float, now_ms: float) -> bool:
+    def _is_silent(
+        self, entry: MemberEntry, watched_since_ms: float, now_ms: float
+    ) -> bool:
         heard_ms = entry.heard_ms
         if heard_ms is None or heard_ms < watched_since_ms:
             # A ring that closes over several lost hosts must not take the full
@@ -527,7 +498,7 @@
         heard_ms = entry.heard_ms if entry else None
         repeats = _repeat_count(len(self._entries))
         return Heartbeat(
-            self_news=_with_key(self.self_news, ""),
+            self_news=with_key(self.self_news, ""),
             heard_age_ms=-1 if heard_ms is None else int(now_ms - heard_ms),
             configuration_revision=position.configuration_revision,
             members_version=position.members_version,
@@ -541,38 +512,6 @@
         )
 
 
-def _is_newer(news: MemberNews, known: MemberNews) -> bool:
-    if news.incarnation != known.incarnation:
-        return news.incarnation > known.incarnation
-    if news.boot_id != known.boot_id:
-        return news.boot_id > known.boot_id
-    return _STATE_ORDER[news.state] > _STATE_ORDER[known.state]
-
-
-def _with_state(news: MemberNews, state: str) -> MemberNews:
-    return MemberNews(
-        news.host_id,
-        news.boot_id,
-        news.availability_zone,
-        news.incarnation,
-        "leaving" if state == "leaving" else "silent",
-        news.control_address,
-        news.control_public_key,
-    )
-
-
-def _with_key(news: MemberNews, public_key: str) -> MemberNews:
-    return MemberNews(
-        news.host_id,
-        news.boot_id,
-        news.availability_zone,
-        news.incarnation,
-        news.state,
-        news.control_address,
-        public_key,
-    )
-
-
 def _ring_position(host_id: str) -> tuple[int, str]:
     return xxhash.xxh3_64_intdigest(host_id.encode()), host_id
 
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -23,7 +23,6 @@
 from gypsumfield.decisions.slots import BackendSlots
 from gypsumfield.decisions.slots import HeldLease
 from gypsumfield.decisions.slots import LEASE_MS
-from gypsumfield.decisions.slots import LoadObservation
 from gypsumfield.decisions.slots import MayAdmit
 from gypsumfield.decisions.slots import no_target
 from gypsumfield.decisions.slots import ReadTarget
@@ -45,6 +44,12 @@
 from gypsumfield.ports import SlotPort
 from gypsumfield.ports import SlotRefusal
 from gypsumfield.ports import SlotUse
+from gypsumfield.slot_messages import finished_lengths
+from gypsumfield.slot_messages import lease_of
+from gypsumfield.slot_messages import observation_of
+from gypsumfield.slot_messages import report_of
+from gypsumfield.slot_messages import request_of
+from gypsumfield.slot_messages import wanted_lease
 
 TICK_INTERVAL_MS = 250.0
 ACQUIRE_TIMEOUT_MS = 200.0
@@ -207,17 +212,7 @@
         slots = self._slots_of(backend_server)
         if slots is None:
             return
-        observation = LoadObservation(
-            boot_id=report.boot_id,
-            is_cold=report.is_cold,
-            running_count=report.running_count,
-            waiting_count=report.waiting_count,
-            memory_limit_tokens=report.memory_limit_tokens,
-            taken_at_ms=requested_at_ms - report.report_age_ms,
-            memory_used_tokens=report.memory_used_tokens,
-            preemption_count=report.preemption_count,
-            step_time_ms=report.step_time_ms,
-        )
+        observation = observation_of(report, requested_at_ms)
         was_cold = slots.is_cold
         slots.observe(observation, self._clock.monotonic_ms())
         self._tell_cold(backend_server, slots, was_cold)
@@ -272,7 +267,9 @@
         for holding in self._holdings.values():
             owner = self._owner_of(holding.backend_server)
             if owner is not None:
-                by_owner.setdefault(owner, []).append(_report_of(holding))
+                by_owner.setdefault(owner, []).append(
+                    report_of(holding.backend_server, holding.lease)
+                )
         for owner, reports in by_owner.items():
             for start in range(0, len(reports), LEASES_PER_MESSAGE):
                 batch = tuple(reports[start : start + LEASES_PER_MESSAGE])
@@ -301,18 +298,7 @@
     def _ask_owner(
         self, owner: str, backend_server: str, wanted: HeldLease
     ) -> HeldLease | SlotRefusal:
-        demand = wanted.demand
-        request = SlotRequest(
-            request_id=demand.request_id,
-            backend_server=backend_server,
-            service=demand.service,
-            profile=demand.profile,
-            account=demand.account,
-            prompt_tokens=demand.prompt_tokens,
-            max_tokens=demand.max_tokens,
-            priority=demand.priority,
-            lease_id=wanted.lease_id,
-        )
+        request = request_of(backend_server, wanted)
         result = self._loop.request(owner, request, ControlMessage, ACQUIRE_TIMEOUT_MS)
         answer = result.unwrap() if isinstance(result, Success) else None
         if isinstance(answer, SlotRefused):
@@ -351,17 +337,8 @@
     def _handle_request(
         self, sender: str, message: SlotRequest
     ) -> SlotGrant | SlotRefused:
-        demand = GenerationDemand(
-            message.request_id,
-            message.service,
-            message.profile,
-            message.account,
-            message.prompt_tokens,
-            message.max_tokens,
-            message.priority,
-        )
         backend_server = message.backend_server
-        wanted = HeldLease(message.lease_id, sender, "", demand)
+        wanted = wanted_lease(sender, message)
         answer = self._grant(backend_server, wanted)
         if isinstance(answer, SlotRefusal):
             return SlotRefused(
@@ -383,7 +360,7 @@
         for report in message.leases:
             slots = self._slots_of(report.backend_server)
             if slots is not None:
-                slots.renew(_lease_of(sender, report), now_ms)
+                slots.renew(lease_of(sender, report), now_ms)
 
     def _handle_return(self, sender: str, message: SlotReturn) -> None:
         slots = self._slots_of(message.backend_server)
@@ -395,7 +372,8 @@
         now_ms = self._clock.monotonic_ms()
         lease = slots.give_back(message.lease_id, use, now_ms)
         if lease is not None and sender != self._loop.host_id:
-            self._learn_length(lease, use)
+            for finished in finished_lengths(lease, use):
+                self._sources.learn_length(finished)
         self._emit(
             SlotReturned(
                 backend_server=message.backend_server, holder=sender, slot_count=1
@@ -403,17 +381,6 @@
         )
         self._tell_cold(message.backend_server, slots, was_cold)
 
-    def _learn_length(self, lease: HeldLease, use: SlotUse) -> None:
-        if lease.demand.max_tokens == 0 or use.generated_tokens == 0:
-            return
-        is_whole = use.outcome in (SlotOutcome.COMPLETED, SlotOutcome.SLOW)
-        is_cut = use.generated_tokens >= lease.demand.max_tokens
-        self._sources.learn_length(
-            FinishedLength(
-                lease.demand, use.generated_tokens, is_complete=is_whole and not is_cut
-            )
-        )
-
     def _slots_of(self, backend_server: str) -> BackendSlots | None:
         """Return the record of a backend server that this host may come to own."""
         description = self._sources.describe_backend(backend_server)
@@ -454,36 +421,3 @@
 
 def _resource(backend_server: str) -> str:
     return f"slots/{backend_server}"
-
-
-def _report_of(holding: _Holding) -> LeaseReport:
-    lease = holding.lease
-    demand = lease.demand
-    return LeaseReport(
-        lease_id=lease.lease_id,
-        backend_server=holding.backend_server,
-        boot_id=lease.boot_id,
-        generated_tokens=lease.generated_tokens,
-        request_id=demand.request_id,
-        service=demand.service,
-        profile=demand.profile,
-        account=demand.account,
-        prompt_tokens=demand.prompt_tokens,
-        max_tokens=demand.max_tokens,
-        priority=demand.priority,
-    )
-
-
-def _lease_of(holder: str, report: LeaseReport) -> HeldLease:
-    demand = GenerationDemand(
-        report.request_id,
-        report.service,
-        report.profile,
-        report.account,
-        report.prompt_tokens,
-        report.max_tokens,
-        report.priority,
-    )
-    return HeldLease(
-        report.lease_id, holder, report.boot_id, demand, report.generated_tokens
-    )
--- a/tests/fake_members.py
+++ b/tests/fake_members.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from fake_network import FakeNetwork
-from gypsumfield.decisions.membership import DEFAULT_TIMES
+from gypsumfield.decisions.member_news import DEFAULT_TIMES
 from gypsumfield.decisions.membership import Membership
 from gypsumfield.decisions.membership import SpreadPosition
 from gypsumfield.messages import Heartbeat
