--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -179,9 +179,8 @@
 
     ports = EngineWatchPorts(
         list_engines=lambda: _engines(base.store, choice.directory),
-        is_close=lambda host_id: (
-            slots.is_owner(host_id) or chooser.in_flight_count(host_id) > 0
-        ),
+        is_owned=slots.is_owner,
+        is_in_use=lambda host_id: chooser.in_flight_count(host_id) > 0,
         observe_load=observe_load,
         observe_silence=slots.observe_silence,
         observe_cache=chooser.observe_cache,
--- a/src/gypsumfield/engine_watch.py
+++ b/src/gypsumfield/engine_watch.py
@@ -34,8 +34,9 @@
 
     Attributes:
         list_engines: Returns all model engines of the fleet.
-        is_close: Whether this host owns an engine or has requests there; it is
-            polled in every round.
+        is_owned: Whether this host owns an engine; it is polled in every round.
+        is_in_use: Whether this host has requests on an engine; it is polled
+            before others that are not owned.
         observe_load: Called with host id, report and the time of asking.
         observe_silence: Called with the host id of an engine that is silent.
         observe_cache: Called with host id and published cache events.
@@ -44,7 +45,8 @@
     """
 
     list_engines: Callable[[], list[Member]]
-    is_close: Callable[[str], bool]
+    is_owned: Callable[[str], bool]
+    is_in_use: Callable[[str], bool]
     observe_load: ObserveLoad
     observe_silence: Callable[[str], None]
     observe_cache: Callable[[str, CacheEvents], None]
@@ -53,10 +55,11 @@
 
 
 class EngineWatch:
-    """Polls the engines close to this host, and a few others by draw.
+    """Polls the engines that this host owns, and a few others.
 
     Polling all engines from all entry hosts would grow with the square of the
-    fleet, so the number of others is bounded.
+    fleet, so the number of others is bounded: those in use first, then those of
+    the own zone, by draw.
     """
 
     def __init__(
@@ -98,12 +101,18 @@
             self._clock.sleep_ms(POLL_INTERVAL_MS)
 
     def _choose(self) -> list[Member]:
-        engines = self._ports.list_engines()
-        close = [each for each in engines if self._ports.is_close(each.host_id)]
-        others = [each for each in engines if not self._ports.is_close(each.host_id)]
+        owned: list[Member] = []
+        others: list[Member] = []
+        for engine in self._ports.list_engines():
+            is_owned = self._ports.is_owned(engine.host_id)
+            (owned if is_owned else others).append(engine)
         self._rng.shuffle(others)
-        others.sort(key=lambda each: each.availability_zone != self._own_zone)
-        return [*close, *others[:POLLED_STRANGERS_LIMIT]]
+        others.sort(key=self._distance)
+        return [*owned, *others[:POLLED_STRANGERS_LIMIT]]
+
+    def _distance(self, engine: Member) -> tuple[bool, bool]:
+        is_unused = not self._ports.is_in_use(engine.host_id)
+        return is_unused, engine.availability_zone != self._own_zone
 
     def _poll(self, member: Member) -> None:
         try:
