--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -211,3 +211,20 @@
         assert not fleet["m0"].is_acting(network.now_ms)
     network.advance(10_000)
     assert all(member.is_acting(network.now_ms) for member in fleet.values())
+
+
+def test_host_that_is_parted_from_all_gives_up_before_another_one_acts():
+    network = FakeNetwork()
+    first = FakeMember(network, "m0", "manta", boot=1)
+    first.membership.take_platform_list([first.as_listed()], network.now_ms)
+    network.advance(15_000)
+    assert first.is_acting(network.now_ms)
+    network.part([{"m0"}])
+    second = FakeMember(network, "m1", "manta", boot=1)
+    # The platform has dropped the parted host.
+    for _ in range(60):
+        second.membership.note_platform_contact(network.now_ms)
+        second.membership.take_platform_list([second.as_listed()], network.now_ms)
+        network.advance(1_000)
+    acting = [one.is_acting(network.now_ms) for one in (first, second)]
+    assert acting.count(True) <= 1
