--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -289,7 +289,11 @@
         lambda: base.refusals.last_refusals(base.clock.monotonic_ms()),
     )
 
+    plane = choice.plane
+
     def read_state() -> HostState:
+        shares = plane.quotas.shares().values()
+        backends = choice.directory.backend_servers()
         return HostState(
             configuration_revision=base.store.revision,
             configuration_age_ms=choice.plane.configuration.platform_age_ms() or 0.0,
@@ -297,6 +301,13 @@
             member_count=len(choice.plane.members.membership.live_hosts()),
             in_flight_count=server.gate.in_flight_count,
             queue_length=choice.dispatcher.queue_length,
+            owned_backend_count=sum(
+                plane.slots.may_act_for(backend.host_id) for backend in backends
+            ),
+            shares_held_count=sum(share > 0.0 for share in shares),
+            shares_held_tokens=plane.quotas.held_tokens,
+            slots_held_count=plane.slots.held_count,
+            slots_granted_count=plane.slots.granted_count,
         )
 
     base.metrics.read_state = read_state
--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -151,6 +151,11 @@
         """Part of every account's rate that this host takes for its zone's."""
         return self._split.share
 
+    @property
+    def held_tokens(self) -> float:
+        """Rate tokens of all accounts that this host holds."""
+        return sum(pool.available_tokens() for pool in self._pools.values())
+
     def hear_zone_share(self, peer_share: float, now_ms: float) -> None:
         """Learn what a peer of this host's zone takes for the zone's part."""
         self._split.confirm(peer_share, now_ms)
--- a/src/gypsumfield/decisions/slots.py
+++ b/src/gypsumfield/decisions/slots.py
@@ -235,6 +235,11 @@
         """Take in that the server did not answer: it may be restarting."""
         self._turn_cold("it did not answer", now_ms)
 
+    @property
+    def granted_count(self) -> int:
+        """Leases that are known and were not returned."""
+        return len(self._grants)
+
     def in_flight_count(self, now_ms: float) -> int:
         """Return the most requests that may run on the server now."""
         own_count = sum(
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -137,6 +137,11 @@
         """
         return self._ledger.zone_share
 
+    @property
+    def held_tokens(self) -> float:
+        """Rate tokens of all accounts that this host holds."""
+        return self._ledger.held_tokens
+
     def shares(self) -> Mapping[str, float]:
         """Return this host's share of each account's rate, for the status page."""
         now_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -238,8 +238,21 @@
         """Return whether this host is, or waits to be, the owner."""
         return self._owner_of(backend_server) == self._loop.host_id
 
+    @property
+    def held_count(self) -> int:
+        """Leases that this host holds."""
+        return len(self._holdings)
+
+    @property
+    def granted_count(self) -> int:
+        """Leases of backend servers that this host keeps the record of."""
+        return sum(slots.granted_count for slots in self._backends.values())
+
     def may_act_for(self, backend_server: str) -> bool:
         """Return whether this host is the owner now, past every hold-down."""
+        description = self._sources.describe_backend(backend_server)
+        if description is None or description.zone != self._zone:
+            return False
         now_ms = self._clock.monotonic_ms()
         return self._ownership.owns(_resource(backend_server), now_ms)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -213,3 +213,15 @@
     last = fleet.status(fleet.urls[0])["last_refusals"]["carts"]
     assert last["request_id"] == sale.json["error"]["request_id"]
     assert (last["code"], last["verdict"]) == ("no_backend_server", "not-run")
+
+
+def test_the_metrics_show_what_a_host_holds(fleet):
+    text = call("GET", f"{fleet.urls[0]}/metrics").body.decode()
+    gauges = dict(
+        line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#")
+    )
+    # Its zone has one engine and one ledger, and it is the zone's only host.
+    assert float(gauges["gypsumfield_owned_backend_count"]) == 2
+    assert float(gauges["gypsumfield_shares_held_count"]) == 2
+    assert float(gauges["gypsumfield_shares_held_tokens"]) > 0
+    assert float(gauges["gypsumfield_slots_held_count"]) == 0
