Give envelopes, slot sources and the benches' options a module of their own

Change: the wire form of messages, what slots read from outside, and the shared options are modules of their own. No behaviour changed.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -5,7 +5,6 @@
 the one with the highest throughput if none does. Prints one JSON object.
 """
 
-import argparse
 import json
 import sys
 from collections.abc import Sequence
@@ -20,6 +19,7 @@
 from engine_run import RunResult
 from gypsumfield.configuration import Profile
 from gypsumfield.standins.engine_model import EngineModelSettings
+from options import shape_parser
 from workloads import BenchRequest
 from workloads import make_requests
 from workloads import mean_length
@@ -101,12 +101,7 @@
 
 def main(arguments: Sequence[str]) -> None:
     """Run the bench from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print JSON (the default)")
-    parser.add_argument("--shape", choices=sorted(SHAPES), default="heavy_tail")
-    parser.add_argument("--all", action="store_true", help="one object for each shape")
-    parser.add_argument("--quick", action="store_true", help="a short run")
-    parser.add_argument("--seed", type=int, default=1)
+    parser = shape_parser(__doc__)
     options = parser.parse_args(arguments)
     duration_ms = QUICK_DURATION_MS if options.quick else DURATION_MS
     for shape in sorted(SHAPES) if options.all else [options.shape]:
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -6,7 +6,6 @@
 ``without_flood`` is ours on the usual arrivals alone. Prints one JSON object.
 """
 
-import argparse
 import json
 import sys
 from collections.abc import Callable
@@ -23,6 +22,7 @@
 from gypsumfield.configuration import Profile
 from gypsumfield.decisions.admission import CROWD_RESERVE_RATIO
 from gypsumfield.decisions.fairness import FairQueue
+from options import shape_parser
 from queues import FirstComeQueue
 from workloads import Account
 from workloads import BenchRequest
@@ -100,12 +100,7 @@
 
 def main(arguments: Sequence[str]) -> None:
     """Run the bench from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print JSON (the default)")
-    parser.add_argument("--shape", choices=sorted(SHAPES), default="heavy_tail")
-    parser.add_argument("--all", action="store_true", help="one object for each shape")
-    parser.add_argument("--quick", action="store_true", help="a short run")
-    parser.add_argument("--seed", type=int, default=1)
+    parser = shape_parser(__doc__)
     options = parser.parse_args(arguments)
     duration_ms = QUICK_DURATION_MS if options.quick else DURATION_MS
     for shape in sorted(SHAPES) if options.all else [options.shape]:
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -6,7 +6,6 @@
 production does. Prints one JSON object.
 """
 
-import argparse
 import json
 import sys
 from collections.abc import Sequence
@@ -16,6 +15,7 @@
 from gypsumfield.decisions.routing import choose_backend
 from gypsumfield.decisions.routing import RoutingRules
 from gypsumfield.standins.engine_model import EngineModelSettings
+from options import shape_parser
 from routing_run import ChooseEngines
 from routing_run import EntryHost
 from routing_run import route_requests
@@ -108,13 +108,8 @@
 
 def main(arguments: Sequence[str]) -> None:
     """Run the bench from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print JSON (the default)")
-    parser.add_argument("--shape", choices=sorted(SHAPES), default="heavy_tail")
-    parser.add_argument("--all", action="store_true", help="one object for each shape")
-    parser.add_argument("--quick", action="store_true", help="a short run")
+    parser = shape_parser(__doc__)
     parser.add_argument("--load", type=float, default=OFFERED_LOAD)
-    parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args(arguments)
     duration_ms = QUICK_DURATION_MS if options.quick else DURATION_MS
     for shape in sorted(SHAPES) if options.all else [options.shape]:
--- a/src/gypsumfield/control_loop.py
+++ b/src/gypsumfield/control_loop.py
@@ -16,11 +16,11 @@
 from gypsumfield import events
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
+from gypsumfield.envelopes import decode_body
+from gypsumfield.envelopes import decode_envelope
+from gypsumfield.envelopes import encode_message
+from gypsumfield.envelopes import Envelope
 from gypsumfield.messages import ControlMessage
-from gypsumfield.messages import decode_body
-from gypsumfield.messages import decode_envelope
-from gypsumfield.messages import encode_message
-from gypsumfield.messages import Envelope
 from gypsumfield.ports import EmitEvent
 
 PAUSE_CHECK_INTERVAL_MS = 100.0
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -31,9 +31,9 @@
 from gypsumfield.quota_service import QuotaService
 from gypsumfield.retirement import Retirement
 from gypsumfield.settings import EntrySettings
-from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
-from gypsumfield.slot_service import SlotSources
+from gypsumfield.slot_sources import BackendDescription
+from gypsumfield.slot_sources import SlotSources
 
 # Heartbeats and silences shrink with the hold-down that they must fit into.
 HEARTBEATS_PER_HOLD_DOWN = 6
--- /dev/null
+++ b/src/gypsumfield/envelopes.py
@@ -0,0 +1,55 @@
+"""Wire form of control messages: an envelope around each."""
+
+import msgspec
+
+from gypsumfield.messages import AnyMessage
+from gypsumfield.messages import ControlMessage
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Wrapping of each message.
+
+    Attributes:
+        sender: Host id of the sender.
+        boot_id: Boot of the sender.
+        message_id: Number of the message within the sender's boot.
+        reply_to: ``message_id`` of the request it answers; 0 for none.
+        body: The message.
+    """
+
+    sender: str
+    boot_id: str
+    message_id: int
+    reply_to: int
+    body: msgspec.Raw
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+_BODY_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode_message(
+    sender: str, boot_id: str, message_id: int, reply_to: int, message: ControlMessage
+) -> bytes:
+    """Return the wire form of a message in its envelope."""
+    body = msgspec.Raw(_ENCODER.encode(message))
+    return _ENCODER.encode(Envelope(sender, boot_id, message_id, reply_to, body))
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the envelope; its body is still encoded.
+
+    Raises:
+        msgspec.MsgspecError: The data is no envelope.
+    """
+    return _ENVELOPE_DECODER.decode(data)
+
+
+def decode_body(envelope: Envelope) -> AnyMessage:
+    """Return the message in an envelope.
+
+    Raises:
+        msgspec.MsgspecError: The kind is unknown or its fields do not fit.
+    """
+    return _BODY_DECODER.decode(envelope.body)
--- a/src/gypsumfield/slot_service.py
+++ b/src/gypsumfield/slot_service.py
@@ -7,25 +7,18 @@
 it may grant anything.
 """
 
-from collections.abc import Callable
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from returns.result import Success
 
 from gypsumfield.clock import Clock
 from gypsumfield.control_loop import ControlLoop
-from gypsumfield.decisions.lengths import FinishedLength
 from gypsumfield.decisions.ownership import HOLD_DOWN_MS
 from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import Ownership
-from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import BackendSlots
 from gypsumfield.decisions.slots import HeldLease
 from gypsumfield.decisions.slots import LEASE_MS
-from gypsumfield.decisions.slots import MayAdmit
-from gypsumfield.decisions.slots import no_target
-from gypsumfield.decisions.slots import ReadTarget
 from gypsumfield.decisions.workload import GenerationDemand
 from gypsumfield.engine_api import LoadReport
 from gypsumfield.events import BackendTurnedCold
@@ -50,6 +43,7 @@
 from gypsumfield.slot_messages import report_of
 from gypsumfield.slot_messages import request_of
 from gypsumfield.slot_messages import wanted_lease
+from gypsumfield.slot_sources import SlotSources
 
 TICK_INTERVAL_MS = 250.0
 ACQUIRE_TIMEOUT_MS = 200.0
@@ -59,45 +53,6 @@
 LEASES_PER_MESSAGE = 64
 
 
-def _learn_nothing(_finished: FinishedLength) -> None:
-    return None
-
-
-class BackendDescription(NamedTuple):
-    """What the owner must know of a backend server beforehand.
-
-    Attributes:
-        zone: Availability zone whose entry hosts own it; its own zone, or
-            another one where its own has no entry hosts.
-        boot_id: Its boot as the membership list says; empty if unknown.
-        is_reporting: Whether it answers with load reports.
-    """
-
-    zone: str
-    boot_id: str = ""
-    is_reporting: bool = False
-
-
-class SlotSources(NamedTuple):
-    """What the service reads, at every tick and request.
-
-    Attributes:
-        read_view: Entry hosts of this host's zone, for ownership.
-        read_hosts: Live entry hosts by zone, to find the owner to ask.
-        describe_backend: Describes a backend server; None if it is unknown.
-        may_admit: Judges a candidate by predicted memory.
-        read_target_ms: Returns the target between tokens of a profile.
-        learn_length: Learns from an answer that another host carried.
-    """
-
-    read_view: Callable[[], ZoneView]
-    read_hosts: Callable[[], Mapping[str, frozenset[str]]]
-    describe_backend: Callable[[str], BackendDescription | None]
-    may_admit: MayAdmit
-    read_target_ms: ReadTarget = no_target
-    learn_length: Callable[[FinishedLength], None] = _learn_nothing
-
-
 class _Holding(NamedTuple):
     lease: HeldLease
     backend_server: str
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 from gypsumfield.clock import ManualClock
+from gypsumfield.envelopes import decode_body
+from gypsumfield.envelopes import decode_envelope
+from gypsumfield.envelopes import encode_message
 from gypsumfield.messages import ControlMessage
-from gypsumfield.messages import decode_body
-from gypsumfield.messages import decode_envelope
-from gypsumfield.messages import encode_message
 
 Deliver = Callable[[str, Any], None]
 
--- a/tests/slot_fleet.py
+++ b/tests/slot_fleet.py
@@ -21,9 +21,9 @@
 from gypsumfield.ports import SlotOutcome
 from gypsumfield.ports import SlotUse
 from gypsumfield.retirement import Retirement
-from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
-from gypsumfield.slot_service import SlotSources
+from gypsumfield.slot_sources import BackendDescription
+from gypsumfield.slot_sources import SlotSources
 
 LEASE_MS = 1_000.0
 COLD_MS = 4_000.0
--- a/tests/test_control_loop.py
+++ b/tests/test_control_loop.py
@@ -10,8 +10,8 @@
 from gypsumfield.clock import ManualClock
 from gypsumfield.clock import system_clock
 from gypsumfield.control_loop import ControlLoop
+from gypsumfield.envelopes import encode_message
 from gypsumfield.exceptions import SettingsError
-from gypsumfield.messages import encode_message
 from gypsumfield.messages import ValuesDigest
 from gypsumfield.messages import ValuesRequest
 
--- a/tests/test_limit_services.py
+++ b/tests/test_limit_services.py
@@ -19,9 +19,9 @@
 from gypsumfield.ports import SlotUse
 from gypsumfield.quota_service import QuotaService
 from gypsumfield.quota_service import QuotaSources
-from gypsumfield.slot_service import BackendDescription
 from gypsumfield.slot_service import SlotService
-from gypsumfield.slot_service import SlotSources
+from gypsumfield.slot_sources import BackendDescription
+from gypsumfield.slot_sources import SlotSources
 
 HOSTS = frozenset({"entry-0", "entry-1"})
 HOLD_DOWN_MS = 400.0
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,9 +1,9 @@
 import msgspec
 import pytest
 
-from gypsumfield.messages import decode_body
-from gypsumfield.messages import decode_envelope
-from gypsumfield.messages import encode_message
+from gypsumfield.envelopes import decode_body
+from gypsumfield.envelopes import decode_envelope
+from gypsumfield.envelopes import encode_message
 from gypsumfield.messages import Heartbeat
 from gypsumfield.messages import MemberNews
 from gypsumfield.messages import ValuesDigest
