--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -6,12 +6,15 @@
 """
 
 import select
+import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
+import gevent.select
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
@@ -28,6 +31,15 @@
 READ_SIZE_BYTES = 65_536
 IDLE_CONNECTIONS_PER_SERVER = 8
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+# Servers commonly keep idle connections for 5 s or more; a used one may be
+# closed under way, so a pooled one is taken well before that.
+IDLE_LIMIT_S = 2.0
+# A peer that vanishes answers no probe: it is noticed after 1 + 2 x 1 s.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+UNACKNOWLEDGED_LIMIT_MS = 3_000
 
 
 class OutgoingRequest(NamedTuple):
@@ -40,6 +52,8 @@
         headers: Headers to send; the request id is added.
         body: Whole body.
         request_id: Id that the answer must echo.
+        request_id_header: Header of the request that carries the id.
+        must_echo_id: Whether an answer without the id is refused here.
     """
 
     address: str
@@ -48,6 +62,8 @@
     headers: Mapping[str, str]
     body: bytes
     request_id: str
+    request_id_header: str = REQUEST_ID_HEADER
+    must_echo_id: bool = True
 
 
 class ExchangeTimeouts(NamedTuple):
@@ -58,11 +74,44 @@
     silence_ms: float
 
 
+class _TrailingBytesError(Exception):
+    """Bytes follow a whole answer on its connection."""
+
+
 class _Response(HTTPSocketResponse):
     """Response whose connection waits for the check of the echoed request id."""
 
     _sock: Any
     idle_sock: Any = None
+    has_trailing_bytes = False
+    final_status = 0
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse data; whatever follows a whole answer only spoils the connection."""
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self.is_answered:
+                raise
+            self.has_trailing_bytes = True
+        except _TrailingBytesError:
+            self.has_trailing_bytes = True
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether a whole answer, no interim one, was read."""
+        return bool(self.message_complete and self.final_status)
+
+    def _on_message_begin(self) -> None:
+        if self.is_answered:
+            raise _TrailingBytesError
+        super()._on_message_begin()
+
+    def _on_headers_complete(self) -> Any:
+        status = int(self.get_code())
+        if status >= FIRST_FINAL_STATUS:
+            self.final_status = status
+        return super()._on_headers_complete()
 
     def release(self) -> None:
         sock = self._sock
@@ -87,14 +136,14 @@
     """Idle connections by address, only ever used for repeatable requests."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, deque[Any]] = {}
+        self._idle: dict[str, deque[tuple[Any, float]]] = {}
 
     def take(self, address: str) -> Any:
         """Return a connection that is not known to be closed, or None."""
         idle = self._idle.get(address)
         while idle:
-            sock = idle.pop()
-            if _is_quiet(sock):
+            sock, since_s = idle.pop()
+            if time.monotonic() - since_s < IDLE_LIMIT_S and _is_quiet(sock):
                 return sock
             sock.close()
         return None
@@ -103,14 +152,14 @@
         """Keep a connection whose answer was read to the end."""
         idle = self._idle.setdefault(address, deque())
         if len(idle) >= IDLE_CONNECTIONS_PER_SERVER:
-            idle.popleft().close()
-        idle.append(sock)
+            idle.popleft()[0].close()
+        idle.append((sock, time.monotonic()))
 
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
             while idle:
-                idle.pop().close()
+                idle.pop()[0].close()
 
 
 class Exchange:
@@ -134,6 +183,7 @@
         self._pool = pool
         self._response: _Response | None = None
         self._sock: Any = None
+        self._is_sent_whole = False
 
     def open(self, check_before_send: Callable[[], str]) -> int:
         """Connect, send and read the answer's headers.
@@ -168,7 +218,7 @@
     @property
     def status(self) -> int:
         """Status code of the answer."""
-        return int(self._opened().get_code())
+        return self._opened().final_status
 
     def header_items(self) -> list[tuple[str, str]]:
         """Return the answer's headers in order."""
@@ -214,7 +264,13 @@
         """Keep the connection if its answer was read to the end, else close it."""
         self._abort.attach(None)
         response = self._response
-        if response is None or response.idle_sock is None or self._pool is None:
+        is_reusable = (
+            response is not None
+            and response.idle_sock is not None
+            and not response.has_trailing_bytes
+            and self._is_sent_whole
+        )
+        if response is None or not is_reusable or self._pool is None:
             self.close()
             return
         sock = response.idle_sock
@@ -243,23 +299,41 @@
         if pooled is not None:
             return pooled
         ip, _, port = self._request.address.rpartition(":")
-        return gevent.socket.create_connection(
+        sock = gevent.socket.create_connection(
             (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
         )
+        _watch_for_silence(sock)
+        return sock
 
     def _send(self) -> None:
-        data = _encode_request(self._request)
+        try:
+            data = memoryview(_encode_request(self._request))
+        except ValueError as error:
+            raise self._error(str(error), "not_sent") from error
         self._sock.settimeout(self._timeouts.answer_ms / MS_PER_S)
         self.stage = Stage.SENDING
-        self._sock.sendall(data)
+        # A server may answer before it has read the whole body; the rest must
+        # then not be sent, and the connection must not be used again.
+        while data and not self._is_answer_waiting():
+            data = data[self._sock.send(data) :]
+        self._is_sent_whole = not data
         self.stage = Stage.SENT
 
+    def _is_answer_waiting(self) -> bool:
+        timeout_s = self._timeouts.answer_ms / MS_PER_S
+        readable, writable, _ = gevent.select.select(
+            [self._sock], [self._sock], [], timeout_s
+        )
+        if not readable and not writable:
+            raise TimeoutError("the request could not be sent in time")
+        return bool(readable)
+
     def _read_headers(self) -> None:
         self._response = _Response(self._sock, method=self._request.method)
         self.stage = Stage.ANSWERING
         self._sock.settimeout(self._timeouts.silence_ms / MS_PER_S)
-        echoed = self._response.get(REQUEST_ID_HEADER)
-        if echoed != self._request.request_id:
+        echoed = self._response.get(self._request.request_id_header)
+        if self._request.must_echo_id and echoed != self._request.request_id:
             raise self._error("the answer is to another request", "answer_crossed")
 
     def _has_end_marker(self) -> bool:
@@ -300,18 +374,35 @@
     return BackendError(message, RunVerdict.NOT_RUN, code, retry_after_ms)
 
 
+# Only the library's serializer is used: it checks method, target and headers for
+# bytes that could be taken for a second request.
+_SERIALIZER = HTTPClient("127.0.0.1", port=0)
+
+
 def _encode_request(request: OutgoingRequest) -> bytes:
-    ip, _, port = request.address.rpartition(":")
-    headers = {**request.headers, REQUEST_ID_HEADER: request.request_id}
-    # Only the library's serializer is used: it checks method, target and
-    # headers for bytes that could be taken for a second request.
-    client = HTTPClient(ip, port=int(port))
-    head = client._build_request(
+    headers = {
+        "Host": request.address,
+        **request.headers,
+        request.request_id_header: request.request_id,
+    }
+    head = _SERIALIZER._build_request(
         request.method, request.target, body=request.body, headers=headers
     )
     return bytes(head.encode("latin-1")) + request.body
 
 
+def _watch_for_silence(sock: Any) -> None:
+    for level, name, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    ):
+        sock.setsockopt(level, name, value)
+
+
 def _is_quiet(sock: Any) -> bool:
     # An idle connection that is readable was closed or holds stray bytes.
     poller = select.poll()
--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from io import BytesIO
 from typing import Any
+from typing import NamedTuple
 
 import gevent
 import msgspec
@@ -13,12 +14,14 @@
 from gevent.pywsgi import WSGIServer
 
 from gypsumfield.aborts import AbortHandle
+from gypsumfield.clock import MS_PER_S
 
 HEADER_BLOCK_LIMIT_BYTES = 32_768
 HEADER_COUNT_LIMIT = 100
-CALLER_SILENCE_LIMIT_S = 60.0
+CALLER_SILENCE_LIMIT_MS = 60_000.0
 CALLER_SOCKET_KEY = "gypsumfield.socket"
 RAW_PATH_KEY = "gypsumfield.raw_path"
+RAW_HEADERS_KEY = "gypsumfield.raw_headers"
 ABANDON_BODY_KEY = "gypsumfield.abandon_body"
 LINGER_LIMIT_S = 1.0
 LINGER_READ_SIZE_BYTES = 65_536
@@ -35,19 +38,52 @@
     """A request's head is malformed or could be read in two ways."""
 
 
+class ConnectionLimits(NamedTuple):
+    """Bounds on what a caller may send and on its silence.
+
+    Attributes:
+        header_bytes: Largest header block.
+        header_timeout_ms: Longest time from the request line to the end of the
+            header block.
+        idle_timeout_ms: Longest silence, between two requests as well.
+    """
+
+    header_bytes: int = HEADER_BLOCK_LIMIT_BYTES
+    header_timeout_ms: float = CALLER_SILENCE_LIMIT_MS
+    idle_timeout_ms: float = CALLER_SILENCE_LIMIT_MS
+
+
+class _HeadTooLargeError(BadRequestError):
+    """The header block is above its limit."""
+
+
 class CallerHandler(WSGIHandler):  # type: ignore[misc]
     """Refuses request heads that two programs could read differently."""
 
+    def read_requestline(self) -> str:
+        """Wait for the next request as long as a caller may be idle."""
+        idle_ms = self.server.read_limits().idle_timeout_ms
+        self.socket.settimeout(idle_ms / MS_PER_S)
+        return str(super().read_requestline())
+
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
         """Read the header block within its limits and parse it."""
-        block = _read_header_block(args[0])
+        limits = self.server.read_limits()
+        with gevent.Timeout(
+            limits.header_timeout_ms / MS_PER_S,
+            TimeoutError("the header block took too long"),
+        ):
+            block = _read_header_block(args[0], limits.header_bytes)
         _check_header_block(block)
         return super().MessageClass(BytesIO(block), 0)
 
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the request; HTTP/0.9 and unknown versions are refused."""
-        words = raw_requestline.split()
-        if len(words) != 3 or words[2] not in ("HTTP/1.0", "HTTP/1.1"):
+        words = raw_requestline.split(" ")
+        if not raw_requestline.endswith("\r\n") or len(words) != 3:
+            raise BadRequestError("the request line is malformed")
+        words[2] = words[2].strip()
+        if words[2] not in ("HTTP/1.0", "HTTP/1.1"):
             raise BadRequestError("the request line is malformed")
         return bool(super().read_request(raw_requestline))
 
@@ -56,6 +92,7 @@
         environ: dict[str, Any] = super().get_environ()
         environ[CALLER_SOCKET_KEY] = self.socket
         environ[RAW_PATH_KEY] = self.path
+        environ[RAW_HEADERS_KEY] = list(self.headers.items())
         environ[ABANDON_BODY_KEY] = self._abandon_body
         if self.server.gate.is_draining:
             self.close_connection = True
@@ -75,9 +112,11 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         reason = str(ex) if isinstance(ex, BadRequestError) else "malformed request"
-        status = "431 Request Header Fields Too Large"
-        if "too large" not in reason:
-            status = "400 Bad Request"
+        status = "400 Bad Request"
+        if isinstance(ex, _HeadTooLargeError):
+            status = "431 Request Header Fields Too Large"
+        elif isinstance(ex, TimeoutError):
+            status, reason = "408 Request Timeout", str(ex)
         return status, _raw_error(status, reason)
 
 
@@ -153,19 +192,21 @@
 
     Attributes:
         gate: Counter of the requests in progress.
+        read_limits: Bounds on callers that are in force now.
     """
 
-    def __init__(self, address: tuple[str, int], gate: WorkGate) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        gate: WorkGate,
+        read_limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+    ) -> None:
         self.gate = gate
+        self.read_limits = read_limits
         super().__init__(
             address, gate, handler_class=CallerHandler, log=None, error_log=None
         )
 
-    def handle(self, sock: Any, address: Any) -> None:
-        """Serve one connection, with a bound on a silent caller."""
-        sock.settimeout(CALLER_SILENCE_LIMIT_S)
-        super().handle(sock, address)
-
 
 class CallerWatch:
     """Aborts a request's exchanges as soon as its caller closes the connection.
@@ -202,23 +243,25 @@
         return True
 
 
-def _read_header_block(stream: Any) -> bytes:
+def _read_header_block(stream: Any, limit_bytes: int) -> bytes:
     block = bytearray()
     while True:
-        line = stream.readline(HEADER_BLOCK_LIMIT_BYTES + 1)
+        line = stream.readline(limit_bytes + 1)
         block += line
-        if len(block) > HEADER_BLOCK_LIMIT_BYTES:
-            raise BadRequestError("the header block is too large")
-        if line in (b"\r\n", b"\n"):
-            return bytes(block)
+        if len(block) > limit_bytes:
+            raise _HeadTooLargeError("the header block is too large")
         if not line:
             raise BadRequestError("the header block is incomplete")
+        if not line.endswith(b"\r\n"):
+            raise BadRequestError("a header line does not end in CR LF")
+        if line == b"\r\n":
+            return bytes(block)
 
 
 def _check_header_block(block: bytes) -> None:
     lines = block.split(b"\n")[:-2]
     if len(lines) > HEADER_COUNT_LIMIT:
-        raise BadRequestError("the header block is too large")
+        raise _HeadTooLargeError("the header block is too large")
     lengths = 0
     encodings = []
     for line in lines:
--- a/src/gypsumfield/adapters/logs.py
+++ b/src/gypsumfield/adapters/logs.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 from typing import BinaryIO
+from typing import Protocol
 
 import msgspec
 import xxhash
@@ -29,6 +30,16 @@
 TEXT_READ_LIMIT_CHARACTERS = 4 * TEXT_LIMIT_CHARACTERS
 
 
+class LogStream(Protocol):
+    """Where log lines are written."""
+
+    def write(self, line: bytes, /) -> int:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 def open_event_log(
     host_id: str,
     availability_zone: str,
@@ -56,7 +67,28 @@
     Raises:
         OSError: The file cannot be opened.
     """
-    write = FileDestination(file=_open_binary(log_path))
+    return open_event_stream(
+        host_id, availability_zone, _open_binary(log_path), clock, hot_sample_interval
+    )
+
+
+def open_event_stream(
+    host_id: str,
+    availability_zone: str,
+    stream: LogStream,
+    clock: Clock,
+    hot_sample_interval: int = HOT_SAMPLE_INTERVAL,
+) -> EmitEvent:
+    """Return the function that appends events to an open binary stream.
+
+    Args:
+        host_id: Host whose log it is.
+        availability_zone: Zone of that host.
+        stream: Where the lines go.
+        clock: Time of the host.
+        hot_sample_interval: As for `open_event_log`.
+    """
+    write = FileDestination(file=stream)
     process_task_uuid = str(uuid.uuid4())
     line_numbers = itertools.count(1)
 
--- a/src/gypsumfield/clock.py
+++ b/src/gypsumfield/clock.py
@@ -11,7 +11,8 @@
     """Sources of time for one process.
 
     Attributes:
-        monotonic_ms: Milliseconds on a clock that never goes back. Leases and
+        monotonic_ms: Milliseconds on a clock that never goes back and that
+            counts the time for which the machine was suspended. Leases and
             timeouts are judged on it.
         wall_ms: Milliseconds since the Unix epoch, for logs only.
         sleep_ms: Suspends the calling greenlet for a number of milliseconds.
@@ -31,7 +32,7 @@
     from gevent import sleep
 
     return Clock(
-        monotonic_ms=lambda: time.monotonic() * MS_PER_S,
+        monotonic_ms=lambda: time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S,
         wall_ms=lambda: time.time() * MS_PER_S,
         sleep_ms=lambda duration_ms: sleep(duration_ms / MS_PER_S),
     )
--- /dev/null
+++ b/src/gypsumfield/decisions/holding.py
@@ -0,0 +1,53 @@
+"""How long a stream without a place is held back, and when it may return.
+
+Load answered: more write-ups than the engines' memory holds. What can still be
+served on time waits for a place; what cannot is refused at once, so that its
+caller can decide, and the place goes to one that can.
+"""
+
+from typing import NamedTuple
+
+# From the place to the first event: connection, scheduling and the first step.
+START_MS = 60.0
+PROMPT_TOKENS_PER_MS = 14.0
+# A stream's memory comes free when a run ends; runs last seconds, so that a
+# caller who returns sooner than this finds the same engines full.
+SHORTEST_RETURN_MS = 500.0
+LONGEST_RETURN_MS = 4_000.0
+# Part of a typical run after which the next one of several runs has ended.
+RUN_MS = 7_000.0
+
+
+class HeldStream(NamedTuple):
+    """A stream without a place.
+
+    Attributes:
+        waited_ms: Time since its arrival.
+        target_latency_ms: Time to its first event that earns full credit.
+        remaining_ms: Time until its caller's deadline.
+        prompt_tokens: Tokens to read before the first event.
+    """
+
+    waited_ms: float
+    target_latency_ms: float
+    remaining_ms: float
+    prompt_tokens: int
+
+
+def hold_ms(stream: HeldStream) -> float:
+    """Return how much longer a stream is held back; 0 refuses it now."""
+    start_ms = START_MS + stream.prompt_tokens / PROMPT_TOKENS_PER_MS
+    until_late_ms = stream.target_latency_ms - stream.waited_ms - start_ms
+    return max(0.0, min(until_late_ms, stream.remaining_ms - start_ms))
+
+
+def return_after_ms(run_count: int, waiting_count: int) -> float:
+    """Return when a refused caller should come back.
+
+    Args:
+        run_count: Runs on the engines of its service.
+        waiting_count: Streams that wait for a place here.
+    """
+    next_end_ms = RUN_MS / max(1, run_count)
+    expected_ms = next_end_ms * (waiting_count + 1)
+    return min(LONGEST_RETURN_MS, max(SHORTEST_RETURN_MS, expected_ms))
--- /dev/null
+++ b/src/gypsumfield/decisions/placement.py
@@ -0,0 +1,121 @@
+"""Choice of a backend server for one request of the transparent surface.
+
+Load answered: streams whose length is unknown, on engines whose memory is the
+scarce resource, and short plain calls on servers with few slots. What a host
+knows of an engine is its own runs and its peers' news, never the engine's own
+report, which is half a second old when it arrives.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+# Share of an engine's memory that is planned with; the rest takes the error of
+# the predicted lengths.
+PLANNED_MEMORY_RATIO = 0.95
+# Time to read a prompt; the engines' published rate is 14 tokens a ms.
+PROMPT_TOKENS_PER_MS = 14.0
+# A choice in another zone costs bytes between zones and a longer way; it is
+# taken when it saves this much of a full engine, or this much waiting.
+OTHER_ZONE_COST = 0.15
+# Waiting prompts that weigh as much as a full engine.
+PROMPT_WAIT_SCALE_MS = 600.0
+# One running stream slows every step of the batch a little.
+STREAM_COST = 0.01
+
+
+class EngineLoad(NamedTuple):
+    """One engine as a candidate.
+
+    Attributes:
+        server_id: The engine.
+        availability_zone: Zone it stands in.
+        slot_count: Requests it works on at once.
+        memory_tokens: Key-value memory.
+        stream_count: Runs on it that this host knows of.
+        committed_tokens: Predicted memory of these runs at their ends.
+        waiting_prompt_tokens: Prompts that it has still to read.
+        is_cold: Whether it bears only a little load now.
+    """
+
+    server_id: str
+    availability_zone: str
+    slot_count: int
+    memory_tokens: int
+    stream_count: int
+    committed_tokens: int
+    waiting_prompt_tokens: int
+    is_cold: bool = False
+
+
+class StreamNeed(NamedTuple):
+    """What a stream asks of an engine.
+
+    Attributes:
+        peak_tokens: Predicted memory at its end.
+        availability_zone: Zone of the host that carries it.
+    """
+
+    peak_tokens: int
+    availability_zone: str
+
+
+def choose_engine(
+    engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
+) -> EngineLoad | None:
+    """Return the engine that serves a stream best, or None when none has room.
+
+    Cold engines are candidates only when no warm one has room.
+    """
+    fitting = [engine for engine in engines if has_room(engine, need)]
+    warm = [engine for engine in fitting if not engine.is_cold]
+    candidates = warm or fitting
+    if not candidates:
+        return None
+    return min(candidates, key=lambda engine: (_cost(engine, need), rng.random()))
+
+
+def has_room(engine: EngineLoad, need: StreamNeed) -> bool:
+    """Return whether a stream fits by slots and predicted memory."""
+    if engine.stream_count >= engine.slot_count:
+        return False
+    if engine.stream_count == 0:
+        return True
+    planned_tokens = engine.memory_tokens * PLANNED_MEMORY_RATIO
+    return engine.committed_tokens + need.peak_tokens <= planned_tokens
+
+
+def _cost(engine: EngineLoad, need: StreamNeed) -> float:
+    memory = engine.committed_tokens / max(1, engine.memory_tokens)
+    wait_ms = engine.waiting_prompt_tokens / PROMPT_TOKENS_PER_MS
+    is_other_zone = engine.availability_zone != need.availability_zone
+    return (
+        memory
+        + STREAM_COST * engine.stream_count
+        + wait_ms / PROMPT_WAIT_SCALE_MS
+        + OTHER_ZONE_COST * is_other_zone
+    )
+
+
+class PlainLoad(NamedTuple):
+    """One plain server as a candidate; ``active_count`` counts this host's calls."""
+
+    server_id: str
+    availability_zone: str
+    slot_count: int
+    active_count: int
+    is_cold: bool = False
+
+
+def choose_plain(
+    servers: Sequence[PlainLoad], availability_zone: str, rng: random.Random
+) -> PlainLoad | None:
+    """Return the plain server with the fewest calls, own zone first on a tie."""
+    warm = [server for server in servers if not server.is_cold] or servers
+
+    def cost(server: PlainLoad) -> tuple[float, bool, float]:
+        share = server.active_count / max(1, server.slot_count)
+        is_other_zone = server.availability_zone != availability_zone
+        return share + 0.5 * is_other_zone, is_other_zone, rng.random()
+
+    return min(warm, key=cost, default=None)
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -25,6 +25,10 @@
     """The platform's service did not answer, or not in its proper form."""
 
 
+class HistoryGoneError(PlatformError):
+    """The platform no longer knows the changes after a revision."""
+
+
 class BackendError(GypsumfieldError):
     """An attempt against a backend server failed.
 
--- /dev/null
+++ b/src/gypsumfield/gateway/application.py
@@ -0,0 +1,289 @@
+"""WSGI application of the transparent surface."""
+
+import itertools
+import random
+import traceback
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import Any
+from typing import NamedTuple
+
+import gevent
+import msgspec
+
+from gypsumfield.aborts import AbortHandle
+from gypsumfield.adapters.caller_server import ABANDON_BODY_KEY
+from gypsumfield.adapters.caller_server import CALLER_SOCKET_KEY
+from gypsumfield.adapters.caller_server import CallerWatch
+from gypsumfield.adapters.caller_server import RAW_HEADERS_KEY
+from gypsumfield.adapters.caller_server import RAW_PATH_KEY
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.events import CallerGone
+from gypsumfield.events import InternalFault
+from gypsumfield.events import RequestCompleted
+from gypsumfield.events import RequestRefused
+from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import Refusal
+from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.attempt import WireFormat
+from gypsumfield.gateway.calls import CallerAsk
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.plain import call_plain
+from gypsumfield.gateway.plain import PlainPorts
+from gypsumfield.gateway.plain import WholeAnswer
+from gypsumfield.gateway.routes import choose_service
+from gypsumfield.gateway.routes import Permit
+from gypsumfield.gateway.routes import permit_call
+from gypsumfield.gateway.streams import Stream
+from gypsumfield.gateway.streams import StreamPorts
+from gypsumfield.ports import EmitEvent
+
+BODY_PIECE_BYTES = 65_536
+# A body is due at the latest after this time.
+BODY_TIMEOUT_MS = 10_000.0
+# The answer to a call that is cut at its deadline leaves a little before it.
+DEADLINE_MARGIN_MS = 20.0
+
+StartResponse = Callable[..., Any]
+
+
+class GatewayPorts(NamedTuple):
+    """What the application uses."""
+
+    wire: WireFormat
+    catalogue: Catalogue
+    plain: PlainPorts
+    streams: StreamPorts
+    clock: Clock
+    rng: random.Random
+    emit: EmitEvent
+
+
+class Gateway:
+    """Passes each permitted call to a server of its route."""
+
+    def __init__(self, ports: GatewayPorts) -> None:
+        self._ports = ports
+        self._numbers = itertools.count(1)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        ask = self._ports.wire.decode_ask(environ[RAW_HEADERS_KEY])
+        try:
+            job = self._permit(environ, ask)
+        except RefusedError as error:
+            return self._refuse(environ, start_response, ask, error)
+        watch = CallerWatch(environ[CALLER_SOCKET_KEY], job.abort)
+        deadline = gevent.spawn_later(
+            max(0.0, job.remaining_ms(self._ports.clock)) / MS_PER_S,
+            job.abort.abort,
+            "its time is over",
+        )
+
+        def end() -> None:
+            watch.stop()
+            deadline.kill(block=False)
+
+        try:
+            if job.route.kind is CallKind.STREAM:
+                return self._serve_stream(start_response, job, watch, end)
+            answer = call_plain(self._ports.plain, job)
+            end()
+            return self._deliver(start_response, job, answer)
+        except RefusedError as error:
+            end()
+            return self._refuse(environ, start_response, ask, self._final(job, error))
+        except Exception as error:
+            end()
+            self._log_fault(job, error)
+            raise
+
+    def _permit(self, environ: dict[str, Any], ask: CallerAsk) -> Job:
+        started_ms = self._ports.clock.monotonic_ms()
+        target = environ[RAW_PATH_KEY]
+        if not target.startswith("/"):
+            raise RefusedError(Refusal(400, "bad_target", "the target is no path"))
+        publication = self._ports.catalogue.publication
+        body_limit = publication.body_limit_bytes if publication else 0
+        permit: Permit = permit_call(publication, ask, target.partition("?")[0])
+        body = _read_body(environ, body_limit)
+        time_limit_ms = min(
+            permit.route.timeout_ms,
+            permit.route.timeout_ms if ask.time_limit_ms is None else ask.time_limit_ms,
+        )
+        return Job(
+            ask=ask,
+            method=environ["REQUEST_METHOD"],
+            target=target,
+            headers=environ[RAW_HEADERS_KEY],
+            body=body,
+            route=permit.route,
+            account=permit.account,
+            service=choose_service(permit.route.shares, self._ports.rng),
+            started_ms=started_ms,
+            deadline_ms=started_ms + max(0.0, time_limit_ms - DEADLINE_MARGIN_MS),
+            abort=AbortHandle(),
+        )
+
+    def _serve_stream(
+        self,
+        start_response: StartResponse,
+        job: Job,
+        watch: CallerWatch,
+        end: Callable[[], None],
+    ) -> Iterable[bytes]:
+        stream = Stream(self._ports.streams, job)
+        opened = stream.open()
+        if isinstance(opened, WholeAnswer):
+            end()
+            return self._deliver(start_response, job, opened)
+        start_response("200 OK", opened)
+        return _StreamAnswer(stream, lambda: self._end_stream(stream, watch, end))
+
+    def _end_stream(
+        self, stream: Stream, watch: CallerWatch, end: Callable[[], None]
+    ) -> None:
+        end()
+        stream.close()
+        if watch.is_gone:
+            job = stream.job
+            self._ports.emit(
+                CallerGone(
+                    request_id=job.request_id,
+                    account=job.account_name,
+                    service=job.service,
+                )
+            )
+
+    def _deliver(
+        self, start_response: StartResponse, job: Job, answer: WholeAnswer
+    ) -> Iterable[bytes]:
+        start_response(_status_line(answer.status), answer.headers)
+        self._ports.emit(
+            RequestCompleted(
+                request_id=job.request_id,
+                account=job.account_name,
+                service=job.service,
+                elapsed_ms=self._ports.clock.monotonic_ms() - job.started_ms,
+            )
+        )
+        return [answer.body]
+
+    def _final(self, job: Job, error: RefusedError) -> RefusedError:
+        """Return the refusal with what is known of its request."""
+        error.account = job.account_name
+        error.service = job.service
+        if job.abort.reason and error.refusal.status == HTTPStatus.BAD_GATEWAY:
+            return RefusedError(error.refusal._replace(status=504, code="timeout"))
+        return error
+
+    def _refuse(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        ask: CallerAsk,
+        error: RefusedError,
+    ) -> Iterable[bytes]:
+        refusal = error.refusal
+        self._ports.emit(
+            RequestRefused(
+                request_id=ask.request_id,
+                account=error.account,
+                service=error.service,
+                status=refusal.status,
+                code=refusal.code,
+                verdict=refusal.verdict.value,
+                reason=refusal.message,
+                retry_after_ms=refusal.retry_after_ms,
+            )
+        )
+        headers = [
+            ("Content-Type", "application/json"),
+            *self._ports.wire.error_headers(ask.request_id),
+        ]
+        if refusal.retry_after_ms is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after_ms / MS_PER_S:.2f}"))
+        if refusal.status in (400, 408, 413):
+            environ[ABANDON_BODY_KEY]()
+        start_response(_status_line(refusal.status), headers)
+        return [
+            msgspec.json.encode(
+                {
+                    "error": {
+                        "code": refusal.code,
+                        "message": refusal.message,
+                        "run": refusal.verdict.value,
+                        "request_id": ask.request_id,
+                    }
+                }
+            )
+        ]
+
+    def _log_fault(self, job: Job, error: Exception) -> None:
+        trace = "".join(traceback.format_exception(error))
+        self._ports.emit(
+            InternalFault(
+                request_id=job.request_id, reason=repr(error), trace=trace[-400:]
+            )
+        )
+
+
+class _StreamAnswer:
+    """Body of a stream; ends without an end mark when the stream breaks."""
+
+    def __init__(self, stream: Stream, end: Callable[[], None]) -> None:
+        self._stream = stream
+        self._end = end
+
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield from self._stream.events()
+        except (BackendError, RefusedError) as error:
+            self._stream.note_broken(error)
+            # The server leaves out the end mark and closes the connection.
+            raise ConnectionResetError(104, "the stream broke") from error
+
+    def close(self) -> None:
+        """End the stream and everything that watches it."""
+        self._end()
+
+
+def _read_body(environ: dict[str, Any], limit_bytes: int) -> bytes:
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if int(length) > limit_bytes:
+        raise RefusedError(Refusal(413, "body_too_large", "the body is too large"))
+    body = bytearray()
+    timeout = gevent.Timeout(BODY_TIMEOUT_MS / MS_PER_S)
+    try:
+        with timeout:
+            while piece := environ["wsgi.input"].read(BODY_PIECE_BYTES):
+                body += piece
+                if len(body) > limit_bytes:
+                    raise RefusedError(
+                        Refusal(413, "body_too_large", "the body is too large")
+                    )
+    except gevent.Timeout as expired:
+        if expired is not timeout:
+            raise
+        raise RefusedError(
+            Refusal(408, "body_late", "the body took too long")
+        ) from expired
+    except (OSError, ValueError) as error:
+        raise RefusedError(
+            Refusal(400, "bad_body", "the body is malformed or incomplete")
+        ) from error
+    return bytes(body)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/src/gypsumfield/gateway/attempt.py
@@ -0,0 +1,212 @@
+"""One request sent to one backend server, and what its answer is worth."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from enum import Enum
+from typing import NamedTuple
+
+from gypsumfield.adapters.backends import BackendPool
+from gypsumfield.adapters.backends import Exchange
+from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.clock import Clock
+from gypsumfield.events import AttemptFailed
+from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import Refusal
+from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.calls import AnswerMarks
+from gypsumfield.gateway.calls import CallerAsk
+from gypsumfield.gateway.calls import SendOrder
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.placing import Placer
+from gypsumfield.gateway.routes import permit_call
+from gypsumfield.ports import EmitEvent
+from gypsumfield.verdicts import RunVerdict
+
+# A server in reach accepts within a few ms, one behind a lossy link within a
+# retransmission or two.
+CONNECT_TIMEOUT_MS = 400.0
+# Servers that refuse or cannot be reached are replaced in the store within a
+# few hundred ms.
+RETRY_AFTER_FAILURE_MS = 500.0
+MISDIRECTED_STATUS = 421
+SUCCESS_STATUSES = range(200, 300)
+
+HeaderItems = Sequence[tuple[str, str]]
+
+
+class WireFormat(NamedTuple):
+    """Headers on the wire, from the platform's adapter.
+
+    Attributes:
+        request_id_header: Header that carries and echoes the request id.
+        decode_ask: Reads a caller's headers.
+        encode_send: Makes the headers for a server.
+        decode_marks: Reads what an answer says about itself.
+        answer_headers: Headers of an answer that go on to the caller.
+        error_headers: Headers of an answer of our own.
+    """
+
+    request_id_header: str
+    decode_ask: Callable[[Iterable[tuple[str, str]]], CallerAsk]
+    encode_send: Callable[[HeaderItems, str, SendOrder], Mapping[str, str]]
+    decode_marks: Callable[[Iterable[tuple[str, str]]], AnswerMarks]
+    answer_headers: Callable[[Iterable[tuple[str, str]]], list[tuple[str, str]]]
+    error_headers: Callable[[str], list[tuple[str, str]]]
+
+
+class AttemptPorts(NamedTuple):
+    """What sending uses."""
+
+    wire: WireFormat
+    catalogue: Catalogue
+    placer: Placer
+    pool: BackendPool
+    clock: Clock
+    emit: EmitEvent
+
+
+class Outcome(Enum):
+    """What the head of an answer is worth."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    SPOILED = "spoiled"
+
+
+class OpenAnswer(NamedTuple):
+    """Head of an answer whose body has not been read."""
+
+    exchange: Exchange
+    status: int
+    headers: list[tuple[str, str]]
+    marks: AnswerMarks
+
+
+def open_answer(
+    ports: AttemptPorts, job: Job, server: BackendServer, order: SendOrder
+) -> OpenAnswer:
+    """Send a job to a server and read the answer's head.
+
+    Raises:
+        BackendError: With the verdict of the stage that was reached; also when
+            the answer is to another request, or says that the job did not run.
+    """
+    may_reuse = job.route.is_resumable or job.route.kind is CallKind.IDEMPOTENT
+    request = OutgoingRequest(
+        address=server.address,
+        method=job.method,
+        target=job.target,
+        headers=ports.wire.encode_send(job.headers, job.ask.host, order),
+        body=job.body,
+        request_id=job.request_id,
+        request_id_header=ports.wire.request_id_header,
+        must_echo_id=False,
+    )
+    timeouts = ExchangeTimeouts(
+        min(CONNECT_TIMEOUT_MS, order.time_limit_ms),
+        order.time_limit_ms,
+        order.time_limit_ms,
+    )
+    exchange = Exchange(request, timeouts, job.abort, ports.pool if may_reuse else None)
+
+    def check_before_send() -> str:
+        hindrance = ports.placer.hindrance(server) or _withdrawal(ports, job)
+        if not hindrance:
+            ports.placer.note_sent(server)
+        return hindrance
+
+    status = exchange.open(check_before_send)
+    answer = OpenAnswer(
+        exchange,
+        status,
+        exchange.header_items(),
+        ports.wire.decode_marks(exchange.header_items()),
+    )
+    outcome = judge_head(status, answer.marks, job.request_id)
+    if outcome is Outcome.NOT_RUN:
+        exchange.close()
+        raise BackendError(
+            f"the server refused with {status}", RunVerdict.NOT_RUN, "refused"
+        )
+    if outcome is Outcome.SPOILED:
+        exchange.close()
+        raise BackendError(
+            f"the answer with {status} is not to this request or not sealed",
+            RunVerdict.MAY_HAVE_RUN,
+            "answer_spoiled",
+        )
+    return answer
+
+
+def judge_head(status: int, marks: AnswerMarks, request_id: str) -> Outcome:
+    """Return what the head of an answer is worth."""
+    if marks.request_id and marks.request_id != request_id:
+        return Outcome.SPOILED
+    if status == MISDIRECTED_STATUS or marks.is_not_run:
+        return Outcome.NOT_RUN
+    if marks.is_encoded:
+        return Outcome.SPOILED
+    if status in SUCCESS_STATUSES and not (marks.is_sealed and marks.request_id):
+        return Outcome.SPOILED
+    return Outcome.ANSWERED
+
+
+def note_failure(
+    ports: AttemptPorts,
+    job: Job,
+    server: BackendServer,
+    attempt: int,
+    error: BackendError,
+) -> None:
+    """Log a failed attempt and count it against its server."""
+    ports.emit(
+        AttemptFailed(
+            request_id=job.request_id,
+            account=job.account_name,
+            service=job.service,
+            backend_server=server.server_id,
+            attempt=attempt,
+            stage=error.code,
+            verdict=error.verdict.value,
+            reason=str(error),
+        )
+    )
+    if error.code not in ("aborted", "not_sent"):
+        ports.placer.note_failure(server, error.code == "unreachable")
+
+
+def refuse_failed(error: BackendError, is_late: bool) -> RefusedError:
+    """Return the final answer for a job whose attempts have failed."""
+    if error.verdict is RunVerdict.NOT_RUN:
+        return RefusedError(
+            Refusal(
+                503,
+                "no_capacity",
+                "no server took the request",
+                RunVerdict.NOT_RUN,
+                retry_after_ms=RETRY_AFTER_FAILURE_MS,
+            )
+        )
+    status = 504 if is_late else 502
+    return RefusedError(Refusal(status, error.code, str(error), error.verdict))
+
+
+def _withdrawal(ports: AttemptPorts, job: Job) -> str:
+    """Return why a job that has waited is no longer allowed, or an empty text."""
+    publication = ports.catalogue.publication
+    path = job.target.partition("?")[0]
+    try:
+        permit = permit_call(publication, job.ask, path)
+    except RefusedError as error:
+        return str(error)
+    if all(share.service != job.service for share in permit.route.shares):
+        return "the route goes to another service now"
+    if permit.account != job.account:
+        return "the key belongs to another account now"
+    return ""
--- /dev/null
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -0,0 +1,107 @@
+"""One edge host: started, drained and stopped as a whole."""
+
+from typing import NamedTuple
+
+import gevent
+
+from gypsumfield.adapters.caller_server import CallerServer
+from gypsumfield.adapters.caller_server import WorkGate
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.events import HostDrained
+from gypsumfield.events import HostDraining
+from gypsumfield.events import HostPaused
+from gypsumfield.events import HostStarted
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.follower import StoreFollower
+from gypsumfield.gateway.peers import PeerLink
+from gypsumfield.gateway.rescue import Rescuer
+from gypsumfield.gateway.settings import EdgeSettings
+from gypsumfield.ports import EmitEvent
+
+# The balancer asks once a second and takes a host out after two misses; a
+# connection on its way then still comes.
+NOTICE_MS = 3_200.0
+DRAIN_CHECK_MS = 50.0
+# The process ends this long before it would be killed.
+STOP_MARGIN_MS = 500.0
+HOUSEKEEPING_MS = 250.0
+# A housekeeping round this late means that the process did not run.
+PAUSE_MS = 1_000.0
+# Servers that left the list still finish what they have.
+GONE_LIFETIME_MS = 10_000.0
+
+
+class EdgeParts(NamedTuple):
+    """Parts of an edge host that are started and stopped with it."""
+
+    gate: WorkGate
+    caller_server: CallerServer
+    readiness_server: CallerServer
+    peer_server: CallerServer
+    metrics_server: CallerServer
+    follower: StoreFollower
+    peers: PeerLink
+    catalogue: Catalogue
+    rescuer: Rescuer
+
+
+class EdgeHost:
+    """One edge host."""
+
+    def __init__(
+        self, settings: EdgeSettings, parts: EdgeParts, clock: Clock, emit: EmitEvent
+    ) -> None:
+        self._settings = settings
+        self._parts = parts
+        self._clock = clock
+        self._emit = emit
+        self._housekeeping: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Follow the store, find peers, and take callers."""
+        parts = self._parts
+        for server in (
+            parts.readiness_server,
+            parts.peer_server,
+            parts.metrics_server,
+            parts.caller_server,
+        ):
+            server.start()
+        parts.follower.start()
+        parts.peers.start()
+        self._housekeeping = gevent.spawn(self._keep_house)
+        self._emit(HostStarted(address=self._settings.caller_address))
+
+    def drain(self) -> int:
+        """Serve until no answer runs or the time is over, then stop.
+
+        Returns:
+            Number of answers that were cut.
+        """
+        gate = self._parts.gate
+        started_ms = self._clock.monotonic_ms()
+        last_ms = started_ms + self._settings.bounds.stop_limit_ms - STOP_MARGIN_MS
+        gate.is_draining = True
+        self._emit(HostDraining(in_flight_count=gate.in_flight_count))
+        while self._clock.monotonic_ms() < last_ms:
+            is_noticed = self._clock.monotonic_ms() - started_ms >= NOTICE_MS
+            if is_noticed and not gate.in_flight_count:
+                break
+            self._clock.sleep_ms(DRAIN_CHECK_MS)
+        cut_count = gate.in_flight_count
+        self._emit(HostDrained(cut_count=cut_count))
+        return cut_count
+
+    def _keep_house(self) -> None:
+        last_ms = self._clock.monotonic_ms()
+        while True:
+            gevent.sleep(HOUSEKEEPING_MS / MS_PER_S)
+            now_ms = self._clock.monotonic_ms()
+            pause_ms = now_ms - last_ms - HOUSEKEEPING_MS
+            last_ms = now_ms
+            if pause_ms > PAUSE_MS:
+                self._emit(HostPaused(pause_ms=pause_ms))
+                self._parts.follower.restart_watch()
+            self._parts.catalogue.forget_gone(GONE_LIFETIME_MS)
+            self._parts.rescuer.look()
--- /dev/null
+++ b/src/gypsumfield/gateway/events.py
@@ -0,0 +1,106 @@
+"""Events of the transparent surface, beside those of the whole product."""
+
+from gypsumfield.events import Event
+
+
+class PublicationInForce(Event, frozen=True, kw_only=True, tag="publication_in_force"):
+    """A configuration version is in force on this host."""
+
+    revision: int
+    version: int
+    source: str
+
+
+class PublicationRejected(Event, frozen=True, kw_only=True, tag="publication_rejected"):
+    """A published item cannot be used; what was known before stays."""
+
+    revision: int
+    kept_version: int
+    reason: str
+    source: str
+
+
+class EvacuationChanged(Event, frozen=True, kw_only=True, tag="evacuation_changed"):
+    """A zone's servers get nothing more, or get work again."""
+
+    is_out: bool
+    revision: int
+    source: str
+
+
+class BackendSeen(Event, frozen=True, kw_only=True, tag="backend_seen"):
+    """A registration of a backend server changed."""
+
+    state: str
+    revision: int
+    cold_remaining_ms: float
+    source: str
+
+
+class StoreReached(Event, frozen=True, kw_only=True, tag="store_reached"):
+    """The published store answers again."""
+
+    outage_ms: float
+    revision: int
+
+
+class PeerSeen(Event, frozen=True, kw_only=True, tag="peer_seen"):
+    """Another host of the fleet was heard for the first time or again."""
+
+    peer: str
+    boot_id: str
+
+
+class PeerSilent(Event, frozen=True, kw_only=True, tag="peer_silent"):
+    """Another host has not been heard for too long."""
+
+    peer: str
+    silent_ms: float
+
+
+class ViewPulled(Event, frozen=True, kw_only=True, tag="view_pulled"):
+    """Published items were taken over from a peer."""
+
+    peer: str
+    item_count: int
+    revision: int
+
+
+class RequestPlaced(Event, frozen=True, kw_only=True, tag="request_placed"):
+    """A backend server was chosen for a request.
+
+    ``committed_tokens`` and ``stream_count`` are what the choice rested on:
+    this host's own runs and its peers' news.
+    """
+
+    attempt: int
+    waited_ms: float
+    catalogue_revision: int
+    candidate_count: int
+    committed_tokens: int = 0
+    stream_count: int = 0
+    is_resumed: bool = False
+
+
+class RunMoved(Event, frozen=True, kw_only=True, tag="run_moved"):
+    """A run's memory was copied to another engine, or could not be."""
+
+    target: str
+    is_complete: bool
+    event_count: int
+    elapsed_ms: float
+    reason: str = ""
+
+
+class EngineLeaves(Event, frozen=True, kw_only=True, tag="engine_leaves"):
+    """An engine with runs of this host is about to be gone."""
+
+    leaves_in_ms: float
+    run_count: int
+    source: str
+
+
+class SettingsReloaded(Event, frozen=True, kw_only=True, tag="settings_reloaded"):
+    """The settings file was read again."""
+
+    is_changed: bool
--- /dev/null
+++ b/src/gypsumfield/gateway/follower.py
@@ -0,0 +1,126 @@
+"""Keeps the catalogue in step with the published store."""
+
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+import gevent
+
+from gypsumfield.clock import Clock
+from gypsumfield.events import PlatformUnreachable
+from gypsumfield.exceptions import HistoryGoneError
+from gypsumfield.exceptions import PlatformError
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.gateway.events import StoreReached
+from gypsumfield.ports import EmitEvent
+
+# A waiting watch counts as one call; this is the store's customary longest wait.
+WATCH_WAIT_MS = 10_000
+FIRST_PAUSE_MS = 50.0
+LONGEST_PAUSE_MS = 500.0
+
+
+class ItemSource(Protocol):
+    """What is asked of the store's client."""
+
+    def list_items(self, prefix: str) -> tuple[list[StoreItem], int]:
+        """Return all items and the revision to watch from."""
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_ms: int
+    ) -> tuple[list[StoreItem], int]:
+        """Return changes and the revision to go on from."""
+
+
+class FollowerPorts(NamedTuple):
+    """What the follower uses.
+
+    Attributes:
+        source: Client of the store.
+        catalogue: Where changes go.
+        clock: Time.
+        rng: Draws the pauses between tries.
+        emit: Log.
+    """
+
+    source: ItemSource
+    catalogue: Catalogue
+    clock: Clock
+    rng: random.Random
+    emit: EmitEvent
+
+
+class StoreFollower:
+    """Lists once, then watches; lists again only when history is gone.
+
+    Attributes:
+        is_reaching: Whether the last call was answered.
+    """
+
+    def __init__(self, prefix: str, ports: FollowerPorts) -> None:
+        self.is_reaching = False
+        self._prefix = prefix
+        self._ports = ports
+        self._revision: int | None = None
+        self._lost_ms: float | None = ports.clock.monotonic_ms()
+        self._pause_ms = FIRST_PAUSE_MS
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the watch."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def restart_watch(self) -> None:
+        """Drop a watch that seems to hang and begin a new one."""
+        self.stop()
+        self.start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._step()
+            except HistoryGoneError:
+                self._revision = None
+            except PlatformError as error:
+                self._note_lost(str(error))
+                pause_ms = self._pause_ms * self._ports.rng.uniform(0.5, 1.0)
+                self._pause_ms = min(LONGEST_PAUSE_MS, self._pause_ms * 2.0)
+                self._ports.clock.sleep_ms(pause_ms)
+
+    def _step(self) -> None:
+        ports = self._ports
+        if self._revision is None:
+            items, revision = ports.source.list_items(self._prefix)
+            self._note_reached(revision)
+            ports.catalogue.replace(items, revision, "store listing")
+        else:
+            # After an outage the first watch is short, so that the end of the
+            # outage is noticed before the first change.
+            wait_ms = WATCH_WAIT_MS if self.is_reaching else 1
+            items, revision = ports.source.watch(self._prefix, self._revision, wait_ms)
+            self._note_reached(revision)
+            ports.catalogue.apply(items, revision, "store watch")
+        self._revision = revision
+
+    def _note_reached(self, revision: int) -> None:
+        self._pause_ms = FIRST_PAUSE_MS
+        if self.is_reaching:
+            return
+        self.is_reaching = True
+        if self._revision is not None:
+            self._ports.catalogue.note_outage_end()
+        lost_ms = self._lost_ms or self._ports.clock.monotonic_ms()
+        outage_ms = self._ports.clock.monotonic_ms() - lost_ms
+        self._ports.emit(StoreReached(outage_ms=outage_ms, revision=revision))
+
+    def _note_lost(self, reason: str) -> None:
+        if self.is_reaching or self._lost_ms is None:
+            self._lost_ms = self._ports.clock.monotonic_ms()
+            self._ports.emit(PlatformUnreachable(reason=reason))
+        self.is_reaching = False
--- /dev/null
+++ b/src/gypsumfield/gateway/job.py
@@ -0,0 +1,53 @@
+"""One permitted call on its way through the host."""
+
+from typing import NamedTuple
+
+from gypsumfield.aborts import AbortHandle
+from gypsumfield.clock import Clock
+from gypsumfield.gateway.calls import CallerAsk
+from gypsumfield.gateway.model import Account
+from gypsumfield.gateway.model import Route
+
+
+class Job(NamedTuple):
+    """One permitted call.
+
+    Attributes:
+        ask: What its headers say.
+        method: HTTP method.
+        target: Path and query, as sent.
+        headers: Headers as sent, in order.
+        body: Whole body.
+        route: Route it takes.
+        account: Client account it runs for, or None.
+        service: Service that was drawn for it.
+        started_ms: Monotonic time of its arrival.
+        deadline_ms: Monotonic time at which its final answer is due.
+        abort: Ends it when its caller leaves.
+    """
+
+    ask: CallerAsk
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    route: Route
+    account: Account | None
+    service: str
+    started_ms: float
+    deadline_ms: float
+    abort: AbortHandle
+
+    @property
+    def request_id(self) -> str:
+        """Id of this attempt of the caller."""
+        return self.ask.request_id
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account, or empty."""
+        return self.account.name if self.account else ""
+
+    def remaining_ms(self, clock: Clock) -> float:
+        """Return the time until the final answer is due."""
+        return self.deadline_ms - clock.monotonic_ms()
--- /dev/null
+++ b/src/gypsumfield/gateway/ledger.py
@@ -0,0 +1,131 @@
+"""Runs in flight by backend server: this host's own and its peers'."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+# News older than this counts as nothing: the peer is gone or out of reach, and
+# its runs end within seconds.
+PEER_LOAD_LIFETIME_MS = 2_500.0
+
+
+class ServerLoad(NamedTuple):
+    """Load of one server.
+
+    Attributes:
+        run_count: Requests on it.
+        committed_tokens: Predicted memory at the ends of its streams.
+        waiting_prompt_tokens: Prompts that have not brought a first event yet.
+    """
+
+    run_count: int = 0
+    committed_tokens: int = 0
+    waiting_prompt_tokens: int = 0
+
+    def plus(self, other: "ServerLoad") -> "ServerLoad":
+        """Return both loads together."""
+        return ServerLoad(
+            self.run_count + other.run_count,
+            self.committed_tokens + other.committed_tokens,
+            self.waiting_prompt_tokens + other.waiting_prompt_tokens,
+        )
+
+
+class Run:
+    """One request on a server.
+
+    Attributes:
+        server_id: The server.
+        prompt_tokens: Tokens to read.
+        expected_tokens: Predicted tokens of the output.
+        generated_tokens: Tokens so far.
+    """
+
+    def __init__(
+        self, server_id: str, prompt_tokens: int, expected_tokens: int
+    ) -> None:
+        self.server_id = server_id
+        self.prompt_tokens = prompt_tokens
+        self.expected_tokens = expected_tokens
+        self.generated_tokens = 0
+        self.is_reading = True
+
+    def load(self) -> ServerLoad:
+        """Return what the run adds to its server's load."""
+        # A run that outlives its prediction is expected to go on a little.
+        expected = max(self.expected_tokens, int(self.generated_tokens * 1.1))
+        waiting = self.prompt_tokens if self.is_reading else 0
+        return ServerLoad(1, self.prompt_tokens + expected, waiting)
+
+
+class Ledger:
+    """Load by server, from own runs and peers' news."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, set[Run]] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change of this host's own runs."""
+        self._listeners.append(listener)
+
+    def begin(self, run: Run) -> None:
+        """Count a run from now on."""
+        self._runs.setdefault(run.server_id, set()).add(run)
+        self._tell()
+
+    def end(self, run: Run) -> None:
+        """Count a run no more; harmless when it has ended before."""
+        runs = self._runs.get(run.server_id)
+        if runs and run in runs:
+            runs.discard(run)
+            if not runs:
+                del self._runs[run.server_id]
+            self._tell()
+
+    def note_read(self, run: Run) -> None:
+        """Note that a run's prompt has been read."""
+        if run.is_reading:
+            run.is_reading = False
+            self._tell()
+
+    def own_load(self, server_id: str) -> ServerLoad:
+        """Return the load of this host's own runs on a server."""
+        return _total(run.load() for run in self._runs.get(server_id, ()))
+
+    def own_loads(self) -> dict[str, ServerLoad]:
+        """Return this host's own load by server."""
+        return {server_id: self.own_load(server_id) for server_id in self._runs}
+
+    def take_news(
+        self, host_id: str, loads: Mapping[str, ServerLoad], now_ms: float
+    ) -> None:
+        """Replace what is known of a peer's runs."""
+        self._peers[host_id] = (now_ms, loads)
+
+    def forget_peer(self, host_id: str) -> None:
+        """Drop what is known of a peer's runs."""
+        self._peers.pop(host_id, None)
+
+    def load(self, server_id: str, now_ms: float) -> ServerLoad:
+        """Return the load of a server over all hosts."""
+        since_ms = now_ms - PEER_LOAD_LIFETIME_MS
+        peers = (
+            loads[server_id]
+            for heard_ms, loads in self._peers.values()
+            if heard_ms >= since_ms and server_id in loads
+        )
+        return _total(peers).plus(self.own_load(server_id))
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _total(loads: Iterable[ServerLoad]) -> ServerLoad:
+    total = ServerLoad()
+    for load in loads:
+        total = total.plus(load)
+    return total
--- /dev/null
+++ b/src/gypsumfield/gateway/placing.py
@@ -0,0 +1,367 @@
+"""Chooses backend servers from what the host believes, and holds streams back."""
+
+import random
+from collections.abc import Callable
+from collections.abc import Collection
+from typing import NamedTuple
+
+from gevent.event import Event as Signal
+
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.decisions.ejection import BackendHealth
+from gypsumfield.decisions.ejection import EjectionSettings
+from gypsumfield.decisions.ejection import Ejector
+from gypsumfield.decisions.fleet_shares import cold_share_per_s
+from gypsumfield.decisions.fleet_shares import ColdShare
+from gypsumfield.decisions.holding import HeldStream
+from gypsumfield.decisions.holding import hold_ms
+from gypsumfield.decisions.holding import return_after_ms
+from gypsumfield.decisions.ownership import rank_hosts
+from gypsumfield.decisions.placement import choose_engine
+from gypsumfield.decisions.placement import choose_plain
+from gypsumfield.decisions.placement import EngineLoad
+from gypsumfield.decisions.placement import PlainLoad
+from gypsumfield.decisions.placement import StreamNeed
+from gypsumfield.events import BackendHealthChanged
+from gypsumfield.events import RequestQueued
+from gypsumfield.exceptions import Refusal
+from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.catalogue import ServerBelief
+from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.model import EngineSpec
+from gypsumfield.gateway.settings import EdgeBounds
+from gypsumfield.ports import EmitEvent
+
+# A server that refuses connections is gone or restarting; both show in the
+# store within a few heartbeats.
+UNREACHABLE_MS = 1_500.0
+# Failures in a row: grey servers fail every second request or so, sound ones
+# one in seven on the services with the most errors.
+EJECTION = EjectionSettings(failure_limit=4, ejection_ms=2_000.0)
+
+
+class PlacingPorts(NamedTuple):
+    """What placing uses.
+
+    Attributes:
+        availability_zone: Zone of this host.
+        host_id: This host.
+        bounds: Bounds that bind it.
+        catalogue: Servers and zones.
+        ledger: Runs in flight.
+        live_hosts: Hosts heard lately, this one included.
+        host_count: Hosts that may exist.
+        clock: Time.
+        rng: Breaks ties.
+        emit: Log.
+    """
+
+    availability_zone: str
+    host_id: str
+    bounds: EdgeBounds
+    catalogue: Catalogue
+    ledger: Ledger
+    live_hosts: Callable[[], list[str]]
+    host_count: Callable[[], int]
+    clock: Clock
+    rng: random.Random
+    emit: EmitEvent
+
+
+class Place(NamedTuple):
+    """A chosen server and what the choice rested on."""
+
+    server: BackendServer
+    candidate_count: int
+    stream_count: int
+    committed_tokens: int
+
+
+class Placer:
+    """Chooses servers; every choice is checked again right before it is sent."""
+
+    def __init__(self, ports: PlacingPorts) -> None:
+        self._ports = ports
+        self._ejectors: dict[str, Ejector] = {}
+        self._unreachable_until_ms: dict[str, float] = {}
+        self._cold_shares: dict[str, ColdShare] = {}
+
+    def place_plain(self, service: str, tried: Collection[str]) -> Place | None:
+        """Return a server for a plain call, or None when there is none."""
+        beliefs = self.candidates(service, tried)
+        loads = []
+        for belief in beliefs:
+            server = belief.server
+            active = self._ports.ledger.own_load(server.server_id).run_count
+            loads.append(
+                PlainLoad(
+                    server.server_id,
+                    server.availability_zone,
+                    server.slot_count,
+                    active,
+                    self._is_cold(belief),
+                )
+            )
+        chosen = choose_plain(loads, self._ports.availability_zone, self._ports.rng)
+        if chosen is None:
+            return None
+        return self._place(chosen.server_id, len(beliefs), chosen.active_count, 0)
+
+    def place_stream(
+        self, service: str, peak_tokens: int, tried: Collection[str]
+    ) -> Place | None:
+        """Return an engine with room for a stream, or None."""
+        beliefs = self.candidates(service, tried)
+        loads = [self._engine_load(belief, service) for belief in beliefs]
+        need = StreamNeed(peak_tokens, self._ports.availability_zone)
+        chosen = choose_engine(loads, need, self._ports.rng)
+        if chosen is None:
+            return None
+        return self._place(
+            chosen.server_id,
+            len(beliefs),
+            chosen.stream_count,
+            chosen.committed_tokens,
+        )
+
+    def candidates(self, service: str, tried: Collection[str]) -> list[ServerBelief]:
+        """Return the servers that may get a request of a service now."""
+        now_ms = self._ports.clock.monotonic_ms()
+        beliefs = self._ports.catalogue.servers_of(service)
+        ejector = self._ejector(service)
+        ejector.keep([belief.server.server_id for belief in beliefs])
+        ejected = ejector.excluded(now_ms)
+        usable = [
+            belief
+            for belief in beliefs
+            if belief.server.server_id not in tried
+            and not self.hindrance(belief.server)
+            and self._unreachable_until_ms.get(belief.server.server_id, 0.0) <= now_ms
+        ]
+        return [
+            belief for belief in usable if belief.server.server_id not in ejected
+        ] or usable
+
+    def hindrance(self, server: BackendServer) -> str:
+        """Return why a server must not get a request now, or an empty text."""
+        catalogue = self._ports.catalogue
+        belief = catalogue.find_server(server.server_id)
+        if belief is None or belief.server.address != server.address:
+            return "the server is gone"
+        if catalogue.is_leaving(belief):
+            return "the server is leaving"
+        if server.availability_zone in catalogue.evacuated_zones:
+            return "its zone is evacuated"
+        if self._is_cold(belief) and not self._has_cold_share(belief):
+            return "the server is cold"
+        return ""
+
+    def note_sent(self, server: BackendServer) -> None:
+        """Note a request that leaves for a server."""
+        now_ms = self._ports.clock.monotonic_ms()
+        self._ejector(server.service).note_sent(server.server_id, now_ms)
+        belief = self._ports.catalogue.find_server(server.server_id)
+        if belief is not None and self._is_cold(belief):
+            share = self._cold_shares.setdefault(server.server_id, ColdShare())
+            share.note_sent(now_ms)
+
+    def note_success(self, server: BackendServer, first_byte_ms: float) -> None:
+        """Note an answer."""
+        self._unreachable_until_ms.pop(server.server_id, None)
+        self._ejector(server.service).note_success(
+            server.server_id, first_byte_ms, self._ports.clock.monotonic_ms()
+        )
+
+    def note_failure(self, server: BackendServer, is_unreachable: bool) -> None:
+        """Note an attempt that failed on the server's account."""
+        now_ms = self._ports.clock.monotonic_ms()
+        if is_unreachable:
+            self._unreachable_until_ms[server.server_id] = now_ms + UNREACHABLE_MS
+        self._ejector(server.service).note_failure(server.server_id, now_ms)
+
+    def run_count(self, service: str) -> int:
+        """Return the runs on all servers of a service."""
+        now_ms = self._ports.clock.monotonic_ms()
+        return sum(
+            self._ports.ledger.load(belief.server.server_id, now_ms).run_count
+            for belief in self._ports.catalogue.servers_of(service)
+        )
+
+    def _place(
+        self, server_id: str, candidates: int, streams: int, tokens: int
+    ) -> Place | None:
+        belief = self._ports.catalogue.find_server(server_id)
+        if belief is None:
+            return None
+        return Place(belief.server, candidates, streams, tokens)
+
+    def _engine_load(self, belief: ServerBelief, service: str) -> EngineLoad:
+        server = belief.server
+        spec = self._engine_spec(service)
+        load = self._ports.ledger.load(
+            server.server_id, self._ports.clock.monotonic_ms()
+        )
+        return EngineLoad(
+            server_id=server.server_id,
+            availability_zone=server.availability_zone,
+            slot_count=server.slot_count,
+            memory_tokens=spec.memory_tokens if spec else 0,
+            stream_count=load.run_count,
+            committed_tokens=load.committed_tokens,
+            waiting_prompt_tokens=load.waiting_prompt_tokens,
+            is_cold=self._is_cold(belief),
+        )
+
+    def _engine_spec(self, service: str) -> EngineSpec | None:
+        publication = self._ports.catalogue.publication
+        spec = publication.services.get(service) if publication else None
+        return spec.engine if spec else None
+
+    def _is_cold(self, belief: ServerBelief) -> bool:
+        return belief.cold_until_ms > self._ports.clock.monotonic_ms()
+
+    def _has_cold_share(self, belief: ServerBelief) -> bool:
+        server = belief.server
+        publication = self._ports.catalogue.publication
+        spec = publication.services.get(server.service) if publication else None
+        rate_per_s = spec.cold_requests_per_s if spec else 0.0
+        if rate_per_s <= 0.0:
+            return True
+        hosts = self._ports.live_hosts()
+        allowed = cold_share_per_s(
+            rate_per_s,
+            self._ports.bounds.cold_factor,
+            self._ports.bounds.cold_extra,
+            self._ports.host_count(),
+            rank_hosts(server.server_id, hosts).index(self._ports.host_id),
+        )
+        share = self._cold_shares.setdefault(server.server_id, ColdShare())
+        return share.is_open(self._ports.clock.monotonic_ms(), allowed)
+
+    def _ejector(self, service: str) -> Ejector:
+        if service not in self._ejectors:
+            self._ejectors[service] = Ejector(
+                EJECTION,
+                lambda server_id, health, reason: self._tell(
+                    service, server_id, health, reason
+                ),
+            )
+        return self._ejectors[service]
+
+    def _tell(
+        self, service: str, server_id: str, health: BackendHealth, reason: str
+    ) -> None:
+        self._ports.emit(
+            BackendHealthChanged(
+                service=service,
+                backend_server=server_id,
+                health=health.value,
+                reason=reason,
+            )
+        )
+
+
+class _Waiter:
+    """A stream that is held back."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.is_due = Signal()
+
+
+class StreamQueue:
+    """Holds streams back until an engine has room, the most urgent first."""
+
+    def __init__(self, placer: Placer, clock: Clock, emit: EmitEvent) -> None:
+        self._placer = placer
+        self._clock = clock
+        self._emit = emit
+        self._waiters: list[_Waiter] = []
+
+    @property
+    def waiting_count(self) -> int:
+        """Streams that are held back now."""
+        return len(self._waiters)
+
+    def wake(self) -> None:
+        """Look at all held streams again; a place may have come free."""
+        for waiter in self._waiters:
+            waiter.is_due.set()
+
+    def acquire(self, job: Job, peak_tokens: int, tried: Collection[str]) -> Place:
+        """Return a place for a stream, waiting while it can be served in time.
+
+        Raises:
+            RefusedError: No engine has room in time; with when to come back.
+        """
+        place = None
+        if not self._is_behind_others(job, None):
+            place = self._placer.place_stream(job.service, peak_tokens, tried)
+        if place is None:
+            place = self._wait(job, peak_tokens, tried)
+        if place is None:
+            runs = self._placer.run_count(job.service)
+            raise RefusedError(
+                Refusal(
+                    503,
+                    "engines_full",
+                    "no engine has room in time",
+                    retry_after_ms=return_after_ms(runs, self.waiting_count),
+                )
+            )
+        return place
+
+    def _wait(self, job: Job, peak_tokens: int, tried: Collection[str]) -> Place | None:
+        waiter = _Waiter(job)
+        self._waiters.append(waiter)
+        self._waiters.sort(
+            key=lambda each: (each.job.route.priority, each.job.started_ms)
+        )
+        self._emit(
+            RequestQueued(
+                request_id=job.request_id,
+                account=job.account_name,
+                service=job.service,
+                queue_length=self.waiting_count,
+            )
+        )
+        try:
+            while not job.abort.reason:
+                left_ms = hold_ms(self._held(job))
+                if left_ms <= 0.0:
+                    return None
+                job.abort.attach(waiter.is_due.set)
+                waiter.is_due.wait(left_ms / MS_PER_S)
+                waiter.is_due.clear()
+                if self._is_behind_others(job, waiter):
+                    continue
+                place = self._placer.place_stream(job.service, peak_tokens, tried)
+                if place is not None:
+                    return place
+            return None
+        finally:
+            job.abort.attach(None)
+            self._waiters.remove(waiter)
+            self.wake()
+
+    def _is_behind_others(self, job: Job, own: _Waiter | None) -> bool:
+        for waiter in self._waiters:
+            if waiter is own:
+                return False
+            if waiter.job.service != job.service:
+                continue
+            if own is not None or waiter.job.route.priority <= job.route.priority:
+                return True
+        return False
+
+    def _held(self, job: Job) -> HeldStream:
+        return HeldStream(
+            waited_ms=self._clock.monotonic_ms() - job.started_ms,
+            target_latency_ms=job.route.target_latency_ms,
+            remaining_ms=job.remaining_ms(self._clock),
+            prompt_tokens=job.ask.prompt_tokens,
+        )
--- /dev/null
+++ b/src/gypsumfield/gateway/streams.py
@@ -0,0 +1,401 @@
+"""Streams: placed on an engine, relayed event by event, carried on when it leaves."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from gevent.event import AsyncResult
+
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.decisions.fleet_shares import RetryShare
+from gypsumfield.events import FirstToken
+from gypsumfield.events import RequestCompleted
+from gypsumfield.events import RequestFailed
+from gypsumfield.events import StreamResumed
+from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.attempt import AttemptPorts
+from gypsumfield.gateway.attempt import note_failure
+from gypsumfield.gateway.attempt import open_answer
+from gypsumfield.gateway.attempt import OpenAnswer
+from gypsumfield.gateway.attempt import refuse_failed
+from gypsumfield.gateway.attempt import SUCCESS_STATUSES
+from gypsumfield.gateway.calls import ResumePoint
+from gypsumfield.gateway.calls import SendOrder
+from gypsumfield.gateway.event_stream import EventCutter
+from gypsumfield.gateway.event_stream import StreamEvent
+from gypsumfield.gateway.events import RequestPlaced
+from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.ledger import Run
+from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.placing import Place
+from gypsumfield.gateway.placing import StreamQueue
+from gypsumfield.gateway.plain import WholeAnswer
+from gypsumfield.verdicts import RunVerdict
+
+ANSWER_LIMIT_BYTES = 32 * 1_048_576
+# Callers guess the length right at the median; the memory is planned for a
+# longer run, up to their token limit.
+LENGTH_MARGIN = 1.3
+# The last copy of a moved run is a few tokens behind; its answer takes a round
+# trip and the queue of the link.
+HANDOVER_LIMIT_MS = 1_500.0
+# Engines that refuse a stream are full or leaving; one more is tried than the
+# balancer would.
+REFUSED_TRIES = 3
+
+
+class Handover(NamedTuple):
+    """Where a moved run goes on."""
+
+    server: BackendServer
+    resume: ResumePoint
+    run: Run
+
+
+class StreamPorts(NamedTuple):
+    """What streams use.
+
+    Attributes:
+        attempts: Sending.
+        queue: Places on engines.
+        ledger: Runs in flight.
+        retry_share: This host's part of the repeats of a service.
+        host_count: Hosts that may exist.
+        tokens_per_event: Tokens in one event of a service's streams.
+        registry: Streams that run now, for moves.
+    """
+
+    attempts: AttemptPorts
+    queue: StreamQueue
+    ledger: Ledger
+    retry_share: Callable[[str], RetryShare]
+    host_count: Callable[[], int]
+    tokens_per_event: Callable[[str], int]
+    registry: "StreamRegistry"
+
+
+class StreamRegistry:
+    """Streams that run now, by engine."""
+
+    def __init__(self) -> None:
+        self._streams: set[Stream] = set()
+
+    def add(self, stream: "Stream") -> None:
+        """Note a stream that runs."""
+        self._streams.add(stream)
+
+    def discard(self, stream: "Stream") -> None:
+        """Note that a stream has ended."""
+        self._streams.discard(stream)
+
+    def on_server(self, server_id: str) -> list["Stream"]:
+        """Return the streams of one engine."""
+        return [each for each in self._streams if each.server.server_id == server_id]
+
+    def server_ids(self) -> set[str]:
+        """Return the engines that run streams of this host."""
+        return {stream.server.server_id for stream in self._streams}
+
+
+class Stream:
+    """One caller's stream, over all engines that carry it.
+
+    Attributes:
+        job: The request.
+        server: Engine that carries it now.
+        run: Its part of that engine's load.
+        last_event_id: Last event that has left for the caller.
+        event_count: Events that have left.
+        handover: Set while the run is being moved; its value is where it goes
+            on, or None when it stays.
+    """
+
+    def __init__(self, ports: StreamPorts, job: Job) -> None:
+        self.job = job
+        self.last_event_id = job.ask.last_event_id
+        self.event_count = 0
+        self.handover: AsyncResult | None = None
+        self.server: BackendServer
+        self.run: Run
+        self._ports = ports
+        self._answer: OpenAnswer | None = None
+        self._pending: list[StreamEvent] = []
+        self._cutter = EventCutter()
+        self._tried: list[str] = []
+        self._run_count = 0
+        self._is_over = False
+
+    def open(self) -> WholeAnswer | list[tuple[str, str]]:
+        """Bring the stream to its first event.
+
+        Returns:
+            The headers for the caller; or a whole answer when the engine gave
+            one that is no stream.
+
+        Raises:
+            RefusedError: No engine serves it.
+        """
+        now_ms = self._ports.attempts.clock.monotonic_ms()
+        self._ports.retry_share(self.job.service).note_request(now_ms)
+        try:
+            return self._open_first()
+        except BaseException:
+            self.close()
+            raise
+
+    def events(self) -> Iterator[bytes]:
+        """Yield the stream's bytes, whole events at a time.
+
+        Raises:
+            BackendError: The stream broke and cannot go on.
+        """
+        while True:
+            try:
+                while self._pending:
+                    batch, self._pending = self._pending, []
+                    yield b"".join(event.data for event in batch)
+                    self._note_delivered(batch)
+                if self._is_over:
+                    break
+                self._read_events()
+            except BackendError as error:
+                self._carry_on(error)
+        rest = self._cutter.rest()
+        if rest:
+            yield rest
+        self._note_complete()
+
+    def close(self) -> None:
+        """End the stream, whatever has been read of it."""
+        self._ports.registry.discard(self)
+        if self._answer is not None:
+            if self._is_over and not self._pending:
+                self._answer.exchange.finish()
+            else:
+                self._answer.exchange.close()
+            self._answer = None
+        if hasattr(self, "run"):
+            self._ports.ledger.end(self.run)
+
+    @property
+    def generated_tokens(self) -> int:
+        """Tokens that have left for the caller."""
+        return self.event_count * self._ports.tokens_per_event(self.job.service)
+
+    @property
+    def expected_tokens(self) -> int:
+        """Predicted tokens of the whole output."""
+        ask = self.job.ask
+        if not ask.expected_tokens:
+            return ask.max_tokens
+        guess = int(ask.expected_tokens * LENGTH_MARGIN)
+        return min(guess, ask.max_tokens) if ask.max_tokens else guess
+
+    def _open_first(self) -> WholeAnswer | list[tuple[str, str]]:
+        peak_tokens = self.job.ask.prompt_tokens + self.expected_tokens
+        resume = ResumePoint(self.last_event_id) if self.last_event_id else None
+        while True:
+            place = self._ports.queue.acquire(self.job, peak_tokens, self._tried)
+            self._log_placed(place)
+            try:
+                answer = self._open_at(place.server, resume, None)
+                if answer.status not in SUCCESS_STATUSES:
+                    return self._read_failure(answer)
+                headers = self._ports.attempts.wire.answer_headers(answer.headers)
+                while not self._pending and not self._is_over:
+                    self._read_events()
+            except BackendError as error:
+                self._note_failure(error)
+                if not self._may_retry(error):
+                    raise refuse_failed(error, self._remaining_ms() <= 0.0) from error
+                continue
+            self._ports.registry.add(self)
+            return headers
+
+    def _open_at(
+        self, server: BackendServer, resume: ResumePoint | None, run: Run | None
+    ) -> OpenAnswer:
+        """Send the request to an engine and read the head of its answer."""
+        ask = self.job.ask
+        self.server = server
+        self.run = run or Run(server.server_id, ask.prompt_tokens, self.expected_tokens)
+        self._cutter = EventCutter()
+        self._tried.append(server.server_id)
+        self._run_count += 1
+        if run is None:
+            self._ports.ledger.begin(self.run)
+        priority = self.job.route.priority
+        order = SendOrder(
+            server.server_id,
+            max(1.0, self._remaining_ms()),
+            self.job.account_name,
+            urgency=priority,
+            resume=resume,
+        )
+        try:
+            self._answer = open_answer(self._ports.attempts, self.job, server, order)
+        except BackendError as error:
+            if error.verdict is RunVerdict.NOT_RUN:
+                self._run_count -= 1
+            raise
+        return self._answer
+
+    def _read_events(self) -> None:
+        """Read until at least one event is whole or the answer has ended."""
+        assert self._answer is not None
+        chunk = self._answer.exchange.read_chunk()
+        if not chunk:
+            self._is_over = True
+            return
+        self._pending = self._cutter.feed(chunk)
+        if self._pending:
+            self._ports.ledger.note_read(self.run)
+
+    def _read_failure(self, answer: OpenAnswer) -> WholeAnswer:
+        body = answer.exchange.read_body(ANSWER_LIMIT_BYTES)
+        self._is_over = True
+        headers = self._ports.attempts.wire.answer_headers(answer.headers)
+        self.close()
+        return WholeAnswer(answer.status, headers, body)
+
+    def _carry_on(self, error: BackendError) -> None:
+        """Go on at another engine after a break, or raise the error."""
+        handover = self._await_handover()
+        if handover is None:
+            self._note_failure(error)
+        if self.job.abort.reason or self._remaining_ms() <= 0.0:
+            raise error
+        if handover is not None:
+            self._resume_at(handover)
+            return
+        if not self.job.route.is_resumable or not self._may_retry(error):
+            raise error
+        place = self._ports.queue.acquire(
+            self.job, self.job.ask.prompt_tokens + self.expected_tokens, self._tried
+        )
+        self._log_placed(place)
+        self._open_again(place.server, ResumePoint(self.last_event_id), None)
+
+    def _await_handover(self) -> Handover | None:
+        if self.handover is None:
+            return None
+        waiting, self.handover = self.handover, None
+        found: Handover | None = waiting.wait(HANDOVER_LIMIT_MS / MS_PER_S)
+        return found
+
+    def _resume_at(self, handover: Handover) -> None:
+        self._ports.ledger.end(self.run)
+        resume = handover.resume._replace(last_event_id=self.last_event_id)
+        self._open_again(handover.server, resume, handover.run)
+
+    def _open_again(
+        self, server: BackendServer, resume: ResumePoint, run: Run | None
+    ) -> None:
+        if self._answer is not None:
+            self._answer.exchange.close()
+        answer = self._open_at(server, resume, run)
+        if answer.status not in SUCCESS_STATUSES:
+            raise BackendError(
+                f"the engine answered {answer.status} to a resumption",
+                RunVerdict.MAY_HAVE_RUN,
+                "resume_refused",
+            )
+        self._ports.attempts.emit(
+            StreamResumed(
+                request_id=self.job.request_id,
+                account=self.job.account_name,
+                service=self.job.service,
+                backend_server=server.server_id,
+                after_sequence=self.event_count,
+            )
+        )
+
+    def _may_retry(self, error: BackendError) -> bool:
+        if self.job.abort.reason or self._remaining_ms() <= 0.0:
+            return False
+        if error.verdict is RunVerdict.NOT_RUN:
+            if len(self._tried) > self._run_count + REFUSED_TRIES:
+                return False
+        elif not (
+            self.job.route.is_resumable
+            and self._run_count < self.job.route.max_attempts
+        ):
+            return False
+        now_ms = self._ports.attempts.clock.monotonic_ms()
+        share = self._ports.retry_share(self.job.service)
+        return share.take(now_ms, self._ports.host_count())
+
+    def _remaining_ms(self) -> float:
+        return self.job.remaining_ms(self._ports.attempts.clock)
+
+    def _note_failure(self, error: BackendError) -> None:
+        self._ports.ledger.end(self.run)
+        note_failure(
+            self._ports.attempts, self.job, self.server, len(self._tried), error
+        )
+
+    def _note_delivered(self, batch: list[StreamEvent]) -> None:
+        if not self.event_count:
+            now_ms = self._ports.attempts.clock.monotonic_ms()
+            elapsed_ms = now_ms - self.job.started_ms
+            self._ports.attempts.placer.note_success(self.server, elapsed_ms)
+            self._ports.attempts.emit(
+                FirstToken(
+                    request_id=self.job.request_id,
+                    account=self.job.account_name,
+                    service=self.job.service,
+                    backend_server=self.server.server_id,
+                    elapsed_ms=elapsed_ms,
+                )
+            )
+        self.event_count += len(batch)
+        self.last_event_id = batch[-1].event_id or self.last_event_id
+        self.run.generated_tokens = self.generated_tokens
+
+    def _note_complete(self) -> None:
+        now_ms = self._ports.attempts.clock.monotonic_ms()
+        self._ports.attempts.emit(
+            RequestCompleted(
+                request_id=self.job.request_id,
+                account=self.job.account_name,
+                service=self.job.service,
+                backend_server=self.server.server_id,
+                elapsed_ms=now_ms - self.job.started_ms,
+                token_count=self.generated_tokens,
+            )
+        )
+
+    def note_broken(self, error: BackendError | RefusedError) -> None:
+        """Log that the caller's stream ends without its end."""
+        verdict = RunVerdict.MAY_HAVE_RUN
+        self._ports.attempts.emit(
+            RequestFailed(
+                request_id=self.job.request_id,
+                account=self.job.account_name,
+                service=self.job.service,
+                backend_server=self.server.server_id,
+                code=getattr(error, "code", "stream_broken"),
+                verdict=verdict.value,
+                reason=str(error),
+            )
+        )
+
+    def _log_placed(self, place: Place) -> None:
+        attempts = self._ports.attempts
+        attempts.emit(
+            RequestPlaced(
+                request_id=self.job.request_id,
+                account=self.job.account_name,
+                service=self.job.service,
+                backend_server=place.server.server_id,
+                attempt=len(self._tried) + 1,
+                waited_ms=attempts.clock.monotonic_ms() - self.job.started_ms,
+                catalogue_revision=attempts.catalogue.revision,
+                candidate_count=place.candidate_count,
+                committed_tokens=place.committed_tokens,
+                stream_count=place.stream_count,
+                is_resumed=bool(self.last_event_id),
+            )
+        )
--- /dev/null
+++ b/src/gypsumfield/platform/documents.py
@@ -0,0 +1,223 @@
+"""Published documents and registrations, decoded into our own types.
+
+What cannot be read raises `ConfigurationError`, which names key and field; the
+caller keeps what it had.
+"""
+
+import msgspec
+
+from gypsumfield.adapters.caller_server import ConnectionLimits
+from gypsumfield.exceptions import ConfigurationError
+from gypsumfield.gateway.model import Account
+from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.model import EngineSpec
+from gypsumfield.gateway.model import Publication
+from gypsumfield.gateway.model import Route
+from gypsumfield.gateway.model import ServiceShare
+from gypsumfield.gateway.model import ServiceSpec
+from gypsumfield.gateway.routes import key_digest
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+
+_KINDS = {
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.NON_IDEMPOTENT,
+    "streaming": CallKind.STREAM,
+}
+_STATES = {"ready": False, "draining": True}
+
+
+class _WireShare(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _WireRoute(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_WireShare] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _WireEngine(msgspec.Struct):
+    slot_count: int
+    kv_tokens: int
+    # Tokens in one event, not a distance in memory.
+    stride: int = 1
+    # Whether runs can be moved while they run.
+    migrations: bool = False
+    backups: bool = False
+    # How long a copy of a run is kept that nobody takes up.
+    handle_s: float = 5.0
+
+
+class _WireService(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    cold_per_s: float = 0.0
+    engine: _WireEngine | None = None
+
+
+class _WireLimits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _WireTenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _WireConfiguration(msgspec.Struct):
+    version: int
+    routes: list[_WireRoute] = []
+    services: list[_WireService] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] | None = None
+
+
+class _WireServer(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slot_count: int = 1
+    cold_remaining_ms: float = 0.0
+    born: int = 0
+
+
+_CONFIGURATION = msgspec.json.Decoder(_WireConfiguration)
+_SERVER = msgspec.json.Decoder(_WireServer)
+
+
+def decode_publication(data: bytes) -> Publication:
+    """Decode the operators' configuration.
+
+    Raises:
+        ConfigurationError: It cannot be read; the message names the field.
+    """
+    try:
+        wire = _CONFIGURATION.decode(data)
+        routes = tuple(_route(route) for route in wire.routes)
+    except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+        raise ConfigurationError(f"{CONFIGURATION_KEY}: {error}") from error
+    return Publication(
+        version=wire.version,
+        routes=routes,
+        services={service.name: _service(service) for service in wire.services},
+        limits=ConnectionLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.header_timeout_ms,
+            wire.limits.idle_timeout_ms,
+        ),
+        body_limit_bytes=wire.limits.max_body_bytes,
+        accounts_by_digest=_accounts(wire.tenants),
+    )
+
+
+def decode_server(key: str, data: bytes, revision: int) -> BackendServer:
+    """Decode the registration of one backend server.
+
+    Raises:
+        ConfigurationError: Another writer wrote it, or it is damaged.
+    """
+    try:
+        wire = _SERVER.decode(data)
+        is_leaving = _STATES[wire.state]
+        address, _, port = wire.address.rpartition(":")
+        int(port)
+    except (msgspec.MsgspecError, UnicodeDecodeError, KeyError, ValueError) as error:
+        raise ConfigurationError(f"{key}: {error!r}") from error
+    if not address:
+        raise ConfigurationError(f"{key}: address: no IP")
+    return BackendServer(
+        server_id=key.removeprefix(SERVER_PREFIX),
+        service=wire.service,
+        address=wire.address,
+        availability_zone=wire.zone,
+        slot_count=wire.slot_count,
+        is_leaving=is_leaving,
+        cold_remaining_ms=wire.cold_remaining_ms,
+        started_wall_ms=wire.born,
+        revision=revision,
+    )
+
+
+def evacuated_zone(key: str) -> str:
+    """Return the zone that a key asks to evacuate, or an empty text."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return ""
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
+def is_configuration_key(key: str) -> bool:
+    """Return whether a key holds the operators' configuration."""
+    return key == CONFIGURATION_KEY
+
+
+def is_server_key(key: str) -> bool:
+    """Return whether a key holds a backend server's registration."""
+    return key.startswith(SERVER_PREFIX)
+
+
+def _route(wire: _WireRoute) -> Route:
+    shares = tuple(ServiceShare(s.service, s.weight) for s in wire.traffic_split)
+    return Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix,
+        kind=_KINDS[wire.kind],
+        timeout_ms=wire.timeout_ms,
+        target_latency_ms=wire.target_latency_ms,
+        priority=wire.priority,
+        shares=shares or (ServiceShare(wire.service, 1.0),),
+        max_attempts=max(1, wire.max_attempts),
+        is_open=wire.allow_anonymous,
+        is_resumable=wire.stream_resume,
+        gap_target_ms=wire.gap_aim_ms,
+    )
+
+
+def _service(wire: _WireService) -> ServiceSpec:
+    return ServiceSpec(
+        name=wire.name,
+        connection_limit=wire.max_connections,
+        cold_requests_per_s=wire.cold_per_s,
+        engine=_engine(wire.engine) if wire.engine else None,
+    )
+
+
+def _engine(wire: _WireEngine) -> EngineSpec:
+    return EngineSpec(
+        slot_count=wire.slot_count,
+        memory_tokens=wire.kv_tokens,
+        tokens_per_event=max(1, wire.stride),
+        can_move=wire.migrations,
+        can_back_up=wire.backups,
+        copy_lifetime_ms=wire.handle_s * 1_000.0,
+    )
+
+
+def _accounts(tenants: list[_WireTenant] | None) -> dict[bytes, Account] | None:
+    if tenants is None:
+        return None
+    return {
+        key_digest(key): Account(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
--- /dev/null
+++ b/src/gypsumfield/platform/headers.py
@@ -0,0 +1,163 @@
+"""Headers of calls: what a caller asks, what a server is told, what it answers."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from gypsumfield.gateway.calls import AnswerMarks
+from gypsumfield.gateway.calls import CallerAsk
+from gypsumfield.gateway.calls import PromptPart
+from gypsumfield.gateway.calls import ResumePoint
+from gypsumfield.gateway.calls import SendOrder
+
+REQUEST_ID = "X-Attempt-Id"
+DEADLINE = "X-Deadline-Ms"
+LAST_EVENT_ID = "Last-Event-Id"
+SEAL = "X-Response-Seal"
+ACCOUNT = "X-Tenant"
+EXPECTED_SERVER = "X-Expect-Instance"
+NOT_RUN = "X-Not-Executed"
+# Prompt tokens and the most output tokens, with a comma between.
+TOKEN_COUNTS = "X-Token-Counts"
+LENGTH_HINT = "X-Length-Hint"
+PROMPT_PARTS = "X-Prompt-Prefix"
+URGENCY = "X-Request-Urgency"
+COPY_SOURCE = "Kv-From"
+BACKUP_TARGET = "X-Kv-Backup"
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "Token "
+MOST_URGENT, LEAST_URGENT = 0, 9
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that a caller must not set for the server.
+_OURS = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        DEADLINE,
+        LAST_EVENT_ID,
+        ACCOUNT,
+        EXPECTED_SERVER,
+        "X-Expect-Version",
+        URGENCY,
+        "X-Pin-Ms",
+        "X-Hold",
+        COPY_SOURCE,
+        "Kv-Fetch",
+        BACKUP_TARGET,
+        AUTHORIZATION,
+    )
+)
+
+
+def decode_ask(items: Iterable[tuple[str, str]]) -> CallerAsk:
+    """Decode the headers of a caller's request.
+
+    A malformed number counts as not given: the server judges its own headers.
+    """
+    values = {name.lower(): value.strip() for name, value in items}
+    prompt_tokens, max_tokens = _token_counts(values.get(TOKEN_COUNTS.lower(), ""))
+    key = values.get(AUTHORIZATION.lower(), "")
+    return CallerAsk(
+        request_id=values.get(REQUEST_ID.lower(), ""),
+        host=values.get("host", "").partition(":")[0].lower(),
+        key=key.removeprefix(KEY_SCHEME).strip() if key.startswith(KEY_SCHEME) else "",
+        time_limit_ms=_number(values.get(DEADLINE.lower(), "")),
+        last_event_id=values.get(LAST_EVENT_ID.lower(), ""),
+        prompt_tokens=prompt_tokens,
+        max_tokens=max_tokens,
+        expected_tokens=int(_number(values.get(LENGTH_HINT.lower(), "")) or 0),
+        prompt_parts=_prompt_parts(values.get(PROMPT_PARTS.lower(), "")),
+    )
+
+
+def encode_send(
+    items: Sequence[tuple[str, str]], host: str, order: SendOrder
+) -> dict[str, str]:
+    """Return the headers for a backend server: the caller's and our own."""
+    headers: dict[str, str] = {"Host": host}
+    for name, value in items:
+        lowered = name.lower()
+        if lowered in _HOP_BY_HOP or lowered in _OURS:
+            continue
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    headers[DEADLINE] = str(max(1, int(order.time_limit_ms)))
+    headers[EXPECTED_SERVER] = order.server_id
+    if order.account:
+        headers[ACCOUNT] = order.account
+    if order.urgency is not None:
+        headers[URGENCY] = str(min(max(order.urgency, MOST_URGENT), LEAST_URGENT))
+    if order.backup_address:
+        headers[BACKUP_TARGET] = order.backup_address
+    headers.update(_resume_headers(order.resume))
+    return headers
+
+
+def decode_marks(items: Iterable[tuple[str, str]]) -> AnswerMarks:
+    """Decode what a server's answer says about itself."""
+    values = {name.lower(): value.strip() for name, value in items}
+    return AnswerMarks(
+        request_id=values.get(REQUEST_ID.lower(), ""),
+        is_sealed=SEAL.lower() in values,
+        is_not_run=NOT_RUN.lower() in values,
+        is_leaving="close" in values.get("connection", "").lower(),
+        is_encoded=bool(values.get("content-encoding", "")),
+    )
+
+
+def answer_headers(items: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers of a server's answer that go on to the caller."""
+    return [item for item in items if item[0].lower() not in _HOP_BY_HOP]
+
+
+def error_headers(request_id: str) -> list[tuple[str, str]]:
+    """Return the headers of an answer of our own that name the request."""
+    return [(REQUEST_ID, request_id)] if request_id else []
+
+
+def _resume_headers(resume: ResumePoint | None) -> Mapping[str, str]:
+    if resume is None:
+        return {}
+    headers = {}
+    if resume.last_event_id:
+        headers[LAST_EVENT_ID] = resume.last_event_id
+    if resume.copy_name:
+        headers[COPY_SOURCE] = f"{resume.copy_address}/{resume.copy_name}"
+    return headers
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    prompt, _, most = text.partition(",")
+    return int(_number(prompt) or 0), int(_number(most) or 0)
+
+
+def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(","):
+        part_id, colon, tokens = entry.strip().partition(":")
+        if colon and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0.0 <= value < 1e12 else None
