Keep copies of runs that may not be repeated

Change: a run that may not be repeated names an engine that keeps a copy from the start; when its own engine breaks off, it goes on there. Moves remain for runs without a copy. Ruled out: late notices (seen within 20 ms), refused destinations (one case).

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -15,6 +15,9 @@
 PLANNED_MEMORY_RATIO = 0.95
 # Time to read a prompt; the engines' published rate is 14 tokens a ms.
 PROMPT_TOKENS_PER_MS = 14.0
+# A backup may fill an engine up to this share; beyond it the memory is worth more
+# to runs than to copies.
+BACKUP_MEMORY_RATIO = 0.75
 # A choice in another zone costs bytes between zones and a longer way; it is
 # taken when it saves this much of a full engine, or this much waiting.
 OTHER_ZONE_COST = 0.15
@@ -75,6 +78,30 @@
     return min(candidates, key=lambda engine: (_cost(engine, need), rng.random()))
 
 
+def choose_backup(
+    engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
+) -> EngineLoad | None:
+    """Return the engine that keeps a copy of a run's memory, or None.
+
+    Args:
+        engines: Candidates; not the engine that runs the request.
+        need: The run.
+        rng: Breaks ties.
+    """
+    fitting = [
+        engine
+        for engine in engines
+        if not engine.is_cold
+        and engine.committed_tokens + need.peak_tokens
+        <= engine.memory_tokens * BACKUP_MEMORY_RATIO
+    ]
+    return min(
+        fitting,
+        key=lambda engine: (engine.committed_tokens, rng.random()),
+        default=None,
+    )
+
+
 def has_room(engine: EngineLoad, need: StreamNeed) -> bool:
     """Return whether a stream fits by slots and predicted memory."""
     if engine.stream_count >= engine.slot_count:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -130,6 +130,10 @@
         spec = engine_spec(service)
         return bool(spec and spec.can_move)
 
+    def can_back_up(service: str) -> bool:
+        spec = engine_spec(service)
+        return bool(spec and spec.can_back_up)
+
     streams = StreamPorts(
         attempts=attempts,
         queue=queue,
@@ -137,6 +141,7 @@
         retry_share=shares.__getitem__,
         host_count=lambda: peers.host_count,
         tokens_per_event=tokens_per_event,
+        can_back_up=can_back_up,
         registry=registry,
     )
     plain = PlainPorts(attempts, ledger, shares.__getitem__, lambda: peers.host_count)
--- a/src/gypsumfield/gateway/ledger.py
+++ b/src/gypsumfield/gateway/ledger.py
@@ -33,30 +33,38 @@
 
 
 class Run:
-    """One request on a server.
+    """One request on a server, or a copy of its memory.
 
     Attributes:
         server_id: The server.
         prompt_tokens: Tokens to read.
         expected_tokens: Predicted tokens of the output.
         generated_tokens: Tokens so far.
+        is_copy: Whether it takes memory and no slot.
+        is_reading: Whether the prompt has still to be read.
     """
 
     def __init__(
-        self, server_id: str, prompt_tokens: int, expected_tokens: int
+        self,
+        server_id: str,
+        prompt_tokens: int,
+        expected_tokens: int,
+        is_copy: bool = False,
     ) -> None:
         self.server_id = server_id
         self.prompt_tokens = prompt_tokens
         self.expected_tokens = expected_tokens
         self.generated_tokens = 0
-        self.is_reading = True
+        self.is_copy = is_copy
+        self.is_reading = not is_copy
 
     def load(self) -> ServerLoad:
         """Return what the run adds to its server's load."""
         # A run that outlives its prediction is expected to go on a little.
         expected = max(self.expected_tokens, int(self.generated_tokens * 1.1))
         waiting = self.prompt_tokens if self.is_reading else 0
-        return ServerLoad(1, self.prompt_tokens + expected, waiting)
+        slots = 0 if self.is_copy else 1
+        return ServerLoad(slots, self.prompt_tokens + expected, waiting)
 
 
 class Ledger:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -18,6 +18,7 @@
 from gypsumfield.decisions.holding import hold_ms
 from gypsumfield.decisions.holding import return_after_ms
 from gypsumfield.decisions.ownership import rank_hosts
+from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
 from gypsumfield.decisions.placement import choose_plain
 from gypsumfield.decisions.placement import EngineLoad
@@ -128,6 +129,17 @@
             chosen.committed_tokens,
         )
 
+    def place_backup(
+        self, service: str, peak_tokens: int, runs_on: str
+    ) -> BackendServer | None:
+        """Return an engine that can keep a copy of a run, or None."""
+        beliefs = self.candidates(service, [runs_on])
+        loads = [self._engine_load(belief, service) for belief in beliefs]
+        need = StreamNeed(peak_tokens, self._ports.availability_zone)
+        chosen = choose_backup(loads, need, self._ports.rng)
+        belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
+        return belief.server if belief else None
+
     def candidates(self, service: str, tried: Collection[str]) -> list[ServerBelief]:
         """Return the servers that may get a request of a service now."""
         now_ms = self._ports.clock.monotonic_ms()
--- a/src/gypsumfield/gateway/rescue.py
+++ b/src/gypsumfield/gateway/rescue.py
@@ -87,7 +87,9 @@
                 source=source,
             )
         )
-        runs = [_threatened(stream) for stream in streams.values()]
+        runs = [
+            _threatened(stream) for stream in streams.values() if not stream.has_backup
+        ]
         moves = []
         for request_id in order_moves(runs, leaves_in_ms):
             moves.append(gevent.spawn(self._move, streams[request_id], server))
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -41,6 +41,8 @@
 # The last copy of a moved run is a few tokens behind; its answer takes a round
 # trip and the queue of the link.
 HANDOVER_LIMIT_MS = 1_500.0
+# A shorter run is over before a copy of it is of use.
+SHORTEST_BACKED_UP_TOKENS = 60
 # Engines that refuse a stream are full or leaving; one more is tried than the
 # balancer would.
 REFUSED_TRIES = 3
@@ -64,6 +66,7 @@
         retry_share: This host's part of the repeats of a service.
         host_count: Hosts that may exist.
         tokens_per_event: Tokens in one event of a service's streams.
+        can_back_up: Whether engines of a service keep copies of runs.
         registry: Streams that run now, for moves.
     """
 
@@ -73,6 +76,7 @@
     retry_share: Callable[[str], RetryShare]
     host_count: Callable[[], int]
     tokens_per_event: Callable[[str], int]
+    can_back_up: Callable[[str], bool]
     registry: "StreamRegistry"
 
 
@@ -110,6 +114,7 @@
         event_count: Events that have left.
         handover: Set while the run is being moved; its value is where it goes
             on, or None when it stays.
+        backup: Engine that keeps a copy of the run's memory, or None.
     """
 
     def __init__(self, ports: StreamPorts, job: Job) -> None:
@@ -117,6 +122,8 @@
         self.last_event_id = job.ask.last_event_id
         self.event_count = 0
         self.handover: AsyncResult | None = None
+        self.backup: BackendServer | None = None
+        self._backup_run: Run | None = None
         self.server: BackendServer
         self.run: Run
         self._ports = ports
@@ -176,6 +183,7 @@
             else:
                 self._answer.exchange.close()
             self._answer = None
+        self._drop_backup()
         if hasattr(self, "run"):
             self._ports.ledger.end(self.run)
 
@@ -226,13 +234,14 @@
         self._run_count += 1
         if run is None:
             self._ports.ledger.begin(self.run)
-        priority = self.job.route.priority
+        self._choose_backup(server)
         order = SendOrder(
             server.server_id,
             max(1.0, self._remaining_ms()),
             self.job.account_name,
-            urgency=priority,
+            urgency=self.job.route.priority,
             resume=resume,
+            backup_address=self.backup.address if self.backup else "",
         )
         try:
             self._answer = open_answer(self._ports.attempts, self.job, server, order)
@@ -242,6 +251,40 @@
             raise
         return self._answer
 
+    def _choose_backup(self, server: BackendServer) -> None:
+        """Choose where a copy of the run is kept, if it cannot be run again."""
+        self._drop_backup()
+        left_tokens = self.expected_tokens - self.generated_tokens
+        may_run_again = self.job.route.is_resumable
+        if (
+            may_run_again
+            or left_tokens < SHORTEST_BACKED_UP_TOKENS
+            or not self._ports.can_back_up(self.job.service)
+        ):
+            return
+        prompt_tokens = self.job.ask.prompt_tokens
+        self.backup = self._ports.attempts.placer.place_backup(
+            self.job.service, prompt_tokens + self.expected_tokens, server.server_id
+        )
+        if self.backup is not None:
+            self._backup_run = Run(
+                self.backup.server_id, prompt_tokens, self.expected_tokens, True
+            )
+            self._ports.ledger.begin(self._backup_run)
+
+    def _drop_backup(self) -> None:
+        if self._backup_run is not None:
+            self._ports.ledger.end(self._backup_run)
+        self.backup = None
+        self._backup_run = None
+
+    @property
+    def has_backup(self) -> bool:
+        """Whether the run could go on from its copy now."""
+        if self.backup is None:
+            return False
+        return not self._ports.attempts.placer.hindrance(self.backup)
+
     def _read_events(self) -> None:
         """Read until at least one event is whole or the answer has ended."""
         assert self._answer is not None
@@ -270,6 +313,9 @@
         if handover is not None:
             self._resume_at(handover)
             return
+        if self.backup is not None and self.has_backup:
+            self._resume_at_backup(self.backup)
+            return
         if not self.job.route.is_resumable or not self._may_retry(error):
             raise error
         place = self._ports.queue.acquire(
@@ -290,6 +336,14 @@
         resume = handover.resume._replace(last_event_id=self.last_event_id)
         self._open_again(handover.server, resume, handover.run)
 
+    def _resume_at_backup(self, backup: BackendServer) -> None:
+        now_ms = self._ports.attempts.clock.monotonic_ms()
+        # Counted, but never refused: it is the only way for the run to go on.
+        share = self._ports.retry_share(self.job.service)
+        share.take(now_ms, self._ports.host_count())
+        resume = ResumePoint(self.last_event_id, backup.address, self.job.request_id)
+        self._open_again(backup, resume, None)
+
     def _open_again(
         self, server: BackendServer, resume: ResumePoint, run: Run | None
     ) -> None:
