Go on at a copy when a leaving engine breaks off

Cause: a moved run was stopped first and its last copy waited behind the copies of other hosts, so that the pause made it late; and engines planned with whole outputs were called full while their memory was half empty. Change: runs on a leaving engine that have no copy yet get one and go on there only when the engine breaks off; memory is planned for the next seconds; a silent engine that accepts no connection is broken off.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -285,6 +285,10 @@
             self._sock.close()
             self._sock = None
 
+    def abandon(self) -> None:
+        """End the wait for a server that is thought dead; the wait then fails."""
+        self._shut_down()
+
     def _shut_down(self) -> None:
         if self._sock is None:
             return
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -27,6 +27,29 @@
 STREAM_COST = 0.01
 
 
+# A run's memory is planned for what it grows to within about 3 s. Beyond that
+# other runs of the batch end and give theirs back.
+GROWTH_TOKENS = 350
+# A copy is cut short by its engine when memory runs out, so little is planned.
+COPY_GROWTH_TOKENS = 100
+
+
+def planned_tokens(
+    prompt_tokens: int, generated_tokens: int, expected_tokens: int, is_copy: bool
+) -> int:
+    """Return the memory that is planned for a run or a copy of one.
+
+    Args:
+        prompt_tokens: Tokens it reads.
+        generated_tokens: Tokens it has made.
+        expected_tokens: Predicted tokens of its whole output.
+        is_copy: Whether it is a copy that grows with a run elsewhere.
+    """
+    growth = COPY_GROWTH_TOKENS if is_copy else GROWTH_TOKENS
+    left_tokens = max(expected_tokens - generated_tokens, growth // 4)
+    return prompt_tokens + generated_tokens + min(growth, left_tokens)
+
+
 class EngineLoad(NamedTuple):
     """One engine as a candidate.
 
@@ -36,7 +59,7 @@
         slot_count: Requests it works on at once.
         memory_tokens: Key-value memory.
         stream_count: Runs on it that this host knows of.
-        committed_tokens: Predicted memory of these runs at their ends.
+        committed_tokens: Memory planned for these runs and for copies of others.
         waiting_prompt_tokens: Prompts that it has still to read.
         is_cold: Whether it bears only a little load now.
     """
@@ -55,7 +78,7 @@
     """What a stream asks of an engine.
 
     Attributes:
-        peak_tokens: Predicted memory at its end.
+        peak_tokens: Memory that is planned for it.
         availability_zone: Zone of the host that carries it.
     """
 
--- /dev/null
+++ b/src/gypsumfield/decisions/protection.py
@@ -0,0 +1,59 @@
+"""Which runs get a copy of their memory made on another engine, and in which order.
+
+Load answered: engines taken away at short notice under long write-ups that may not
+be repeated. Copies wait for each other on an engine's
+link, so a run that ends in time is left alone, and those that lose most when they
+are left behind go first.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+# Time of one step of a batch with a few runs; engines report no figure.
+STEP_MS = 8.5
+# A run is left alone when it ends this long before the engine is gone.
+FINISH_MARGIN_MS = 300.0
+# Notice of an engine that does not say when it will be gone; the shortest one
+# that the platform gives.
+ASSUMED_NOTICE_MS = 1_500.0
+# Engines keep a copy that nobody renews for 5 s or longer; what has been made
+# since the last one is read again when it is used.
+RENEWAL_MS = 2_500.0
+
+
+class ExposedRun(NamedTuple):
+    """One run on a leaving engine without a copy that it could go on from.
+
+    Attributes:
+        request_id: The run.
+        generated_tokens: Tokens it has made.
+        expected_tokens: Predicted tokens of its whole output.
+        copied_ms_ago: Time since a copy was made that has to be renewed, or None.
+    """
+
+    request_id: str
+    generated_tokens: int
+    expected_tokens: int
+    copied_ms_ago: float | None
+
+
+def order_copies(
+    runs: Sequence[ExposedRun], leaves_in_ms: float = ASSUMED_NOTICE_MS
+) -> list[str]:
+    """Return the requests whose memory is copied now, in order.
+
+    Runs with the most work behind them go first: they are lost whole.
+    """
+    due = [run for run in runs if _is_due(run, leaves_in_ms)]
+    due.sort(key=lambda run: -run.generated_tokens)
+    return [run.request_id for run in due]
+
+
+def _is_due(run: ExposedRun, leaves_in_ms: float) -> bool:
+    if run.copied_ms_ago is not None and run.copied_ms_ago < RENEWAL_MS:
+        return False
+    left_tokens = run.expected_tokens - run.generated_tokens
+    if left_tokens <= 0:
+        # It has outlived its prediction: nothing is known of its end.
+        return True
+    return left_tokens * STEP_MS >= leaves_in_ms - FINISH_MARGIN_MS
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -88,17 +88,6 @@
     is_encoded: bool
 
 
-class EngineState(NamedTuple):
-    """Report of an engine; some hundred ms old when it arrives."""
-
-    is_leaving: bool
-    leaves_in_ms: float | None
-    waiting_count: int
-    running_count: int
-    used_tokens: int
-    memory_tokens: int
-
-
 class MoveResult(NamedTuple):
     """Outcome of one copy of a run's memory.
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -34,8 +34,8 @@
 from gypsumfield.gateway.placing import PlacingPorts
 from gypsumfield.gateway.placing import StreamQueue
 from gypsumfield.gateway.plain import PlainPorts
-from gypsumfield.gateway.rescue import RescuePorts
-from gypsumfield.gateway.rescue import Rescuer
+from gypsumfield.gateway.protection import ProtectionPorts
+from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
 from gypsumfield.gateway.streams import StreamPorts
@@ -150,14 +150,14 @@
             GatewayPorts(attempts.wire, catalogue, plain, streams, clock, rng, emit)
         )
     )
-    rescuer = Rescuer(
-        RescuePorts(
+    protector = Protector(
+        ProtectionPorts(
             registry=registry,
             catalogue=catalogue,
             placer=placer,
             ledger=ledger,
-            read_state=engines.read_state,
-            move_run=engines.move_run,
+            copy_run=engines.copy_run,
+            can_connect=engines.can_connect,
             can_move=can_move,
             clock=clock,
             emit=emit,
@@ -165,7 +165,7 @@
     )
     ledger.on_change(queue.wake)
     catalogue.on_change(queue.wake)
-    catalogue.on_change(rescuer.look)
+    catalogue.on_change(protector.look)
     metrics.read_state = lambda: HostState(
         configuration_revision=catalogue.revision,
         member_count=len(peers.live_hosts()),
@@ -200,7 +200,7 @@
         follower=follower,
         peers=peers,
         catalogue=catalogue,
-        rescuer=rescuer,
+        protector=protector,
     )
     return EdgeHost(settings, parts, clock, emit)
 
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -15,7 +15,7 @@
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.peers import PeerLink
-from gypsumfield.gateway.rescue import Rescuer
+from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.ports import EmitEvent
 
@@ -43,7 +43,7 @@
     follower: StoreFollower
     peers: PeerLink
     catalogue: Catalogue
-    rescuer: Rescuer
+    protector: Protector
 
 
 class EdgeHost:
@@ -70,6 +70,7 @@
             server.start()
         parts.follower.start()
         parts.peers.start()
+        parts.protector.start()
         self._housekeeping = gevent.spawn(self._keep_house)
         self._emit(HostStarted(address=self._settings.caller_address))
 
@@ -104,4 +105,3 @@
                 self._emit(HostPaused(pause_ms=pause_ms))
                 self._parts.follower.restart_watch()
             self._parts.catalogue.forget_gone(GONE_LIFETIME_MS)
-            self._parts.rescuer.look()
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -82,16 +82,27 @@
     is_resumed: bool = False
 
 
-class RunMoved(Event, frozen=True, kw_only=True, tag="run_moved"):
-    """A run's memory was copied to another engine, or could not be."""
+class RunCopied(Event, frozen=True, kw_only=True, tag="run_copied"):
+    """A run's memory was copied to another engine; a reason says why it was not."""
 
     target: str
-    is_complete: bool
     event_count: int
     elapsed_ms: float
     reason: str = ""
 
 
+class CopyChosen(Event, frozen=True, kw_only=True, tag="copy_chosen"):
+    """An engine keeps a copy of a run from its start; empty when none has room."""
+
+    target: str
+
+
+class EngineUnreachable(Event, frozen=True, kw_only=True, tag="engine_unreachable"):
+    """A silent engine accepts no connection; its streams are broken off."""
+
+    run_count: int
+
+
 class EngineLeaves(Event, frozen=True, kw_only=True, tag="engine_leaves"):
     """An engine with runs of this host is about to be gone."""
 
--- a/src/gypsumfield/gateway/ledger.py
+++ b/src/gypsumfield/gateway/ledger.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from gypsumfield.decisions.placement import planned_tokens
+
 # News older than this counts as nothing: the peer is gone or out of reach, and
 # its runs end within seconds.
 PEER_LOAD_LIFETIME_MS = 2_500.0
@@ -15,7 +17,7 @@
 
     Attributes:
         run_count: Requests on it.
-        committed_tokens: Predicted memory at the ends of its streams.
+        committed_tokens: Memory planned for its streams and copies.
         waiting_prompt_tokens: Prompts that have not brought a first event yet.
     """
 
@@ -60,11 +62,19 @@
 
     def load(self) -> ServerLoad:
         """Return what the run adds to its server's load."""
-        # A run that outlives its prediction is expected to go on a little.
-        expected = max(self.expected_tokens, int(self.generated_tokens * 1.1))
         waiting = self.prompt_tokens if self.is_reading else 0
         slots = 0 if self.is_copy else 1
-        return ServerLoad(slots, self.prompt_tokens + expected, waiting)
+        return ServerLoad(slots, self.planned_tokens, waiting)
+
+    @property
+    def planned_tokens(self) -> int:
+        """Memory that is planned for it."""
+        return planned_tokens(
+            self.prompt_tokens,
+            self.generated_tokens,
+            self.expected_tokens,
+            self.is_copy,
+        )
 
 
 class Ledger:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -4,10 +4,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from gevent.event import AsyncResult
-
-from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.fleet_shares import RetryShare
+from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.events import FirstToken
 from gypsumfield.events import RequestCompleted
 from gypsumfield.events import RequestFailed
@@ -24,6 +22,7 @@
 from gypsumfield.gateway.calls import SendOrder
 from gypsumfield.gateway.event_stream import EventCutter
 from gypsumfield.gateway.event_stream import StreamEvent
+from gypsumfield.gateway.events import CopyChosen
 from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
@@ -37,10 +36,7 @@
 ANSWER_LIMIT_BYTES = 32 * 1_048_576
 # Callers guess the length right at the median; the memory is planned for a
 # longer run, up to their token limit.
-LENGTH_MARGIN = 1.3
-# The last copy of a moved run is a few tokens behind; its answer takes a round
-# trip and the queue of the link.
-HANDOVER_LIMIT_MS = 1_500.0
+LENGTH_MARGIN = 1.1
 # A shorter run is over before a copy of it is of use.
 SHORTEST_BACKED_UP_TOKENS = 60
 # Engines that refuse a stream are full or leaving; one more is tried than the
@@ -48,11 +44,19 @@
 REFUSED_TRIES = 3
 
 
-class Handover(NamedTuple):
-    """Where a moved run goes on."""
+class Standby(NamedTuple):
+    """Copy of a run's memory that was made after its start.
+
+    Attributes:
+        server: Engine that holds the copy.
+        resume: Its name.
+        made_ms: When the copy was begun.
+        run: Its part of that engine's load.
+    """
 
     server: BackendServer
     resume: ResumePoint
+    made_ms: float
     run: Run
 
 
@@ -98,6 +102,10 @@
         """Return the streams of one engine."""
         return [each for each in self._streams if each.server.server_id == server_id]
 
+    def streams(self) -> list["Stream"]:
+        """Return all streams."""
+        return list(self._streams)
+
     def server_ids(self) -> set[str]:
         """Return the engines that run streams of this host."""
         return {stream.server.server_id for stream in self._streams}
@@ -112,16 +120,19 @@
         run: Its part of that engine's load.
         last_event_id: Last event that has left for the caller.
         event_count: Events that have left.
-        handover: Set while the run is being moved; its value is where it goes
-            on, or None when it stays.
-        backup: Engine that keeps a copy of the run's memory, or None.
+        heard_ms: When the engine was heard last.
+        backup: Engine that keeps a copy from the run's start, or None.
+        standby: Copy that was made later, or None.
+        is_copy_refused: Whether no engine had room for a later copy.
     """
 
     def __init__(self, ports: StreamPorts, job: Job) -> None:
         self.job = job
         self.last_event_id = job.ask.last_event_id
         self.event_count = 0
-        self.handover: AsyncResult | None = None
+        self.heard_ms = ports.attempts.clock.monotonic_ms()
+        self.standby: Standby | None = None
+        self.is_copy_refused = False
         self.backup: BackendServer | None = None
         self._backup_run: Run | None = None
         self.server: BackendServer
@@ -133,6 +144,7 @@
         self._tried: list[str] = []
         self._run_count = 0
         self._is_over = False
+        self._is_closed = False
 
     def open(self) -> WholeAnswer | list[tuple[str, str]]:
         """Bring the stream to its first event.
@@ -183,7 +195,9 @@
             else:
                 self._answer.exchange.close()
             self._answer = None
+        self._is_closed = True
         self._drop_backup()
+        self._drop_standby()
         if hasattr(self, "run"):
             self._ports.ledger.end(self.run)
 
@@ -202,13 +216,13 @@
         return min(guess, ask.max_tokens) if ask.max_tokens else guess
 
     def _open_first(self) -> WholeAnswer | list[tuple[str, str]]:
-        peak_tokens = self.job.ask.prompt_tokens + self.expected_tokens
+        peak_tokens = self._planned_tokens()
         resume = ResumePoint(self.last_event_id) if self.last_event_id else None
         while True:
             place = self._ports.queue.acquire(self.job, peak_tokens, self._tried)
             self._log_placed(place)
             try:
-                answer = self._open_at(place.server, resume, None)
+                answer = self._open_at(place.server, resume)
                 if answer.status not in SUCCESS_STATUSES:
                     return self._read_failure(answer)
                 headers = self._ports.attempts.wire.answer_headers(answer.headers)
@@ -219,21 +233,20 @@
                 if not self._may_retry(error):
                     raise refuse_failed(error, self._remaining_ms() <= 0.0) from error
                 continue
-            self._ports.registry.add(self)
             return headers
 
-    def _open_at(
-        self, server: BackendServer, resume: ResumePoint | None, run: Run | None
-    ) -> OpenAnswer:
+    def _open_at(self, server: BackendServer, resume: ResumePoint | None) -> OpenAnswer:
         """Send the request to an engine and read the head of its answer."""
         ask = self.job.ask
         self.server = server
-        self.run = run or Run(server.server_id, ask.prompt_tokens, self.expected_tokens)
+        self.run = Run(server.server_id, ask.prompt_tokens, self.expected_tokens)
+        self.run.generated_tokens = self.generated_tokens
         self._cutter = EventCutter()
         self._tried.append(server.server_id)
         self._run_count += 1
-        if run is None:
-            self._ports.ledger.begin(self.run)
+        self._ports.ledger.begin(self.run)
+        self.heard_ms = self._ports.attempts.clock.monotonic_ms()
+        self._ports.registry.add(self)
         self._choose_backup(server)
         order = SendOrder(
             server.server_id,
@@ -264,13 +277,31 @@
             return
         prompt_tokens = self.job.ask.prompt_tokens
         self.backup = self._ports.attempts.placer.place_backup(
-            self.job.service, prompt_tokens + self.expected_tokens, server.server_id
+            self.job.service, self._planned_tokens(True), server.server_id
         )
         if self.backup is not None:
             self._backup_run = Run(
                 self.backup.server_id, prompt_tokens, self.expected_tokens, True
             )
+            self._backup_run.generated_tokens = self.generated_tokens
             self._ports.ledger.begin(self._backup_run)
+        self._ports.attempts.emit(
+            CopyChosen(
+                request_id=self.job.request_id,
+                account=self.job.account_name,
+                service=self.job.service,
+                backend_server=server.server_id,
+                target=self.backup.server_id if self.backup else "",
+            )
+        )
+
+    def _planned_tokens(self, is_copy: bool = False) -> int:
+        return planned_tokens(
+            self.job.ask.prompt_tokens,
+            self.generated_tokens,
+            self.expected_tokens,
+            is_copy,
+        )
 
     def _drop_backup(self) -> None:
         if self._backup_run is not None:
@@ -278,6 +309,11 @@
         self.backup = None
         self._backup_run = None
 
+    @property
+    def is_safe(self) -> bool:
+        """Whether it could go on, were its engine gone now."""
+        return self.job.route.is_resumable or self.has_backup
+
     @property
     def has_backup(self) -> bool:
         """Whether the run could go on from its copy now."""
@@ -289,6 +325,7 @@
         """Read until at least one event is whole or the answer has ended."""
         assert self._answer is not None
         chunk = self._answer.exchange.read_chunk()
+        self.heard_ms = self._ports.attempts.clock.monotonic_ms()
         if not chunk:
             self._is_over = True
             return
@@ -305,51 +342,68 @@
 
     def _carry_on(self, error: BackendError) -> None:
         """Go on at another engine after a break, or raise the error."""
-        handover = self._await_handover()
-        if handover is None:
-            self._note_failure(error)
+        self._note_failure(error)
         if self.job.abort.reason or self._remaining_ms() <= 0.0:
             raise error
-        if handover is not None:
-            self._resume_at(handover)
-            return
-        if self.backup is not None and self.has_backup:
-            self._resume_at_backup(self.backup)
+        copies = self._usable_copies()
+        if copies:
+            self._resume_at_copy(copies)
             return
         if not self.job.route.is_resumable or not self._may_retry(error):
             raise error
-        place = self._ports.queue.acquire(
-            self.job, self.job.ask.prompt_tokens + self.expected_tokens, self._tried
-        )
+        place = self._ports.queue.acquire(self.job, self._planned_tokens(), self._tried)
         self._log_placed(place)
-        self._open_again(place.server, ResumePoint(self.last_event_id), None)
+        self._open_again(place.server, ResumePoint(self.last_event_id))
 
-    def _await_handover(self) -> Handover | None:
-        if self.handover is None:
-            return None
-        waiting, self.handover = self.handover, None
-        found: Handover | None = waiting.wait(HANDOVER_LIMIT_MS / MS_PER_S)
-        return found
-
-    def _resume_at(self, handover: Handover) -> None:
-        self._ports.ledger.end(self.run)
-        resume = handover.resume._replace(last_event_id=self.last_event_id)
-        self._open_again(handover.server, resume, handover.run)
+    def _usable_copies(self) -> list[tuple[BackendServer, ResumePoint]]:
+        copies = []
+        if self.backup is not None and self.has_backup:
+            resume = ResumePoint("", self.backup.address, self.job.request_id)
+            copies.append((self.backup, resume))
+        if self.standby is not None:
+            copies.append((self.standby.server, self.standby.resume))
+        return copies
 
-    def _resume_at_backup(self, backup: BackendServer) -> None:
+    def _resume_at_copy(self, copies: list[tuple[BackendServer, ResumePoint]]) -> None:
         now_ms = self._ports.attempts.clock.monotonic_ms()
         # Counted, but never refused: it is the only way for the run to go on.
         share = self._ports.retry_share(self.job.service)
         share.take(now_ms, self._ports.host_count())
-        resume = ResumePoint(self.last_event_id, backup.address, self.job.request_id)
-        self._open_again(backup, resume, None)
+        for number, (server, resume) in enumerate(copies, 1):
+            point = resume._replace(last_event_id=self.last_event_id)
+            try:
+                self._open_again(server, point)
+                return
+            except BackendError as error:
+                is_last = number == len(copies)
+                if error.verdict is not RunVerdict.NOT_RUN or is_last:
+                    raise
+                self._note_failure(error)
+
+    def take_standby(self, standby: Standby) -> None:
+        """Keep a copy that was made of the run, in place of an earlier one."""
+        self._drop_standby()
+        if self._is_closed:
+            self._ports.ledger.end(standby.run)
+            return
+        self.standby = standby
 
-    def _open_again(
-        self, server: BackendServer, resume: ResumePoint, run: Run | None
-    ) -> None:
+    def break_off(self) -> None:
+        """End the wait for an engine that is out of reach."""
+        if self._answer is not None:
+            self._answer.exchange.abandon()
+
+    def _drop_standby(self) -> None:
+        if self.standby is not None:
+            self._ports.ledger.end(self.standby.run)
+        self.standby = None
+
+    def _open_again(self, server: BackendServer, resume: ResumePoint) -> None:
         if self._answer is not None:
             self._answer.exchange.close()
-        answer = self._open_at(server, resume, run)
+        answer = self._open_at(server, resume)
+        self._drop_standby()
+        self.is_copy_refused = False
         if answer.status not in SUCCESS_STATUSES:
             raise BackendError(
                 f"the engine answered {answer.status} to a resumption",
@@ -407,6 +461,8 @@
         self.event_count += len(batch)
         self.last_event_id = batch[-1].event_id or self.last_event_id
         self.run.generated_tokens = self.generated_tokens
+        if self._backup_run is not None:
+            self._backup_run.generated_tokens = self.generated_tokens
 
     def _note_complete(self) -> None:
         now_ms = self._ports.attempts.clock.monotonic_ms()
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -3,35 +3,22 @@
 from typing import Any
 from typing import NamedTuple
 
+import gevent.socket
 import msgspec
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
-from gypsumfield.exceptions import BackendError
-from gypsumfield.gateway.calls import EngineState
+from gypsumfield.clock import MS_PER_S
 from gypsumfield.gateway.calls import MoveResult
-from gypsumfield.verdicts import RunVerdict
 
-REPORT_TIMEOUTS = ExchangeTimeouts(connect_ms=300, answer_ms=500, silence_ms=500)
+CONNECT_TIMEOUT_MS = 300.0
 ANSWER_LIMIT_BYTES = 1_048_576
 OK_STATUS = 200
 _ID_HEADER = "X-Call-Id"
 
 
-class _WireReport(msgspec.Struct):
-    state: str = ""
-    # Time until the engine is gone, where it knows.
-    leaves_ms: float | None = None
-    # Requests that wait for a slot, and those in the batch.
-    queued: int = 0
-    active: int = 0
-    # Memory that cannot be freed for others, cached parts left out.
-    kv_used: int = 0
-    kv_total: int = 0
-
-
 class _WireMove(msgspec.Struct):
     handle: Any = ""
     # Events generated so far, not a time.
@@ -43,44 +30,24 @@
     body: bytes
 
 
-def read_state(address: str) -> EngineState:
-    """Ask an engine for its load and for its end, if it knows one.
-
-    Raises:
-        BackendError: It did not answer, or not in its proper form.
-    """
-    answer = _call(address, "GET", "/-/report", b"", REPORT_TIMEOUTS)
-    try:
-        report = msgspec.json.decode(answer.body, type=_WireReport)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise BackendError(f"report: {error}", RunVerdict.NOT_RUN) from error
-    return EngineState(
-        is_leaving=report.state == "draining" or report.leaves_ms is not None,
-        leaves_in_ms=report.leaves_ms,
-        waiting_count=report.queued,
-        running_count=report.active,
-        used_tokens=report.kv_used,
-        memory_tokens=report.kv_total,
-    )
-
-
-def move_run(
-    address: str, request_id: str, target: str, is_final: bool, timeout_ms: float
+def copy_run(
+    address: str, request_id: str, target: str, timeout_ms: float
 ) -> MoveResult:
-    """Copy a run's memory to another engine; blocks until the copy is complete.
+    """Copy a run's memory to another engine; the run goes on meanwhile.
+
+    A second call copies only what is new. Blocks until the copy is complete.
 
     Args:
         address: Engine that runs the request.
         request_id: The run.
         target: ``IP:PORT`` of the engine that is to hold the copy.
-        is_final: Whether the run stops first; its stream is closed then.
         timeout_ms: Bound on the whole call.
 
     Raises:
         BackendError: The engine did not answer.
     """
-    body = msgspec.json.encode({"id": request_id, "to": target, "final": is_final})
-    timeouts = ExchangeTimeouts(REPORT_TIMEOUTS.connect_ms, timeout_ms, timeout_ms)
+    body = msgspec.json.encode({"id": request_id, "to": target, "final": False})
+    timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, timeout_ms, timeout_ms)
     answer = _call(address, "POST", "/-/kv-move", body, timeouts)
     try:
         move = msgspec.json.decode(answer.body, type=_WireMove)
@@ -104,3 +71,16 @@
         return _Answer(status, exchange.read_body(ANSWER_LIMIT_BYTES))
     finally:
         exchange.close()
+
+
+def can_connect(address: str) -> bool:
+    """Return whether a server accepts a connection within a few round trips."""
+    ip, _, port = address.rpartition(":")
+    try:
+        connection = gevent.socket.create_connection(
+            (ip, int(port)), CONNECT_TIMEOUT_MS / MS_PER_S
+        )
+    except OSError:
+        return False
+    connection.close()
+    return True
