Place streams by the expected time to their first event

Change: fresh engines are expected to read three times slower, a stream is placed where its first event is expected in time and held back otherwise; one host asks each loaded engine for its report and tells the others; a backup fills an engine up to 0.6 of its memory.

--- a/src/gypsumfield/decisions/holding.py
+++ b/src/gypsumfield/decisions/holding.py
@@ -7,9 +7,9 @@
 
 from typing import NamedTuple
 
-# From the place to the first event: connection, scheduling and the first step.
-START_MS = 60.0
-PROMPT_TOKENS_PER_MS = 14.0
+from gypsumfield.decisions.placement import PROMPT_TOKENS_PER_MS
+from gypsumfield.decisions.placement import START_MS
+
 # A stream's memory comes free when a run ends; runs last seconds, so that a
 # caller who returns sooner than this finds the same engines full.
 SHORTEST_RETURN_MS = 500.0
@@ -37,8 +37,13 @@
 def hold_ms(stream: HeldStream) -> float:
     """Return how much longer a stream is held back; 0 refuses it now."""
     start_ms = START_MS + stream.prompt_tokens / PROMPT_TOKENS_PER_MS
-    until_late_ms = stream.target_latency_ms - stream.waited_ms - start_ms
-    return max(0.0, min(until_late_ms, stream.remaining_ms - start_ms))
+    left_ms = min(time_left_ms(stream), stream.remaining_ms)
+    return max(0.0, left_ms - start_ms)
+
+
+def time_left_ms(stream: HeldStream) -> float:
+    """Return the time in which the first event still earns full credit."""
+    return stream.target_latency_ms - stream.waited_ms
 
 
 def return_after_ms(run_count: int, waiting_count: int) -> float:
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -6,6 +6,7 @@
 report, which is half a second old when it arrives.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -13,16 +14,23 @@
 # Share of an engine's memory that is planned with; the rest takes the error of
 # the predicted lengths.
 PLANNED_MEMORY_RATIO = 0.95
-# Time to read a prompt; the engines' published rate is 14 tokens a ms.
-PROMPT_TOKENS_PER_MS = 14.0
+# Rate at which prompts are read; the published 14 tokens a ms hold for an engine
+# that makes no tokens meanwhile.
+PROMPT_TOKENS_PER_MS = 10.0
+# An engine that has just started reads slower for some seconds.
+FRESH_READING_FACTOR = 3.0
+# From the place to the first event, beside the prompts: connection and two steps.
+START_MS = 60.0
 # A backup may fill an engine up to this share; beyond it the memory is worth more
 # to runs than to copies.
-BACKUP_MEMORY_RATIO = 0.75
+BACKUP_MEMORY_RATIO = 0.6
 # A choice in another zone costs bytes between zones and a longer way; it is
 # taken when it saves this much of a full engine, or this much waiting.
 OTHER_ZONE_COST = 0.15
-# Waiting prompts that weigh as much as a full engine.
-PROMPT_WAIT_SCALE_MS = 600.0
+# Time to the first event that weighs as much as a full engine.
+START_SCALE_MS = 1_200.0
+# A request that waits on an engine shows that its memory is short.
+WAITING_COST = 0.3
 # One running stream slows every step of the batch a little.
 STREAM_COST = 0.01
 
@@ -62,6 +70,8 @@
         committed_tokens: Memory planned for these runs and for copies of others.
         waiting_prompt_tokens: Prompts that it has still to read.
         is_cold: Whether it bears only a little load now.
+        waiting_count: Requests that wait on it, by its own report.
+        is_fresh: Whether it has just started.
     """
 
     server_id: str
@@ -72,6 +82,8 @@
     committed_tokens: int
     waiting_prompt_tokens: int
     is_cold: bool = False
+    waiting_count: int = 0
+    is_fresh: bool = False
 
 
 class StreamNeed(NamedTuple):
@@ -80,20 +92,29 @@
     Attributes:
         peak_tokens: Memory that is planned for it.
         availability_zone: Zone of the host that carries it.
+        prompt_tokens: Tokens to read before the first event.
+        time_left_ms: Time in which the first event earns full credit.
     """
 
     peak_tokens: int
     availability_zone: str
+    prompt_tokens: int = 0
+    time_left_ms: float = math.inf
 
 
 def choose_engine(
     engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
 ) -> EngineLoad | None:
-    """Return the engine that serves a stream best, or None when none has room.
+    """Return the engine that serves a stream best, or None when none can.
 
-    Cold engines are candidates only when no warm one has room.
+    An engine must have room and be expected to bring the first event in time.
+    Cold engines are candidates only when no warm one does.
     """
-    fitting = [engine for engine in engines if has_room(engine, need)]
+    fitting = [
+        engine
+        for engine in engines
+        if has_room(engine, need) and start_ms(engine, need) <= need.time_left_ms
+    ]
     warm = [engine for engine in fitting if not engine.is_cold]
     candidates = warm or fitting
     if not candidates:
@@ -125,6 +146,13 @@
     )
 
 
+def start_ms(engine: EngineLoad, need: StreamNeed) -> float:
+    """Return the expected time from sending a stream to its first event."""
+    tokens = engine.waiting_prompt_tokens + need.prompt_tokens
+    factor = FRESH_READING_FACTOR if engine.is_fresh else 1.0
+    return START_MS + tokens / PROMPT_TOKENS_PER_MS * factor
+
+
 def has_room(engine: EngineLoad, need: StreamNeed) -> bool:
     """Return whether a stream fits by slots and predicted memory."""
     if engine.stream_count >= engine.slot_count:
@@ -137,12 +165,12 @@
 
 def _cost(engine: EngineLoad, need: StreamNeed) -> float:
     memory = engine.committed_tokens / max(1, engine.memory_tokens)
-    wait_ms = engine.waiting_prompt_tokens / PROMPT_TOKENS_PER_MS
     is_other_zone = engine.availability_zone != need.availability_zone
     return (
         memory
         + STREAM_COST * engine.stream_count
-        + wait_ms / PROMPT_WAIT_SCALE_MS
+        + WAITING_COST * engine.waiting_count
+        + start_ms(engine, need) / START_SCALE_MS
         + OTHER_ZONE_COST * is_other_zone
     )
 
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -96,6 +96,7 @@
 
     elapsed_ms: float
     token_count: int = 0
+    longest_gap_ms: float = 0.0
 
 
 class RequestFailed(Event, frozen=True, kw_only=True, tag="request_failed"):
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -88,6 +88,20 @@
     is_encoded: bool
 
 
+class EngineState(NamedTuple):
+    """Report of an engine; some hundred ms old when it arrives.
+
+    Attributes:
+        is_leaving: Whether the engine is about to be gone.
+        waiting_count: Requests that wait for a slot or for memory.
+        used_tokens: Memory that cannot be freed.
+    """
+
+    is_leaving: bool
+    waiting_count: int
+    used_tokens: int
+
+
 class MoveResult(NamedTuple):
     """Outcome of one copy of a run's memory.
 
--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -50,13 +50,13 @@
 
     Attributes:
         server: The registration.
-        seen_ms: When it arrived here.
+        first_seen_ms: When the server was first heard of.
         cold_until_ms: When it is warm, by its own word.
         gone_since_ms: When it disappeared from the list, or None.
     """
 
     server: BackendServer
-    seen_ms: float
+    first_seen_ms: float
     cold_until_ms: float
     gone_since_ms: float | None = None
 
@@ -153,6 +153,16 @@
             return True
         return self._clock.monotonic_ms() - belief.gone_since_ms > LAPSE_GRACE_MS
 
+    def note_leaving(self, server_id: str, source: str) -> None:
+        """Note that a server is about to be gone, by another word than the store's."""
+        belief = self._beliefs.get(server_id)
+        if belief is None or belief.server.is_leaving:
+            return
+        leaving = belief._replace(server=belief.server._replace(is_leaving=True))
+        self._beliefs[server_id] = leaving
+        self._emit_server(leaving, "leaving", source)
+        self._tell()
+
     def forget_gone(self, lifetime_ms: float) -> None:
         """Drop servers that disappeared ``lifetime_ms`` ago, and old deletions."""
         now_ms = self._clock.monotonic_ms()
@@ -190,6 +200,9 @@
                 self._learn_server(item, source)
             else:
                 self._learn_evacuation(item, source)
+        self._tell()
+
+    def _tell(self) -> None:
         self.version += 1
         for listener in self._listeners:
             listener()
@@ -252,7 +265,11 @@
                 )
             )
             return
-        belief = ServerBelief(server, now_ms, now_ms + server.cold_remaining_ms)
+        known = self._beliefs.get(server.server_id)
+        is_same_start = known and known.server.started_wall_ms == server.started_wall_ms
+        first_seen_ms = known.first_seen_ms if known and is_same_start else now_ms
+        cold_until_ms = now_ms + server.cold_remaining_ms
+        belief = ServerBelief(server, first_seen_ms, cold_until_ms)
         self._beliefs[server.server_id] = belief
         self._emit_server(belief, "leaving" if server.is_leaving else "ready", source)
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -21,6 +21,9 @@
 from gypsumfield.gateway.catalogue import Decoders
 from gypsumfield.gateway.edge_host import EdgeHost
 from gypsumfield.gateway.edge_host import EdgeParts
+from gypsumfield.gateway.engine_reports import EngineReporter
+from gypsumfield.gateway.engine_reports import ReportBoard
+from gypsumfield.gateway.engine_reports import ReporterPorts
 from gypsumfield.gateway.follower import FollowerPorts
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.ledger import Ledger
@@ -79,6 +82,7 @@
         FOLLOWED_PREFIX,
         FollowerPorts(StoreClient(settings.store_address), catalogue, clock, rng, emit),
     )
+    board = ReportBoard(catalogue, clock)
     front = _Front()
     peers = PeerLink(
         PeerPorts(
@@ -86,6 +90,7 @@
             boot_id=uuid.uuid4().hex[:8],
             catalogue=catalogue,
             ledger=ledger,
+            board=board,
             is_leaving=lambda: front.gate.is_draining,
             on_stale_watch=follower.restart_watch,
             clock=clock,
@@ -99,6 +104,7 @@
             bounds=settings.bounds,
             catalogue=catalogue,
             ledger=ledger,
+            board=board,
             live_hosts=peers.live_hosts,
             host_count=lambda: peers.host_count,
             clock=clock,
@@ -122,6 +128,11 @@
         spec = publication.services.get(service) if publication else None
         return spec.engine if spec else None
 
+    def engine_services() -> list[str]:
+        publication = catalogue.publication
+        services = publication.services.values() if publication else ()
+        return [service.name for service in services if service.engine]
+
     def tokens_per_event(service: str) -> int:
         spec = engine_spec(service)
         return spec.tokens_per_event if spec else 1
@@ -163,6 +174,18 @@
             emit=emit,
         )
     )
+    reporter = EngineReporter(
+        ReporterPorts(
+            host_id=settings.host_id,
+            live_hosts=peers.live_hosts,
+            engine_services=engine_services,
+            read_state=engines.read_state,
+            catalogue=catalogue,
+            ledger=ledger,
+            board=board,
+            clock=clock,
+        )
+    )
     ledger.on_change(queue.wake)
     catalogue.on_change(queue.wake)
     catalogue.on_change(protector.look)
@@ -201,6 +224,7 @@
         peers=peers,
         catalogue=catalogue,
         protector=protector,
+        reporter=reporter,
     )
     return EdgeHost(settings, parts, clock, emit)
 
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -13,6 +13,7 @@
 from gypsumfield.events import HostPaused
 from gypsumfield.events import HostStarted
 from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.engine_reports import EngineReporter
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.peers import PeerLink
 from gypsumfield.gateway.protection import Protector
@@ -44,6 +45,7 @@
     peers: PeerLink
     catalogue: Catalogue
     protector: Protector
+    reporter: EngineReporter
 
 
 class EdgeHost:
@@ -71,6 +73,7 @@
         parts.follower.start()
         parts.peers.start()
         parts.protector.start()
+        parts.reporter.start()
         self._housekeeping = gevent.spawn(self._keep_house)
         self._emit(HostStarted(address=self._settings.caller_address))
 
--- /dev/null
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -0,0 +1,145 @@
+"""What engines say of themselves, asked for by one host and told to the others."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+
+from gypsumfield.clock import Clock
+from gypsumfield.clock import MS_PER_S
+from gypsumfield.decisions.ownership import owner_of
+from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway.calls import EngineState
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.model import BackendServer
+
+# Engines renew their report about twice a second.
+INTERVAL_MS = 500.0
+# A report older than this says nothing about the engine's memory any more.
+REPORT_LIFETIME_MS = 1_500.0
+
+
+class EngineReport(NamedTuple):
+    """Report of one engine as this host knows it.
+
+    Attributes:
+        waiting_count: Requests that wait for a slot or for memory.
+        used_tokens: Memory that cannot be freed.
+        is_leaving: Whether the engine is about to be gone.
+        heard_ms: When the report arrived here.
+    """
+
+    waiting_count: int
+    used_tokens: int
+    is_leaving: bool
+    heard_ms: float
+
+
+class ReportBoard:
+    """Latest report of each engine, whoever asked for it."""
+
+    def __init__(self, catalogue: Catalogue, clock: Clock) -> None:
+        self._catalogue = catalogue
+        self._clock = clock
+        self._reports: dict[str, EngineReport] = {}
+        self._own: dict[str, EngineReport] = {}
+
+    def take(self, server_id: str, report: EngineReport, source: str) -> None:
+        """Keep a report; a leaving engine gets no new work from now on."""
+        self._reports[server_id] = report
+        if report.is_leaving:
+            self._catalogue.note_leaving(server_id, source)
+
+    def take_own(self, server_id: str, state: EngineState) -> None:
+        """Keep a report that this host asked for, to tell its peers."""
+        report = EngineReport(
+            state.waiting_count,
+            state.used_tokens,
+            state.is_leaving,
+            self._clock.monotonic_ms(),
+        )
+        self._own[server_id] = report
+        self.take(server_id, report, "engine report")
+
+    def own_reports(self) -> dict[str, EngineReport]:
+        """Return the fresh reports that this host asked for, by engine."""
+        since_ms = self._clock.monotonic_ms() - REPORT_LIFETIME_MS
+        for server_id, report in list(self._own.items()):
+            if report.heard_ms < since_ms:
+                del self._own[server_id]
+        return dict(self._own)
+
+    def find(self, server_id: str) -> EngineReport | None:
+        """Return the fresh report of an engine, or None."""
+        report = self._reports.get(server_id)
+        if report is None:
+            return None
+        age_ms = self._clock.monotonic_ms() - report.heard_ms
+        if age_ms > REPORT_LIFETIME_MS:
+            del self._reports[server_id]
+            return None
+        return report
+
+
+class ReporterPorts(NamedTuple):
+    """What asking for reports uses.
+
+    Attributes:
+        host_id: This host.
+        live_hosts: Hosts heard lately, this one included.
+        engine_services: Names of the services whose servers are engines.
+        read_state: Asks one engine.
+    """
+
+    host_id: str
+    live_hosts: Callable[[], list[str]]
+    engine_services: Callable[[], list[str]]
+    read_state: Callable[[str], EngineState]
+    catalogue: Catalogue
+    ledger: Ledger
+    board: ReportBoard
+    clock: Clock
+
+
+class EngineReporter:
+    """Asks the engines that fall to this host, as long as they have work."""
+
+    def __init__(self, ports: ReporterPorts) -> None:
+        self._ports = ports
+        self._asking: set[str] = set()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(INTERVAL_MS / MS_PER_S)
+            for server in self._servers():
+                self._asking.add(server.server_id)
+                gevent.spawn(self._ask, server)
+
+    def _servers(self) -> list[BackendServer]:
+        ports = self._ports
+        now_ms = ports.clock.monotonic_ms()
+        hosts = ports.live_hosts()
+        return [
+            belief.server
+            for service in ports.engine_services()
+            for belief in ports.catalogue.servers_of(service)
+            if belief.server.server_id not in self._asking
+            and ports.ledger.load(belief.server.server_id, now_ms).run_count
+            and owner_of(belief.server.server_id, hosts) == ports.host_id
+        ]
+
+    def _ask(self, server: BackendServer) -> None:
+        try:
+            state = self._ports.read_state(server.address)
+        except BackendError:
+            # Requests to the engine fail as well and are logged with their reason.
+            return
+        finally:
+            self._asking.discard(server.server_id)
+        self._ports.board.take_own(server.server_id, state)
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -22,6 +22,8 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.gateway.engine_reports import EngineReport
+from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.events import PeerSeen
 from gypsumfield.gateway.events import PeerSilent
 from gypsumfield.gateway.events import ViewPulled
@@ -60,6 +62,8 @@
         is_leaving: Whether it is about to stop.
         peer_ips: Some of the hosts it has heard lately.
         loads: Server id, runs, committed tokens, prompt tokens to be read.
+        reports: Engine id, waiting requests, used tokens, whether it leaves, and
+            the age of the report in ms.
     """
 
     host_id: str
@@ -69,6 +73,7 @@
     is_leaving: bool
     peer_ips: list[str]
     loads: list[tuple[str, int, int, int]]
+    reports: list[tuple[str, int, int, bool, int]]
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
@@ -97,6 +102,7 @@
         boot_id: Start of this process.
         catalogue: The published view.
         ledger: Runs in flight.
+        board: Reports of engines.
         is_leaving: Whether this host is about to stop.
         on_stale_watch: Called when a peer is ahead of this host's own watch.
         clock: Time.
@@ -107,6 +113,7 @@
     boot_id: str
     catalogue: Catalogue
     ledger: Ledger
+    board: ReportBoard
     is_leaving: Callable[[], bool]
     on_stale_watch: Callable[[], None]
     clock: Clock
@@ -199,6 +206,7 @@
             ports.is_leaving(),
             live[-PEERS_NAMED:],
             loads,
+            self._reports(),
         )
         datagram = msgspec.msgpack.encode(news)
         while len(datagram) > DATAGRAM_BYTES and loads:
@@ -206,6 +214,19 @@
             datagram = msgspec.msgpack.encode(news)
         return datagram
 
+    def _reports(self) -> list[tuple[str, int, int, bool, int]]:
+        now_ms = self._ports.clock.monotonic_ms()
+        return [
+            (
+                server_id,
+                report.waiting_count,
+                report.used_tokens,
+                report.is_leaving,
+                int(now_ms - report.heard_ms),
+            )
+            for server_id, report in self._ports.board.own_reports().items()
+        ]
+
     def _receive(self) -> None:
         while True:
             datagram, _ = self._socket.recvfrom(65_536)
@@ -230,6 +251,9 @@
                 self._send_to(ip, self._encode_news())
         loads = {server_id: ServerLoad(*rest) for server_id, *rest in news.loads}
         self._ports.ledger.take_news(news.host_id, loads, now_ms)
+        for server_id, waiting, used, is_leaving, age_ms in news.reports:
+            report = EngineReport(waiting, used, is_leaving, now_ms - age_ms)
+            self._ports.board.take(server_id, report, f"peer {news.host_id}")
         self._compare(news, now_ms)
 
     def _compare(self, news: News, now_ms: float) -> None:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -1,5 +1,6 @@
 """Chooses backend servers from what the host believes, and holds streams back."""
 
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Collection
@@ -17,6 +18,7 @@
 from gypsumfield.decisions.holding import HeldStream
 from gypsumfield.decisions.holding import hold_ms
 from gypsumfield.decisions.holding import return_after_ms
+from gypsumfield.decisions.holding import time_left_ms
 from gypsumfield.decisions.ownership import rank_hosts
 from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
@@ -30,6 +32,7 @@
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import ServerBelief
+from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import BackendServer
@@ -40,6 +43,10 @@
 # A server that refuses connections is gone or restarting; both show in the
 # store within a few heartbeats.
 UNREACHABLE_MS = 1_500.0
+# Time for which an engine that has just started is slow.
+FRESH_MS = 3_000.0
+# Clocks of two machines differ by less, unless one was stepped.
+CLOCK_ERROR_MS = 3_000.0
 # Failures in a row: grey servers fail every second request or so, sound ones
 # one in seven on the services with the most errors.
 EJECTION = EjectionSettings(failure_limit=4, ejection_ms=2_000.0)
@@ -54,6 +61,7 @@
         bounds: Bounds that bind it.
         catalogue: Servers and zones.
         ledger: Runs in flight.
+        board: Reports of engines.
         live_hosts: Hosts heard lately, this one included.
         host_count: Hosts that may exist.
         clock: Time.
@@ -66,6 +74,7 @@
     bounds: EdgeBounds
     catalogue: Catalogue
     ledger: Ledger
+    board: ReportBoard
     live_hosts: Callable[[], list[str]]
     host_count: Callable[[], int]
     clock: Clock
@@ -113,12 +122,19 @@
         return self._place(chosen.server_id, len(beliefs), chosen.active_count, 0)
 
     def place_stream(
-        self, service: str, peak_tokens: int, tried: Collection[str]
+        self,
+        service: str,
+        peak_tokens: int,
+        tried: Collection[str],
+        prompt_tokens: int = 0,
+        time_left_ms: float = math.inf,
     ) -> Place | None:
-        """Return an engine with room for a stream, or None."""
+        """Return an engine that has room for a stream and is in time, or None."""
         beliefs = self.candidates(service, tried)
         loads = [self._engine_load(belief, service) for belief in beliefs]
-        need = StreamNeed(peak_tokens, self._ports.availability_zone)
+        need = StreamNeed(
+            peak_tokens, self._ports.availability_zone, prompt_tokens, time_left_ms
+        )
         chosen = choose_engine(loads, need, self._ports.rng)
         if chosen is None:
             return None
@@ -217,17 +233,37 @@
         load = self._ports.ledger.load(
             server.server_id, self._ports.clock.monotonic_ms()
         )
+        report = self._ports.board.find(server.server_id)
+        # A report knows what this host's peers left out, but not the prompts that
+        # have come since.
+        reported_tokens = report.used_tokens if report else 0
+        committed_tokens = max(
+            load.committed_tokens, reported_tokens + load.waiting_prompt_tokens
+        )
         return EngineLoad(
             server_id=server.server_id,
             availability_zone=server.availability_zone,
             slot_count=server.slot_count,
             memory_tokens=spec.memory_tokens if spec else 0,
             stream_count=load.run_count,
-            committed_tokens=load.committed_tokens,
+            committed_tokens=committed_tokens,
+            waiting_count=report.waiting_count if report else 0,
             waiting_prompt_tokens=load.waiting_prompt_tokens,
             is_cold=self._is_cold(belief),
+            is_fresh=self._is_fresh(belief),
         )
 
+    def _is_fresh(self, belief: ServerBelief) -> bool:
+        """Return whether a server has just started, by both clocks.
+
+        A host that has just started itself sees all servers for the first time,
+        and the time of day may be off by seconds.
+        """
+        clock = self._ports.clock
+        seen_for_ms = clock.monotonic_ms() - belief.first_seen_ms
+        age_ms = abs(clock.wall_ms() - belief.server.started_wall_ms)
+        return seen_for_ms < FRESH_MS and age_ms < FRESH_MS + CLOCK_ERROR_MS
+
     def _engine_spec(self, service: str) -> EngineSpec | None:
         publication = self._ports.catalogue.publication
         spec = publication.services.get(service) if publication else None
@@ -312,9 +348,12 @@
         """
         place = None
         if not self._is_behind_others(job, None):
-            place = self._placer.place_stream(job.service, peak_tokens, tried)
+            place = self._place_in_time(job, peak_tokens, tried)
         if place is None:
             place = self._wait(job, peak_tokens, tried)
+        if place is None and not job.abort.reason:
+            # A late answer is worth less than one in time, but not nothing.
+            place = self._placer.place_stream(job.service, peak_tokens, tried)
         if place is None:
             runs = self._placer.run_count(job.service)
             raise RefusedError(
@@ -351,7 +390,7 @@
                 waiter.is_due.clear()
                 if self._is_behind_others(job, waiter):
                     continue
-                place = self._placer.place_stream(job.service, peak_tokens, tried)
+                place = self._place_in_time(job, peak_tokens, tried)
                 if place is not None:
                     return place
             return None
@@ -360,6 +399,17 @@
             self._waiters.remove(waiter)
             self.wake()
 
+    def _place_in_time(
+        self, job: Job, peak_tokens: int, tried: Collection[str]
+    ) -> Place | None:
+        return self._placer.place_stream(
+            job.service,
+            peak_tokens,
+            tried,
+            job.ask.prompt_tokens,
+            time_left_ms(self._held(job)),
+        )
+
     def _is_behind_others(self, job: Job, own: _Waiter | None) -> bool:
         for waiter in self._waiters:
             if waiter is own:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -145,6 +145,8 @@
         self._run_count = 0
         self._is_over = False
         self._is_closed = False
+        self._delivered_ms = 0.0
+        self._longest_gap_ms = 0.0
 
     def open(self) -> WholeAnswer | list[tuple[str, str]]:
         """Bring the stream to its first event.
@@ -458,6 +460,10 @@
                     elapsed_ms=elapsed_ms,
                 )
             )
+        else:
+            gap_ms = self.heard_ms - self._delivered_ms
+            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+        self._delivered_ms = self.heard_ms
         self.event_count += len(batch)
         self.last_event_id = batch[-1].event_id or self.last_event_id
         self.run.generated_tokens = self.generated_tokens
@@ -474,6 +480,7 @@
                 backend_server=self.server.server_id,
                 elapsed_ms=now_ms - self.job.started_ms,
                 token_count=self.generated_tokens,
+                longest_gap_ms=self._longest_gap_ms,
             )
         )
 
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -11,14 +11,28 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.clock import MS_PER_S
+from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.calls import MoveResult
+from gypsumfield.verdicts import RunVerdict
 
 CONNECT_TIMEOUT_MS = 300.0
+ANSWER_MS = 500.0
 ANSWER_LIMIT_BYTES = 1_048_576
 OK_STATUS = 200
 _ID_HEADER = "X-Call-Id"
 
 
+class _WireReport(msgspec.Struct):
+    state: str = ""
+    # Time until the engine is gone, where it knows.
+    leaves_ms: float | None = None
+    # Requests that wait for a slot.
+    queued: int = 0
+    # Memory that cannot be freed for others; cached parts are left out.
+    kv_used: int = 0
+
+
 class _WireMove(msgspec.Struct):
     handle: Any = ""
     # Events generated so far, not a time.
@@ -30,6 +44,25 @@
     body: bytes
 
 
+def read_state(address: str) -> EngineState:
+    """Ask an engine for its load and whether it leaves.
+
+    Raises:
+        BackendError: It did not answer, or not in its proper form.
+    """
+    timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, ANSWER_MS, ANSWER_MS)
+    answer = _call(address, "GET", "/-/report", b"", timeouts)
+    try:
+        report = msgspec.json.decode(answer.body, type=_WireReport)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BackendError(f"report: {error}", RunVerdict.NOT_RUN) from error
+    return EngineState(
+        is_leaving=report.state == "draining" or report.leaves_ms is not None,
+        waiting_count=report.queued,
+        used_tokens=report.kv_used,
+    )
+
+
 def copy_run(
     address: str, request_id: str, target: str, timeout_ms: float
 ) -> MoveResult:
