Refuse long calls that a stopping host could not end

Change: from 2.5 s after the signal a call of unknown length is refused before it is sent; copies prefer the leaving engine's zone, are renewed each 0.7 s while it lasts, and avoid fresh engines. Ruled out: ending idle connections at the signal, since a close may cross a request.

--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -142,12 +142,14 @@
 
     Attributes:
         is_draining: Whether connections close after their answer.
+        draining_since_ms: Monotonic time at which draining began, if it was told.
         in_flight_count: Requests whose answer has not ended.
         served_count: Requests whose answer has ended.
     """
 
     def __init__(self, application: WsgiApplication) -> None:
         self.is_draining = False
+        self.draining_since_ms: float | None = None
         self.in_flight_count = 0
         self.served_count = 0
         self._application = application
@@ -164,6 +166,16 @@
             raise
         return _CountedAnswer(answer, self._end)
 
+    def begin_drain(self, now_ms: float) -> None:
+        """Close connections after their answers from now on."""
+        self.is_draining = True
+        self.draining_since_ms = now_ms
+
+    def draining_ms(self, now_ms: float) -> float | None:
+        """Return how long the host has been draining; None when it is not."""
+        since_ms = self.draining_since_ms
+        return None if since_ms is None else now_ms - since_ms
+
     def _end(self) -> None:
         self.in_flight_count -= 1
         self.served_count += 1
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -19,6 +19,8 @@
 PROMPT_TOKENS_PER_MS = 10.0
 # An engine that has just started reads slower for some seconds.
 FRESH_READING_FACTOR = 3.0
+# What an engine that has just started counts fuller than it is.
+FRESH_COST = 0.2
 # From the place to the first event, beside the prompts: connection and two steps.
 START_MS = 60.0
 # A backup may fill an engine up to this share; beyond it the memory is worth more
@@ -172,6 +174,7 @@
         + WAITING_COST * engine.waiting_count
         + start_ms(engine, need) / START_SCALE_MS
         + OTHER_ZONE_COST * is_other_zone
+        + FRESH_COST * engine.is_fresh
     )
 
 
--- a/src/gypsumfield/decisions/protection.py
+++ b/src/gypsumfield/decisions/protection.py
@@ -16,9 +16,9 @@
 # Notice of an engine that does not say when it will be gone; the shortest one
 # that the platform gives.
 ASSUMED_NOTICE_MS = 1_500.0
-# Engines keep a copy that nobody renews for 5 s or longer; what has been made
-# since the last one is read again when it is used.
-RENEWAL_MS = 2_500.0
+# What has been made since the last copy is read again when it is used; a renewal
+# copies only that, in some 10 ms.
+RENEWAL_MS = 700.0
 
 
 class ExposedRun(NamedTuple):
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -21,6 +21,9 @@
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
+from gypsumfield.decisions.draining import CallLength
+from gypsumfield.decisions.draining import RETURN_AFTER_MS
+from gypsumfield.decisions.draining import takes_call
 from gypsumfield.events import CallerGone
 from gypsumfield.events import InternalFault
 from gypsumfield.events import RequestCompleted
@@ -33,6 +36,7 @@
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.model import Route
 from gypsumfield.gateway.plain import call_plain
 from gypsumfield.gateway.plain import PlainPorts
 from gypsumfield.gateway.plain import WholeAnswer
@@ -53,12 +57,19 @@
 
 
 class GatewayPorts(NamedTuple):
-    """What the application uses."""
+    """What the application uses.
+
+    Attributes:
+        draining_ms: Time since the signal to stop; None without one.
+        stop_limit_ms: Time between the signal and the kill.
+    """
 
     wire: WireFormat
     catalogue: Catalogue
     plain: PlainPorts
     streams: StreamPorts
+    draining_ms: Callable[[], float | None]
+    stop_limit_ms: float
     clock: Clock
     rng: random.Random
     emit: EmitEvent
@@ -113,6 +124,7 @@
         publication = self._ports.catalogue.publication
         body_limit = publication.body_limit_bytes if publication else 0
         permit: Permit = permit_call(publication, ask, target.partition("?")[0])
+        self._check_draining(permit.route)
         body = _read_body(environ, body_limit)
         time_limit_ms = min(
             permit.route.timeout_ms,
@@ -132,6 +144,25 @@
             abort=AbortHandle(),
         )
 
+    def _check_draining(self, route: Route) -> None:
+        """Refuse a call that would be cut when the host stops.
+
+        Raises:
+            RefusedError: 503; another host takes the call at once.
+        """
+        is_long = route.kind is CallKind.STREAM and not route.is_resumable
+        length = CallLength.UNKNOWN if is_long else CallLength.SHORT
+        draining_ms = self._ports.draining_ms()
+        if not takes_call(draining_ms, self._ports.stop_limit_ms, length):
+            raise RefusedError(
+                Refusal(
+                    503,
+                    "host_stopping",
+                    "this host stops before the call could end",
+                    retry_after_ms=RETURN_AFTER_MS,
+                )
+            )
+
     def _serve_stream(
         self,
         start_response: StartResponse,
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -158,7 +158,17 @@
     plain = PlainPorts(attempts, ledger, shares.__getitem__, lambda: peers.host_count)
     front.gate = WorkGate(
         Gateway(
-            GatewayPorts(attempts.wire, catalogue, plain, streams, clock, rng, emit)
+            GatewayPorts(
+                wire=attempts.wire,
+                catalogue=catalogue,
+                plain=plain,
+                streams=streams,
+                draining_ms=lambda: front.gate.draining_ms(clock.monotonic_ms()),
+                stop_limit_ms=settings.bounds.stop_limit_ms,
+                clock=clock,
+                rng=rng,
+                emit=emit,
+            )
         )
     )
     protector = Protector(
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -86,7 +86,7 @@
         gate = self._parts.gate
         started_ms = self._clock.monotonic_ms()
         last_ms = started_ms + self._settings.bounds.stop_limit_ms - STOP_MARGIN_MS
-        gate.is_draining = True
+        gate.begin_drain(started_ms)
         self._emit(HostDraining(in_flight_count=gate.in_flight_count))
         while self._clock.monotonic_ms() < last_ms:
             is_noticed = self._clock.monotonic_ms() - started_ms >= NOTICE_MS
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -35,6 +35,7 @@
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import EngineSpec
 from gypsumfield.gateway.settings import EdgeBounds
@@ -130,20 +131,20 @@
         time_left_ms: float = math.inf,
     ) -> Place | None:
         """Return an engine that has room for a stream and is in time, or None."""
-        beliefs = self.candidates(service, tried)
-        loads = [self._engine_load(belief, service) for belief in beliefs]
         need = StreamNeed(
             peak_tokens, self._ports.availability_zone, prompt_tokens, time_left_ms
         )
-        chosen = choose_engine(loads, need, self._ports.rng)
-        if chosen is None:
-            return None
-        return self._place(
-            chosen.server_id,
-            len(beliefs),
-            chosen.stream_count,
-            chosen.committed_tokens,
-        )
+        return self._place_engine(service, need, tried)
+
+    def place_copy(
+        self, run: Run, source: BackendServer, tried: Collection[str]
+    ) -> Place | None:
+        """Return an engine with room for a run that leaves ``source``, or None.
+
+        A copy takes twice as long between zones, so the source's zone comes first.
+        """
+        need = StreamNeed(run.planned_tokens, source.availability_zone)
+        return self._place_engine(source.service, need, tried)
 
     def place_backup(
         self, service: str, peak_tokens: int, runs_on: str
@@ -219,6 +220,21 @@
             for belief in self._ports.catalogue.servers_of(service)
         )
 
+    def _place_engine(
+        self, service: str, need: StreamNeed, tried: Collection[str]
+    ) -> Place | None:
+        beliefs = self.candidates(service, tried)
+        loads = [self._engine_load(belief, service) for belief in beliefs]
+        chosen = choose_engine(loads, need, self._ports.rng)
+        if chosen is None:
+            return None
+        return self._place(
+            chosen.server_id,
+            len(beliefs),
+            chosen.stream_count,
+            chosen.committed_tokens,
+        )
+
     def _place(
         self, server_id: str, candidates: int, streams: int, tokens: int
     ) -> Place | None:
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -135,9 +135,7 @@
             return
         tried = [source.server_id]
         for _ in range(DESTINATION_TRIES):
-            place = self._ports.placer.place_stream(
-                source.service, stream.run.planned_tokens, tried
-            )
+            place = self._ports.placer.place_copy(stream.run, source, tried)
             if place is None:
                 break
             tried.append(place.server.server_id)
