Test the edge host before stand-ins of the platform, and its decisions

Change: a store and runners in the platform's wire form for tests; whole calls, resumptions, refusals and malformed requests through one host; pure decisions, formats and the catalogue; no module outside platform/ may hold a wire name. An answer without a length is whole when its connection closes in order. Settings are read again when the file changes, with or without a signal.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -242,14 +242,19 @@
             self.stage = Stage.ANSWERED
         return chunk
 
-    def read_body(self, limit_bytes: int) -> bytes:
+    def read_body(self, limit_bytes: int, may_end_with_close: bool = False) -> bytes:
         """Return the whole body.
 
+        Args:
+            limit_bytes: Largest body taken.
+            may_end_with_close: Whether an orderly close marks the end of a body
+                without a length; a reset never does.
+
         Raises:
             BackendError: As `read_chunk`, or the body is above the limit, or
                 nothing marks the body's end, so that a cut would go unseen.
         """
-        if not self._has_end_marker():
+        if not may_end_with_close and not self._has_end_marker():
             raise self._error("the answer has no end marker", "answer_truncated")
         body = bytearray()
         while chunk := self.read_chunk():
--- a/src/gypsumfield/commands/edge.py
+++ b/src/gypsumfield/commands/edge.py
@@ -13,7 +13,7 @@
 from gypsumfield.clock import system_clock
 from gypsumfield.exceptions import SettingsError
 from gypsumfield.gateway.composition import build_edge_host
-from gypsumfield.gateway.events import SettingsReloaded
+from gypsumfield.gateway.edge_host import EdgeHost
 from gypsumfield.gateway.log_writer import BoundedWriter
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.platform.settings import read_edge_settings
@@ -23,6 +23,8 @@
 EXIT_CLEAN = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_ANSWERS_CUT = 3
+# A changed file is due within the time in which a configuration is.
+SETTINGS_INTERVAL_S = 1.0
 
 
 def main() -> int:
@@ -39,8 +41,8 @@
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
-    gevent.signal_handler(signal.SIGHUP, _reload, path, settings, emit)
     host.start()
+    SettingsWatch(path, host, path.read_bytes()).start()
     stop.wait()
     return EXIT_ANSWERS_CUT if host.drain() else EXIT_CLEAN
 
@@ -52,14 +54,36 @@
     )
 
 
-def _reload(path: Path, known: EdgeSettings, emit: EmitEvent) -> None:
-    """Read the settings again; what binds a running host does not change."""
-    try:
-        settings = read_edge_settings(path)
-    except SettingsError as error:
-        sys.stderr.write(f"gypsumfield-edge: kept the settings: {error}\n")
-        return
-    emit(SettingsReloaded(is_changed=settings != known))
+class SettingsWatch:
+    """Reads the settings file again when it has changed, with or without a signal."""
+
+    def __init__(self, path: Path, host: EdgeHost, data: bytes) -> None:
+        self._path = path
+        self._host = host
+        self._data = data
+
+    def start(self) -> None:
+        """Begin to look at the file."""
+        gevent.signal_handler(signal.SIGHUP, self.look)
+        gevent.spawn(self._run)
+
+    def look(self) -> None:
+        """Reload the file if its text is another one; a bad file changes nothing."""
+        try:
+            data = self._path.read_bytes()
+            if data == self._data:
+                return
+            self._data = data
+            settings = read_edge_settings(self._path)
+        except (OSError, SettingsError) as error:
+            sys.stderr.write(f"gypsumfield-edge: kept the settings: {error}\n")
+            return
+        self._host.reload(settings)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(SETTINGS_INTERVAL_S)
+            self.look()
 
 
 if __name__ == "__main__":
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -227,11 +227,12 @@
             settings.peer_address, build_peer_pages(peers.encode_view)
         ),
         metrics_server=_page_server(
-            f"{settings.ip}:{METRICS_PORT}",
+            settings.metrics_address,
             build_readiness_pages(is_ready, metrics.render),
         ),
         follower=follower,
         peers=peers,
+        placer=placer,
         catalogue=catalogue,
         protector=protector,
         reporter=reporter,
@@ -239,10 +240,6 @@
     return EdgeHost(settings, parts, clock, emit)
 
 
-# Named in the deploy file as well.
-METRICS_PORT = 9464
-
-
 class _Front:
     """Gate of the callers' server, which is wired last."""
 
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -14,8 +14,10 @@
 from gypsumfield.events import HostStarted
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReporter
+from gypsumfield.gateway.events import SettingsReloaded
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.peers import PeerLink
+from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.ports import EmitEvent
@@ -43,26 +45,31 @@
     metrics_server: CallerServer
     follower: StoreFollower
     peers: PeerLink
+    placer: Placer
     catalogue: Catalogue
     protector: Protector
     reporter: EngineReporter
 
 
 class EdgeHost:
-    """One edge host."""
+    """One edge host.
+
+    Attributes:
+        parts: Its parts.
+    """
 
     def __init__(
         self, settings: EdgeSettings, parts: EdgeParts, clock: Clock, emit: EmitEvent
     ) -> None:
+        self.parts = parts
         self._settings = settings
-        self._parts = parts
         self._clock = clock
         self._emit = emit
         self._housekeeping: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Follow the store, find peers, and take callers."""
-        parts = self._parts
+        parts = self.parts
         for server in (
             parts.readiness_server,
             parts.peer_server,
@@ -83,7 +90,7 @@
         Returns:
             Number of answers that were cut.
         """
-        gate = self._parts.gate
+        gate = self.parts.gate
         started_ms = self._clock.monotonic_ms()
         last_ms = started_ms + self._settings.bounds.stop_limit_ms - STOP_MARGIN_MS
         gate.begin_drain(started_ms)
@@ -97,6 +104,29 @@
         self._emit(HostDrained(cut_count=cut_count))
         return cut_count
 
+    def stop(self) -> None:
+        """Stop at once."""
+        parts = self.parts
+        if self._housekeeping is not None:
+            self._housekeeping.kill(block=False)
+        for part in (parts.follower, parts.peers, parts.protector, parts.reporter):
+            part.stop()
+        for server in (
+            parts.readiness_server,
+            parts.peer_server,
+            parts.metrics_server,
+            parts.caller_server,
+        ):
+            server.stop(timeout=0)
+
+    def reload(self, settings: EdgeSettings) -> None:
+        """Take over what may change while the host runs: seeds and bounds."""
+        is_changed = settings != self._settings
+        self._settings = settings
+        self.parts.peers.set_seeds(settings.seed_ips)
+        self.parts.placer.bounds = settings.bounds
+        self._emit(SettingsReloaded(is_changed=is_changed))
+
     def _keep_house(self) -> None:
         last_ms = self._clock.monotonic_ms()
         while True:
@@ -106,5 +136,5 @@
             last_ms = now_ms
             if pause_ms > PAUSE_MS:
                 self._emit(HostPaused(pause_ms=pause_ms))
-                self._parts.follower.restart_watch()
-            self._parts.catalogue.forget_gone(GONE_LIFETIME_MS)
+                self.parts.follower.restart_watch()
+            self.parts.catalogue.forget_gone(GONE_LIFETIME_MS)
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -114,6 +114,11 @@
         """Begin to ask."""
         self._greenlet = gevent.spawn(self._run)
 
+    def stop(self) -> None:
+        """End the rounds."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
     def _run(self) -> None:
         while True:
             gevent.sleep(INTERVAL_MS / MS_PER_S)
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
@@ -126,7 +127,8 @@
     def __init__(self, ports: PeerPorts) -> None:
         self._ports = ports
         self._peers: dict[str, _Peer] = {}
-        self._seeds = [ip for ip in ports.settings.seed_ips if ip != ports.settings.ip]
+        self._seeds: list[str] = []
+        self.set_seeds(ports.settings.seed_ips)
         self._news_due = Signal()
         self._behind_since_ms: float | None = None
         self._is_pulling = False
@@ -144,6 +146,10 @@
         self._socket.bind((settings.ip, settings.news_port))
         self._greenlets = [gevent.spawn(self._receive), gevent.spawn(self._send)]
 
+    def set_seeds(self, ips: Sequence[str]) -> None:
+        """Replace the hosts that the others are found through."""
+        self._seeds = [ip for ip in ips if ip != self._ports.settings.ip]
+
     def stop(self) -> None:
         """Close the socket."""
         gevent.killall(self._greenlets, block=False)
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -42,8 +42,9 @@
 from gypsumfield.ports import EmitEvent
 
 # A server that refuses connections is gone or restarting; both show in the
-# store within a few heartbeats.
+# store within a few heartbeats. The time doubles while no connection succeeds.
 UNREACHABLE_MS = 1_500.0
+LONGEST_UNREACHABLE_MS = 6_000.0
 # Time for which an engine that has just started is slow.
 FRESH_MS = 3_000.0
 # Clocks of two machines differ by less, unless one was stepped.
@@ -93,12 +94,18 @@
 
 
 class Placer:
-    """Chooses servers; every choice is checked again right before it is sent."""
+    """Chooses servers; every choice is checked again right before it is sent.
+
+    Attributes:
+        bounds: Bounds that bind the host.
+    """
 
     def __init__(self, ports: PlacingPorts) -> None:
+        self.bounds = ports.bounds
         self._ports = ports
         self._ejectors: dict[str, Ejector] = {}
         self._unreachable_until_ms: dict[str, float] = {}
+        self._unreachable_for_ms: dict[str, float] = {}
         self._cold_shares: dict[str, ColdShare] = {}
 
     def place_plain(self, service: str, tried: Collection[str]) -> Place | None:
@@ -201,6 +208,7 @@
     def note_success(self, server: BackendServer, first_byte_ms: float) -> None:
         """Note an answer."""
         self._unreachable_until_ms.pop(server.server_id, None)
+        self._unreachable_for_ms.pop(server.server_id, None)
         self._ejector(server.service).note_success(
             server.server_id, first_byte_ms, self._ports.clock.monotonic_ms()
         )
@@ -209,9 +217,16 @@
         """Note an attempt that failed on the server's account."""
         now_ms = self._ports.clock.monotonic_ms()
         if is_unreachable:
-            self._unreachable_until_ms[server.server_id] = now_ms + UNREACHABLE_MS
+            self._avoid(server.server_id, now_ms)
         self._ejector(server.service).note_failure(server.server_id, now_ms)
 
+    def _avoid(self, server_id: str, now_ms: float) -> None:
+        if self._unreachable_until_ms.get(server_id, 0.0) > now_ms:
+            return
+        for_ms = self._unreachable_for_ms.get(server_id, UNREACHABLE_MS / 2) * 2
+        self._unreachable_for_ms[server_id] = min(for_ms, LONGEST_UNREACHABLE_MS)
+        self._unreachable_until_ms[server_id] = now_ms + for_ms
+
     def run_count(self, service: str) -> int:
         """Return the runs on all servers of a service."""
         now_ms = self._ports.clock.monotonic_ms()
@@ -298,8 +313,8 @@
         hosts = self._ports.live_hosts()
         allowed = cold_share_per_s(
             rate_per_s,
-            self._ports.bounds.cold_factor,
-            self._ports.bounds.cold_extra,
+            self.bounds.cold_factor,
+            self.bounds.cold_extra,
             self._ports.host_count(),
             rank_hosts(server.server_id, hosts).index(self._ports.host_id),
         )
--- a/src/gypsumfield/gateway/plain.py
+++ b/src/gypsumfield/gateway/plain.py
@@ -119,7 +119,7 @@
     try:
         answer = open_answer(attempts, job, server, order)
         try:
-            body = answer.exchange.read_body(ANSWER_LIMIT_BYTES)
+            body = answer.exchange.read_body(ANSWER_LIMIT_BYTES, True)
         except BackendError:
             answer.exchange.close()
             raise
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -70,6 +70,16 @@
         """Begin to watch."""
         self._greenlet = gevent.spawn(self._run)
 
+    def stop(self) -> None:
+        """End the rounds."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no copy is under way."""
+        return not self._copying
+
     def look(self) -> None:
         """Copy the exposed runs of every engine that leaves."""
         for server_id in self._ports.registry.server_ids():
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -36,6 +36,7 @@
         caller_address: ``IP:PORT`` for callers.
         readiness_address: ``IP:PORT`` for the balancer's question.
         peer_address: ``IP:PORT`` for pulls of other hosts.
+        metrics_address: ``IP:PORT`` for metrics.
         ip: Address of the host.
         news_port: UDP port for peers' news; the same on all hosts.
         seed_ips: Hosts to find the others through; may be stale or down.
@@ -49,6 +50,7 @@
     caller_address: str
     readiness_address: str
     peer_address: str
+    metrics_address: str
     ip: str
     news_port: int
     seed_ips: tuple[str, ...]
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -336,7 +336,7 @@
             self._ports.ledger.note_read(self.run)
 
     def _read_failure(self, answer: OpenAnswer) -> WholeAnswer:
-        body = answer.exchange.read_body(ANSWER_LIMIT_BYTES)
+        body = answer.exchange.read_body(ANSWER_LIMIT_BYTES, True)
         self._is_over = True
         headers = self._ports.attempts.wire.answer_headers(answer.headers)
         self.close()
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -6,12 +6,14 @@
 from pathlib import Path
 from typing import Any
 
+from gypsumfield.clock import MS_PER_S
 from gypsumfield.exceptions import SettingsError
 from gypsumfield.gateway.settings import EdgeBounds
 from gypsumfield.gateway.settings import EdgeSettings
 
 SETTINGS_PATH_VARIABLE = "GYPSUMFIELD_NODE_FILE"
-MS_PER_S = 1_000.0
+# The deploy file names it as well.
+METRICS_PORT = 9464
 
 
 def settings_path() -> Path:
@@ -53,14 +55,14 @@
         ports = self._list("internal_port_range")
         if not ports or not isinstance(ports[0], int):
             raise SettingsError(f"{self._name}: internal_port_range: no port is listed")
-        control = self._text("listen.control")
         return EdgeSettings(
             host_id=self._text("node_name"),
             availability_zone=self._text("zone"),
             # The file calls the callers' side "front" and the peers' "control".
             caller_address=self._text("listen.front"),
             readiness_address=self._text("listen.ready"),
-            peer_address=control,
+            peer_address=self._text("listen.control"),
+            metrics_address=f"{self._text('node_ip')}:{METRICS_PORT}",
             ip=self._text("node_ip"),
             news_port=ports[0],
             seed_ips=tuple(
--- /dev/null
+++ b/tests/edge_fleet.py
@@ -0,0 +1,167 @@
+"""One edge host in this process, before stand-ins of the platform."""
+
+import contextlib
+import socket
+
+from fake_platform import FakeRunner
+from fake_platform import FakeStore
+from fake_platform import publication
+from fake_platform import registration
+from fake_platform import wait_until
+from gypsumfield.clock import system_clock
+from gypsumfield.gateway.composition import build_edge_host
+from gypsumfield.gateway.settings import EdgeBounds
+from gypsumfield.gateway.settings import EdgeSettings
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class EdgeFleet:
+    """A store, runners and one edge host.
+
+    Attributes:
+        events: Events that the host logged.
+    """
+
+    def __init__(self, services):
+        self.services = services
+        self.store = FakeStore()
+        self.store.server.start()
+        self.runners = {}
+        self.events = []
+        self.host = None
+        self.settings = None
+
+    def add_runner(self, service, server_id, respond):
+        runner = FakeRunner(respond)
+        runner.start()
+        self.runners[server_id] = runner
+        self.store.put(f"servers/{server_id}", registration(service, runner))
+        return runner
+
+    def publish(self, **changes):
+        self.store.put("op/config", publication(self.services, **changes))
+
+    def start(self, seed_ips=()):
+        self.settings = EdgeSettings(
+            host_id="edge-1",
+            availability_zone="z1",
+            caller_address=f"127.0.0.1:{free_port()}",
+            readiness_address=f"127.0.0.1:{free_port()}",
+            peer_address=f"127.0.0.1:{free_port()}",
+            metrics_address=f"127.0.0.1:{free_port()}",
+            ip="127.0.0.1",
+            news_port=free_port(socket.SOCK_DGRAM),
+            seed_ips=tuple(seed_ips),
+            store_address=self.store.address,
+            is_first_start=True,
+            bounds=EdgeBounds(),
+        )
+        self.host = build_edge_host(self.settings, system_clock(), self.events.append)
+        self.host.start()
+        wait_until(lambda: self.is_ready() and self.knows(len(self.runners)))
+
+    def is_ready(self):
+        return self.host.parts.catalogue.publication is not None
+
+    def knows(self, count):
+        catalogue = self.host.parts.catalogue
+        known = sum(len(catalogue.servers_of(name)) for name in self.services)
+        return known >= count
+
+    def named(self, name):
+        return [
+            each for each in self.events if type(each).__struct_config__.tag == name
+        ]
+
+    def stop(self):
+        if self.host is not None:
+            self.host.stop()
+        for runner in self.runners.values():
+            runner.crash()
+        self.store.server.stop(timeout=0)
+
+    def ask(
+        self,
+        path,
+        method="POST",
+        body=b"",
+        key="key-a",
+        attempt="a1",
+        headers="",
+        limit_ms=3000,
+    ):
+        """Return a socket on which one request was sent."""
+        sock = self.connect()
+        sock.sendall(
+            (
+                f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+                f"X-Attempt-Id: {attempt}\r\nAuthorization: Token {key}\r\n"
+                f"X-Deadline-Ms: {limit_ms}\r\n{headers}"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body
+        )
+        return sock
+
+    def connect(self):
+        from gevent import socket as gevent_socket
+
+        host, _, port = self.settings.caller_address.partition(":")
+        sock = gevent_socket.create_connection((host, int(port)))
+        sock.settimeout(20)
+        return sock
+
+    def call(self, path, **kwargs):
+        with contextlib.closing(self.ask(path, **kwargs)) as sock:
+            return read_answer(sock)
+
+
+def read_answer(sock):
+    """Return status, headers and body; the body of a cut answer is None."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return None, {}, None
+        data += more
+    head, _, rest = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    status = int(first.split(" ")[1])
+    if headers.get("transfer-encoding") == "chunked":
+        return status, headers, _read_chunks(sock, rest)
+    while len(rest) < int(headers.get("content-length", 0)):
+        more = sock.recv(65536)
+        if not more:
+            return status, headers, None
+        rest += more
+    return status, headers, rest
+
+
+def _read_chunks(sock, data):
+    body = b""
+    while True:
+        while b"\r\n" not in data:
+            more = sock.recv(65536)
+            if not more:
+                return None
+            data += more
+        size_line, _, data = data.partition(b"\r\n")
+        size = int(size_line, 16)
+        while len(data) < size + 2:
+            more = sock.recv(65536)
+            if not more:
+                return None
+            data += more
+        if not size:
+            return body
+        body += data[:size]
+        data = data[size + 2 :]
--- /dev/null
+++ b/tests/fake_platform.py
@@ -0,0 +1,252 @@
+"""Stand-ins for the platform's store and runners, in its own wire form."""
+
+import base64
+import itertools
+import json
+from urllib.parse import parse_qs
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
+
+SEAL = "X-Response-Seal: s\r\n"
+
+
+class FakeStore:
+    """Store with revisions, listings and waiting watches."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.is_down = False
+        self.oldest = 0
+        self.calls = []
+        self.changed = Event()
+        self.server = WSGIServer(("127.0.0.1", 0), self.serve, log=None, error_log=None)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def put(self, key, value):
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def delete(self, key):
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def drop_history(self):
+        self.oldest = self.revision
+        self._note(None)
+
+    def _note(self, item):
+        if item:
+            self.history.append(item)
+        self.changed.set()
+        self.changed = Event()
+
+    def serve(self, environ, start_response):
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        self.calls.append(environ["PATH_INFO"])
+        if self.is_down:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        if environ["PATH_INFO"] == "/-/kv-range":
+            return self._answer(
+                start_response,
+                {"entries": list(self.items.values()), "at": self.revision},
+            )
+        after = int(query["after"])
+        if after < self.oldest:
+            start_response("410 Gone", [])
+            return [b"{}"]
+        changed = self.changed
+        if not self._after(after):
+            changed.wait(int(query["wait_ms"]) / 1000)
+        if self.is_down:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        return self._answer(
+            start_response, {"events": self._after(after), "at": self.revision}
+        )
+
+    def _after(self, revision):
+        return [item for item in self.history if item["revision"] > revision]
+
+    @staticmethod
+    def _answer(start_response, body):
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(body).encode()]
+
+
+class FakeRunner:
+    """Runner whose answers a test scripts.
+
+    ``respond`` takes a parsed request and the socket and writes the answer.
+    """
+
+    def __init__(self, respond):
+        self.respond = respond
+        self.requests = []
+        self.sockets = set()
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def start(self):
+        self.server.start()
+
+    def crash(self):
+        self.server.stop()
+        for sock in list(self.sockets):
+            sock.close()
+
+    def serve(self, sock, _address):
+        self.sockets.add(sock)
+        try:
+            while request := read_request(sock):
+                self.requests.append(request)
+                if self.respond(request, sock) == "close":
+                    break
+        except OSError:
+            pass
+        finally:
+            self.sockets.discard(sock)
+            sock.close()
+
+    def calls(self, path_part):
+        return [each for each in self.requests if path_part in each["target"]]
+
+
+def read_request(sock):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return None
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    while len(body) < int(headers.get("content-length", 0)):
+        body += sock.recv(65536)
+    method, target, _ = first.split(" ")
+    return {"method": method, "target": target, "headers": headers, "body": body}
+
+
+def whole(request, body=b"done", status="200 OK", extra=""):
+    attempt = request["headers"]["x-attempt-id"]
+    return (
+        f"HTTP/1.1 {status}\r\nX-Attempt-Id: {attempt}\r\n{SEAL}{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def refusal():
+    return (
+        b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+
+
+def stream_head(request):
+    attempt = request["headers"]["x-attempt-id"]
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{SEAL}"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def event(number):
+    data = f"id: {number}\ndata: piece {number}\n\n".encode()
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+STREAM_END = b"0\r\n\r\n"
+
+
+def publication(services, version=1, keys=("key-a",), routes=None):
+    """Return a configuration: services maps a name to a kind of route."""
+    made = []
+    for name, kind in services.items():
+        made.append(
+            {
+                "name": f"r-{name}",
+                "host": "h.example",
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "timeout_ms": 4000,
+                "target_latency_ms": 1000,
+                "priority": 1,
+                "service": name,
+                "max_attempts": 2 if kind == "idempotent" else 1,
+                "allow_anonymous": False,
+                "gap_aim_ms": 180,
+            }
+        )
+    engine = {
+        "slot_count": 8,
+        "kv_tokens": 30000,
+        "stride": 4,
+        "migrations": True,
+        "backups": True,
+        "handle_s": 5.0,
+    }
+    return {
+        "version": version,
+        "routes": made if routes is None else routes,
+        "services": [
+            {
+                "name": name,
+                "max_connections": 100,
+                "cold_per_s": 0,
+                "engine": engine if kind == "streaming" else None,
+            }
+            for name, kind in services.items()
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 2000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": "account-a", "api_keys": list(keys)}],
+    }
+
+
+_NUMBERS = itertools.count(1)
+
+
+def registration(service, runner, state="ready", zone="z1"):
+    """Return a server's registration."""
+    return {
+        "service": service,
+        "address": runner.address,
+        "zone": zone,
+        "state": state,
+        "slot_count": 8,
+        "cold_remaining_ms": 0,
+        "born": next(_NUMBERS),
+    }
+
+
+def wait_until(condition, timeout_s=20.0):
+    with gevent.Timeout(timeout_s, AssertionError("the condition did not come true")):
+        while not condition():
+            gevent.sleep(0.01)
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,127 @@
+import json
+
+import pytest
+
+from fake_platform import publication
+from gypsumfield.clock import ManualClock
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.catalogue import Decoders
+from gypsumfield.gateway.catalogue import LAPSE_GRACE_MS
+from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.platform import documents
+from gypsumfield.ports import discard_event
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(1_000.0)
+
+
+@pytest.fixture
+def catalogue(clock):
+    decoders = Decoders(
+        documents.is_configuration_key,
+        documents.is_server_key,
+        documents.evacuated_zone,
+        documents.decode_publication,
+        documents.decode_server,
+    )
+    return Catalogue(decoders, clock.as_clock(), discard_event)
+
+
+def server(server_id, revision, state="ready", born=1):
+    value = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": state,
+        "born": born,
+    }
+    return StoreItem(f"servers/{server_id}", revision, json.dumps(value).encode())
+
+
+def configuration(version, revision):
+    data = json.dumps(publication({"s": "idempotent"}, version=version)).encode()
+    return StoreItem("op/config", revision, data)
+
+
+def ids(catalogue):
+    return [
+        belief.server.server_id
+        for belief in catalogue.servers_of("s")
+        if not catalogue.is_leaving(belief)
+    ]
+
+
+def test_an_older_word_takes_no_newer_belief_back(catalogue):
+    catalogue.apply([server("i-1", 9, "draining")], 9, "store")
+    catalogue.apply([server("i-1", 5)], 20, "peer")
+    assert ids(catalogue) == []
+
+
+def test_a_configuration_goes_neither_back_by_revision_nor_by_version(catalogue):
+    catalogue.apply([configuration(7, 10)], 10, "store")
+    catalogue.apply([configuration(8, 4)], 10, "peer")
+    catalogue.apply([configuration(6, 12)], 12, "store")
+    assert catalogue.publication.version == 7
+
+
+def test_a_listing_deletes_what_it_lacks_and_nothing_newer(catalogue):
+    catalogue.apply([server("i-1", 3), server("i-2", 8)], 8, "store")
+    catalogue.replace([], 5, "listing")
+    assert ids(catalogue) == ["i-2"]
+
+
+def test_a_deletion_is_not_undone_by_an_older_word(catalogue):
+    catalogue.apply([server("i-1", 3)], 3, "store")
+    catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
+    catalogue.apply([server("i-1", 4)], 6, "peer")
+    assert ids(catalogue) == []
+
+
+def test_a_registration_that_lapsed_in_an_outage_is_kept_for_a_while(catalogue, clock):
+    catalogue.apply([server("i-1", 3)], 3, "store")
+    catalogue.note_outage_end()
+    clock.advance(10.0)
+    catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
+    assert ids(catalogue) == ["i-1"]
+    clock.advance(LAPSE_GRACE_MS + 1.0)
+    assert ids(catalogue) == []
+
+
+def test_a_registration_that_is_gone_in_quiet_times_counts_as_leaving(catalogue):
+    catalogue.apply([server("i-1", 3)], 3, "store")
+    catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
+    assert ids(catalogue) == []
+    assert len(catalogue.servers_of("s")) == 1
+
+
+def test_a_restart_under_the_same_id_is_first_seen_anew(catalogue, clock):
+    catalogue.apply([server("i-1", 3)], 3, "store")
+    clock.advance(5_000.0)
+    catalogue.apply([server("i-1", 4)], 4, "store")
+    assert catalogue.find_server("i-1").first_seen_ms == 1_000.0
+    catalogue.apply([server("i-1", 5, born=2)], 5, "store")
+    assert catalogue.find_server("i-1").first_seen_ms == 6_000.0
+
+
+def test_an_evacuation_holds_until_it_is_taken_back(catalogue):
+    catalogue.apply([StoreItem("op/evacuate/z", 3, b"{}")], 3, "store")
+    assert catalogue.evacuated_zones == {"z"}
+    catalogue.apply([StoreItem("op/evacuate/z", 4, None)], 4, "store")
+    assert catalogue.evacuated_zones == frozenset()
+
+
+def test_a_server_that_says_it_leaves_counts_before_the_store_knows(catalogue):
+    catalogue.apply([server("i-1", 3)], 3, "store")
+    catalogue.note_leaving("i-1", "engine report")
+    assert ids(catalogue) == []
+
+
+def test_items_for_a_peer_hold_deletions(catalogue):
+    catalogue.apply([server("i-1", 3), server("i-2", 4)], 4, "store")
+    catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
+    assert {item.key: item.value is None for item in catalogue.items_after(3)} == {
+        "servers/i-1": True,
+        "servers/i-2": False,
+    }
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,5 @@
 import ast
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -37,3 +38,37 @@
         [sys.executable, "-c", program], capture_output=True, text=True, check=True
     )
     assert done.stdout.strip() == "[]"
+
+
+SOURCES = Path(gypsumfield.decisions.__file__).parent.parent
+# Names that only the adapter to the users' platform may hold.
+WIRE_NAMES = re.compile(
+    r"kv-watch|kv-range|kv-move|kv-key|X-Response-Seal|X-Expect-Instance|"
+    r"X-Not-Executed|X-Attempt-Id|X-Kv-Backup|Kv-From|X-Token-Counts|X-Tenant|"
+    r"traffic_split|cold_remaining_ms\"|seed_nodes|GYPSUMFIELD_NODE_FILE|op/config"
+)
+
+
+def test_no_module_outside_the_adapter_holds_a_name_of_the_platform():
+    found = [
+        path.relative_to(SOURCES)
+        for path in sorted(SOURCES.rglob("*.py"))
+        if "platform" not in path.relative_to(SOURCES).parts[:1]
+        and WIRE_NAMES.search(path.read_text())
+    ]
+    assert found == []
+
+
+def test_the_adapter_imports_no_decision():
+    for path in sorted((SOURCES / "platform").glob("*.py")):
+        layers = {".".join(n.split(".")[1:2]) for n in imported_names(path) if "." in n}
+        assert "decisions" not in layers, path
+
+
+def test_the_serving_process_loads_no_tool():
+    program = "import sys, gypsumfield.commands.edge; print(sorted(sys.modules))"
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    for name in ("matplotlib", "cleo", "falcon", "gypsumfield.load_driver"):
+        assert f"'{name}'" not in done.stdout
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,186 @@
+"""Formats of the platform: settings, documents, headers."""
+
+import json
+
+import pytest
+
+from fake_platform import publication
+from gypsumfield.exceptions import ConfigurationError
+from gypsumfield.exceptions import SettingsError
+from gypsumfield.gateway.calls import ResumePoint
+from gypsumfield.gateway.calls import SendOrder
+from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.routes import find_account
+from gypsumfield.platform.documents import decode_publication
+from gypsumfield.platform.documents import decode_server
+from gypsumfield.platform.headers import decode_ask
+from gypsumfield.platform.headers import decode_marks
+from gypsumfield.platform.headers import encode_send
+from gypsumfield.platform.settings import read_edge_settings
+
+SETTINGS = """
+node_name = "edge-1"
+node_ip = "10.1.0.19"
+zone = "z1"
+internal_port_range = [7200, 7215]
+seed_nodes = ["10.1.0.19:8748", "10.2.0.13:8748"]
+bootstrap = true
+new_field = "ignored"
+[listen]
+front = "10.1.0.19:8740"
+ready = "10.1.0.19:8749"
+control = "10.1.0.19:8748"
+[bounds]
+grace_s = 8
+budget_extra = 54
+[platform]
+address = "10.200.1.7:8742"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_translated(tmp_path):
+    settings = read_edge_settings(write(tmp_path, SETTINGS))
+    assert settings.availability_zone == "z1"
+    assert settings.seed_ips == ("10.1.0.19", "10.2.0.13")
+    assert settings.news_port == 7200
+    assert settings.bounds.stop_limit_ms == 8_000.0
+    assert settings.bounds.retry_extra == 54.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('zone = "z1"', "", "zone"),
+        ('zone = "z1"', "zone = 7", "zone"),
+        ("[7200, 7215]", "[]", "internal_port_range"),
+        ('front = "10.1.0.19:8740"', "", "listen.front"),
+        ("grace_s = 8", 'grace_s = "long"', "bounds.grace_s"),
+        ("node_name", "node name", "TOML"),
+    ],
+)
+def test_bad_settings_name_file_and_key(tmp_path, old, new, key):
+    path = write(tmp_path, SETTINGS.replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        read_edge_settings(path)
+    assert "settings.toml" in str(caught.value)
+    assert key in str(caught.value)
+
+
+def test_a_missing_settings_file_is_named(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        read_edge_settings(tmp_path / "none.toml")
+
+
+def test_a_publication_is_translated():
+    wire = publication({"engine": "streaming", "plain": "idempotent"})
+    decoded = decode_publication(json.dumps(wire).encode())
+    kinds = {route.name: route.kind for route in decoded.routes}
+    assert kinds == {"r-engine": CallKind.STREAM, "r-plain": CallKind.IDEMPOTENT}
+    assert decoded.services["engine"].engine.memory_tokens == 30_000
+    assert decoded.services["plain"].engine is None
+    account = find_account(decoded, "key-a")
+    assert account is not None and account.name == "account-a"
+    assert find_account(decoded, "key-b") is None
+
+
+def test_a_publication_without_accounts_needs_no_keys():
+    wire = publication({"plain": "idempotent"})
+    del wire["tenants"]
+    assert decode_publication(json.dumps(wire).encode()).accounts_by_digest is None
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"{", b"[]", b'{"version": "7"}', b'{"routes": []}', b"\xff"]
+)
+def test_an_unreadable_publication_is_refused(data):
+    with pytest.raises(ConfigurationError):
+        decode_publication(data)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"address": "10.0.0.1"},
+        {"address": ":80"},
+        {"address": 7},
+        {"service": None},
+        {"slot_count": "many"},
+    ],
+)
+def test_a_foreign_registration_is_refused(change):
+    wire = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+    decode_server("servers/i-1", json.dumps(wire).encode(), 3)
+    with pytest.raises(ConfigurationError, match="servers/i-1"):
+        decode_server("servers/i-1", json.dumps(wire | change).encode(), 3)
+
+
+def test_headers_of_a_caller_are_decoded_once():
+    ask = decode_ask(
+        [
+            ("Host", "H.example:80"),
+            ("X-Attempt-Id", "a1"),
+            ("Authorization", "Token k"),
+            ("X-Deadline-Ms", "1500"),
+            ("X-Token-Counts", "1460,80"),
+            ("X-Prompt-Prefix", "5c:800,zz,91:x"),
+            ("X-Length-Hint", "nonsense"),
+        ]
+    )
+    assert (ask.host, ask.request_id, ask.key) == ("h.example", "a1", "k")
+    assert ask.time_limit_ms == 1500.0
+    assert (ask.prompt_tokens, ask.max_tokens, ask.expected_tokens) == (1460, 80, 0)
+    assert [part.part_id for part in ask.prompt_parts] == ["5c"]
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf", "", "1e99"])
+def test_an_odd_time_limit_counts_as_none(value):
+    assert decode_ask([("X-Deadline-Ms", value)]).time_limit_ms is None
+
+
+def test_headers_that_are_ours_are_never_the_callers():
+    items = [
+        ("X-Tenant", "other"),
+        ("X-Hold", "h"),
+        ("X-Pin-Ms", "9"),
+        ("X-Kv-Backup", "1.2.3.4:5"),
+        ("Kv-From", "1.2.3.4:5/h"),
+        ("Kv-Fetch", "1.2.3.4:5"),
+        ("X-Expect-Instance", "i"),
+        ("X-Expect-Version", "3"),
+        ("X-Request-Urgency", "0"),
+        ("Authorization", "Token k"),
+        ("Last-Event-Id", "7"),
+        ("Connection", "keep-alive"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Model", "m"),
+    ]
+    sent = encode_send(items, "h.example", SendOrder("i-1", 900.4, "account-a"))
+    assert sent == {
+        "Host": "h.example",
+        "X-Model": "m",
+        "X-Deadline-Ms": "900",
+        "X-Expect-Instance": "i-1",
+        "X-Tenant": "account-a",
+    }
+
+
+def test_a_resumption_names_the_copy_and_the_last_event():
+    resume = ResumePoint("12", "10.0.0.1:80", "run-1")
+    order = SendOrder("i-1", 900.0, resume=resume, backup_address="10.0.0.2:80")
+    sent = encode_send([], "h", order)
+    assert sent["Kv-From"] == "10.0.0.1:80/run-1"
+    assert sent["Last-Event-Id"] == "12"
+    assert sent["X-Kv-Backup"] == "10.0.0.2:80"
+
+
+def test_marks_of_an_answer():
+    marks = decode_marks([("x-attempt-id", "a"), ("X-Not-Executed", "1")])
+    assert marks.is_not_run and not marks.is_sealed
+    assert marks.request_id == "a"
