Let a stream wait behind a partition unless it can go on elsewhere

Change: only streams with a usable copy, or that may be repeated, are broken off; another zone costs twice as much when placing. Ruled out: closing by the caller's side (no caller_gone lines).

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -28,7 +28,7 @@
 BACKUP_MEMORY_RATIO = 0.6
 # A choice in another zone costs bytes between zones and a longer way; it is
 # taken when it saves this much of a full engine, or this much waiting.
-OTHER_ZONE_COST = 0.15
+OTHER_ZONE_COST = 0.3
 # Time to the first event that weighs as much as a full engine.
 START_SCALE_MS = 1_200.0
 # A request that waits on an engine shows that its memory is short.
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -391,8 +391,13 @@
         self.standby = standby
 
     def break_off(self) -> None:
-        """End the wait for an engine that is out of reach."""
-        if self._answer is not None:
+        """End the wait for an engine that is out of reach, if there is a way on.
+
+        Without one the stream waits: behind a partition its engine still works,
+        and a late answer is worth more than none.
+        """
+        has_way_on = self.job.route.is_resumable or bool(self._usable_copies())
+        if has_way_on and self._answer is not None:
             self._answer.exchange.abandon()
 
     def _drop_standby(self) -> None:
