Try copies off a leaving engine again, beyond the planned memory

Change: a refused copy is tried again after 0.2 s, and up to 1.15 of a memory, since the engine itself refuses what it has no room for; a stream's connection outlives a partition of 8 s.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -35,11 +35,10 @@
 # Servers commonly keep idle connections for 5 s or more; a used one may be
 # closed under way, so a pooled one is taken well before that.
 IDLE_LIMIT_S = 2.0
-# A peer that vanishes answers no probe: it is noticed after 1 + 2 x 1 s.
-KEEP_ALIVE_IDLE_S = 1
+# Idle connections are probed at this interval, so that a peer that vanished is
+# noticed.
 KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 2
-UNACKNOWLEDGED_LIMIT_MS = 3_000
+UNREACHABLE_LIMIT_MS = 3_000
 
 
 class OutgoingRequest(NamedTuple):
@@ -67,11 +66,16 @@
 
 
 class ExchangeTimeouts(NamedTuple):
-    """Bounds of one exchange, in ms: connect, first byte, between bytes."""
+    """Bounds of one exchange, in ms: connect, first byte, between bytes.
+
+    ``unreachable_ms`` is how long a peer may be out of reach before the connection
+    counts as dead, however long its answer may take.
+    """
 
     connect_ms: float
     answer_ms: float
     silence_ms: float
+    unreachable_ms: float = UNREACHABLE_LIMIT_MS
 
 
 class _TrailingBytesError(Exception):
@@ -311,7 +315,7 @@
         sock = gevent.socket.create_connection(
             (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
         )
-        _watch_for_silence(sock)
+        _watch_for_silence(sock, int(self._timeouts.unreachable_ms))
         return sock
 
     def _send(self) -> None:
@@ -400,13 +404,14 @@
     return bytes(head.encode("latin-1")) + request.body
 
 
-def _watch_for_silence(sock: Any) -> None:
+def _watch_for_silence(sock: Any, limit_ms: int) -> None:
+    probes = max(1, int(limit_ms / MS_PER_S / KEEP_ALIVE_INTERVAL_S) - 1)
     for level, name, value in (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     ):
         sock.setsockopt(level, name, value)
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -23,12 +23,15 @@
 FRESH_COST = 0.2
 # From the place to the first event, beside the prompts: connection and two steps.
 START_MS = 60.0
+# A copy that saves a run may be tried beyond that: its engine refuses what it has
+# no room for.
+RESCUE_MEMORY_RATIO = 1.15
 # A backup may fill an engine up to this share; beyond it the memory is worth more
 # to runs than to copies.
 BACKUP_MEMORY_RATIO = 0.6
 # A choice in another zone costs bytes between zones and a longer way; it is
 # taken when it saves this much of a full engine, or this much waiting.
-OTHER_ZONE_COST = 0.3
+OTHER_ZONE_COST = 0.2
 # Time to the first event that weighs as much as a full engine.
 START_SCALE_MS = 1_200.0
 # A request that waits on an engine shows that its memory is short.
@@ -124,6 +127,22 @@
     return min(candidates, key=lambda engine: (_cost(engine, need), rng.random()))
 
 
+def choose_rescue(
+    engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
+) -> EngineLoad | None:
+    """Return the engine to which a run on a leaving engine is copied, or None."""
+    fitting = [
+        engine
+        for engine in engines
+        if engine.stream_count < engine.slot_count
+        and engine.committed_tokens + need.peak_tokens
+        <= engine.memory_tokens * RESCUE_MEMORY_RATIO
+    ]
+    return min(
+        fitting, key=lambda engine: (_cost(engine, need), rng.random()), default=None
+    )
+
+
 def choose_backup(
     engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
 ) -> EngineLoad | None:
--- a/src/gypsumfield/decisions/protection.py
+++ b/src/gypsumfield/decisions/protection.py
@@ -1,9 +1,8 @@
 """Which runs get a copy of their memory made on another engine, and in which order.
 
 Load answered: engines taken away at short notice under long write-ups that may not
-be repeated. Copies wait for each other on an engine's
-link, so a run that ends in time is left alone, and those that lose most when they
-are left behind go first.
+be repeated. Copies wait for each other on an engine's link, so a run that ends in
+time is left alone, and those that lose most when they are left behind go first.
 """
 
 from collections.abc import Sequence
@@ -19,22 +18,26 @@
 # What has been made since the last copy is read again when it is used; a renewal
 # copies only that, in some 10 ms.
 RENEWAL_MS = 700.0
+# A copy that found no room is tried again after this time.
+REFUSED_PAUSE_MS = 200.0
 
 
 class ExposedRun(NamedTuple):
-    """One run on a leaving engine without a copy that it could go on from.
+    """One run on a leaving engine without a copy from its start.
 
     Attributes:
         request_id: The run.
         generated_tokens: Tokens it has made.
         expected_tokens: Predicted tokens of its whole output.
         copied_ms_ago: Time since a copy was made that has to be renewed, or None.
+        refused_ms_ago: Time since a copy found no room, or None.
     """
 
     request_id: str
     generated_tokens: int
     expected_tokens: int
     copied_ms_ago: float | None
+    refused_ms_ago: float | None = None
 
 
 def order_copies(
@@ -43,6 +46,10 @@
     """Return the requests whose memory is copied now, in order.
 
     Runs with the most work behind them go first: they are lost whole.
+
+    Args:
+        runs: Exposed runs of one engine.
+        leaves_in_ms: When the engine is gone.
     """
     due = [run for run in runs if _is_due(run, leaves_in_ms)]
     due.sort(key=lambda run: -run.generated_tokens)
@@ -52,6 +59,8 @@
 def _is_due(run: ExposedRun, leaves_in_ms: float) -> bool:
     if run.copied_ms_ago is not None and run.copied_ms_ago < RENEWAL_MS:
         return False
+    if run.refused_ms_ago is not None and run.refused_ms_ago < REFUSED_PAUSE_MS:
+        return False
     left_tokens = run.expected_tokens - run.generated_tokens
     if left_tokens <= 0:
         # It has outlived its prediction: nothing is known of its end.
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -11,6 +11,7 @@
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.backends import UNREACHABLE_LIMIT_MS
 from gypsumfield.clock import Clock
 from gypsumfield.events import AttemptFailed
 from gypsumfield.exceptions import BackendError
@@ -31,6 +32,9 @@
 # A server in reach accepts within a few ms, one behind a lossy link within a
 # retransmission or two.
 CONNECT_TIMEOUT_MS = 400.0
+# Callers stay with a silent stream for about seven seconds; a partition that heals
+# within that time lets it go on.
+PARTITION_MS = 8_000.0
 # Servers that refuse or cannot be reached are replaced in the store within a
 # few hundred ms.
 RETRY_AFTER_FAILURE_MS = 500.0
@@ -112,6 +116,7 @@
         min(CONNECT_TIMEOUT_MS, order.time_limit_ms),
         order.time_limit_ms,
         order.time_limit_ms,
+        PARTITION_MS if job.route.kind is CallKind.STREAM else UNREACHABLE_LIMIT_MS,
     )
     exchange = Exchange(request, timeouts, job.abort, ports.pool if may_reuse else None)
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -23,6 +23,7 @@
 from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
 from gypsumfield.decisions.placement import choose_plain
+from gypsumfield.decisions.placement import choose_rescue
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import StreamNeed
@@ -141,17 +142,31 @@
         need = StreamNeed(
             peak_tokens, self._ports.availability_zone, prompt_tokens, time_left_ms
         )
-        return self._place_engine(service, need, tried)
+        beliefs = self.candidates(service, tried)
+        loads = [self._engine_load(belief, service) for belief in beliefs]
+        chosen = choose_engine(loads, need, self._ports.rng)
+        if chosen is None:
+            return None
+        return self._place(
+            chosen.server_id,
+            len(beliefs),
+            chosen.stream_count,
+            chosen.committed_tokens,
+        )
 
     def place_copy(
         self, run: Run, source: BackendServer, tried: Collection[str]
-    ) -> Place | None:
-        """Return an engine with room for a run that leaves ``source``, or None.
+    ) -> BackendServer | None:
+        """Return an engine for a copy of a run that leaves ``source``, or None.
 
         A copy takes twice as long between zones, so the source's zone comes first.
         """
+        beliefs = self.candidates(source.service, tried)
+        loads = [self._engine_load(belief, source.service) for belief in beliefs]
         need = StreamNeed(run.planned_tokens, source.availability_zone)
-        return self._place_engine(source.service, need, tried)
+        chosen = choose_rescue(loads, need, self._ports.rng)
+        belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
+        return belief.server if belief else None
 
     def place_backup(
         self, service: str, peak_tokens: int, runs_on: str
@@ -235,21 +250,6 @@
             for belief in self._ports.catalogue.servers_of(service)
         )
 
-    def _place_engine(
-        self, service: str, need: StreamNeed, tried: Collection[str]
-    ) -> Place | None:
-        beliefs = self.candidates(service, tried)
-        loads = [self._engine_load(belief, service) for belief in beliefs]
-        chosen = choose_engine(loads, need, self._ports.rng)
-        if chosen is None:
-            return None
-        return self._place(
-            chosen.server_id,
-            len(beliefs),
-            chosen.stream_count,
-            chosen.committed_tokens,
-        )
-
     def _place(
         self, server_id: str, candidates: int, streams: int, tokens: int
     ) -> Place | None:
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -108,7 +108,7 @@
         exposed = []
         for stream in self._ports.registry.on_server(server_id):
             # An engine knows a run only from its first token on.
-            if not stream.event_count or stream.is_safe or stream.is_copy_refused:
+            if not stream.event_count or stream.is_safe:
                 continue
             standby = stream.standby
             if standby is not None and self._ports.placer.hindrance(standby.server):
@@ -119,6 +119,7 @@
                     stream.generated_tokens,
                     stream.expected_tokens,
                     now_ms - standby.made_ms if standby else None,
+                    now_ms - stream.copy_refused_ms if stream.copy_refused_ms else None,
                 )
             )
         return exposed
@@ -145,14 +146,15 @@
             return
         tried = [source.server_id]
         for _ in range(DESTINATION_TRIES):
-            place = self._ports.placer.place_copy(stream.run, source, tried)
-            if place is None:
+            target = self._ports.placer.place_copy(stream.run, source, tried)
+            if target is None:
                 break
-            tried.append(place.server.server_id)
-            if self._copy_to(stream, source, place.server):
+            tried.append(target.server_id)
+            if self._copy_to(stream, source, target):
                 return
-        stream.is_copy_refused = True
-        self._log(stream, source, "", 0.0, "no engine has room")
+        if not stream.copy_refused_ms:
+            self._log(stream, source, "", 0.0, "no engine has room")
+        stream.copy_refused_ms = self._ports.clock.monotonic_ms()
 
     def _copy_to(
         self, stream: Stream, source: BackendServer, target: BackendServer
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -123,7 +123,7 @@
         heard_ms: When the engine was heard last.
         backup: Engine that keeps a copy from the run's start, or None.
         standby: Copy that was made later, or None.
-        is_copy_refused: Whether no engine had room for a later copy.
+        copy_refused_ms: When no engine had room for a later copy; 0 for never.
     """
 
     def __init__(self, ports: StreamPorts, job: Job) -> None:
@@ -132,7 +132,7 @@
         self.event_count = 0
         self.heard_ms = ports.attempts.clock.monotonic_ms()
         self.standby: Standby | None = None
-        self.is_copy_refused = False
+        self.copy_refused_ms = 0.0
         self.backup: BackendServer | None = None
         self._backup_run: Run | None = None
         self.server: BackendServer
@@ -410,7 +410,7 @@
             self._answer.exchange.close()
         answer = self._open_at(server, resume)
         self._drop_standby()
-        self.is_copy_refused = False
+        self.copy_refused_ms = 0.0
         if answer.status not in SUCCESS_STATUSES:
             raise BackendError(
                 f"the engine answered {answer.status} to a resumption",
--- a/tests/test_protection.py
+++ b/tests/test_protection.py
@@ -2,6 +2,7 @@
 
 from gypsumfield.decisions.protection import ExposedRun
 from gypsumfield.decisions.protection import order_copies
+from gypsumfield.decisions.protection import REFUSED_PAUSE_MS
 from gypsumfield.decisions.protection import RENEWAL_MS
 from gypsumfield.decisions.protection import STEP_MS
 
@@ -15,22 +16,31 @@
 
 def test_runs_with_the_most_work_go_first():
     runs = [run("a", 10), run("b", 900), run("c", 400)]
-    assert order_copies(runs) == ["b", "c", "a"]
+    assert order_copies(runs, NOTICE_MS) == ["b", "c", "a"]
 
 
 def test_a_run_that_ends_in_time_is_left_alone():
     soon = run("soon", 950, 1_000)
     assert (soon.expected_tokens - soon.generated_tokens) * STEP_MS < NOTICE_MS
-    assert order_copies([soon, run("long", 100)]) == ["long"]
+    assert order_copies([soon, run("long", 100)], NOTICE_MS) == ["long"]
 
 
 def test_a_run_that_outlived_its_prediction_is_copied():
-    assert order_copies([run("a", 1_200, 1_000)]) == ["a"]
+    assert order_copies([run("a", 1_200, 1_000)], NOTICE_MS) == ["a"]
 
 
 def test_a_copy_is_renewed_after_a_while():
-    assert order_copies([run("a", 100, copied_ms_ago=RENEWAL_MS / 2)]) == []
-    assert order_copies([run("a", 100, copied_ms_ago=RENEWAL_MS)]) == ["a"]
+    young = [run("a", 100, copied_ms_ago=RENEWAL_MS / 2)]
+    old = [run("a", 100, copied_ms_ago=RENEWAL_MS)]
+    assert order_copies(young, NOTICE_MS) == []
+    assert order_copies(old, NOTICE_MS) == ["a"]
+
+
+def test_a_copy_without_room_is_tried_again_after_a_pause():
+    refused = run("a", 100)._replace(refused_ms_ago=REFUSED_PAUSE_MS / 2)
+    assert order_copies([refused], NOTICE_MS) == []
+    waited = refused._replace(refused_ms_ago=REFUSED_PAUSE_MS)
+    assert order_copies([waited], NOTICE_MS) == ["a"]
 
 
 def play_notice(runs, notice_ms):
