Share news of runs through one host an engine, and watch the store for a zone

Change: two hosts a zone watch the store and push small changes on; each engine has one host that keeps count of its runs. A host that lags compares itself with the highest revision heard of, no longer with the last word only. Ruled out: one watcher a zone, since its loss would delay a change by 1.4 s.

--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -43,6 +43,8 @@
 from gypsumfield.gateway.settings import split_address
 from gypsumfield.gateway.streams import StreamPorts
 from gypsumfield.gateway.streams import StreamRegistry
+from gypsumfield.gateway.view_pull import PullPorts
+from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.platform import documents
 from gypsumfield.platform import engines
 from gypsumfield.platform import headers
@@ -78,12 +80,28 @@
         emit,
     )
     ledger = Ledger()
+    board = ReportBoard(catalogue, clock)
+    front = _Front()
     follower = StoreFollower(
         FOLLOWED_PREFIX,
-        FollowerPorts(StoreClient(settings.store_address), catalogue, clock, rng, emit),
+        FollowerPorts(
+            source=StoreClient(settings.store_address),
+            catalogue=catalogue,
+            must_watch=lambda: peers.must_watch_store(),
+            clock=clock,
+            rng=rng,
+            emit=emit,
+        ),
+    )
+    pull = ViewPull(
+        PullPorts(
+            catalogue=catalogue,
+            peer_port=split_address(settings.peer_address)[1],
+            on_pulled=follower.restart_watch,
+            clock=clock,
+            emit=emit,
+        )
     )
-    board = ReportBoard(catalogue, clock)
-    front = _Front()
     peers = PeerLink(
         PeerPorts(
             settings=settings,
@@ -91,8 +109,8 @@
             catalogue=catalogue,
             ledger=ledger,
             board=board,
-            is_leaving=lambda: front.gate.is_draining,
-            on_stale_watch=follower.restart_watch,
+            pull=pull,
+            is_reaching=lambda: follower.is_reaching,
             clock=clock,
             emit=emit,
         )
@@ -186,8 +204,7 @@
     )
     reporter = EngineReporter(
         ReporterPorts(
-            host_id=settings.host_id,
-            live_hosts=peers.live_hosts,
+            keeps_count_of=peers.keeps_count_of,
             engine_services=engine_services,
             read_state=engines.read_state,
             catalogue=catalogue,
@@ -224,7 +241,7 @@
             settings.readiness_address, build_readiness_pages(is_ready, metrics.render)
         ),
         peer_server=_page_server(
-            settings.peer_address, build_peer_pages(peers.encode_view)
+            settings.peer_address, build_peer_pages(pull.encode_view)
         ),
         metrics_server=_page_server(
             settings.metrics_address,
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -7,7 +7,6 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.catalogue import Catalogue
@@ -86,14 +85,12 @@
     """What asking for reports uses.
 
     Attributes:
-        host_id: This host.
-        live_hosts: Hosts heard lately, this one included.
+        keeps_count_of: Whether an engine of a zone falls to this host.
         engine_services: Names of the services whose servers are engines.
         read_state: Asks one engine.
     """
 
-    host_id: str
-    live_hosts: Callable[[], list[str]]
+    keeps_count_of: Callable[[str, str], bool]
     engine_services: Callable[[], list[str]]
     read_state: Callable[[str], EngineState]
     catalogue: Catalogue
@@ -129,14 +126,15 @@
     def _servers(self) -> list[BackendServer]:
         ports = self._ports
         now_ms = ports.clock.monotonic_ms()
-        hosts = ports.live_hosts()
         return [
             belief.server
             for service in ports.engine_services()
             for belief in ports.catalogue.servers_of(service)
             if belief.server.server_id not in self._asking
             and ports.ledger.load(belief.server.server_id, now_ms).run_count
-            and owner_of(belief.server.server_id, hosts) == ports.host_id
+            and ports.keeps_count_of(
+                belief.server.server_id, belief.server.availability_zone
+            )
         ]
 
     def _ask(self, server: BackendServer) -> None:
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -66,6 +66,13 @@
     revision: int
 
 
+class PullFailed(Event, frozen=True, kw_only=True, tag="pull_failed"):
+    """Published items could not be taken over from a peer."""
+
+    peer: str
+    reason: str
+
+
 class RequestPlaced(Event, frozen=True, kw_only=True, tag="request_placed"):
     """A backend server was chosen for a request.
 
--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -1,6 +1,7 @@
 """Keeps the catalogue in step with the published store."""
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol
 
@@ -19,6 +20,8 @@
 WATCH_WAIT_MS = 10_000
 FIRST_PAUSE_MS = 50.0
 LONGEST_PAUSE_MS = 500.0
+# How soon a host takes the watch over.
+ROLE_CHECK_MS = 100.0
 
 
 class ItemSource(Protocol):
@@ -39,6 +42,7 @@
     Attributes:
         source: Client of the store.
         catalogue: Where changes go.
+        must_watch: Whether this host watches itself, or hears from its peers.
         clock: Time.
         rng: Draws the pauses between tries.
         emit: Log.
@@ -46,6 +50,7 @@
 
     source: ItemSource
     catalogue: Catalogue
+    must_watch: Callable[[], bool]
     clock: Clock
     rng: random.Random
     emit: EmitEvent
@@ -62,7 +67,7 @@
         self.is_reaching = False
         self._prefix = prefix
         self._ports = ports
-        self._revision: int | None = None
+        self._is_listed = False
         self._lost_ms: float | None = ports.clock.monotonic_ms()
         self._pause_ms = FIRST_PAUSE_MS
         self._greenlet: gevent.Greenlet | None = None
@@ -83,10 +88,13 @@
 
     def _run(self) -> None:
         while True:
+            if self._is_listed and not self._ports.must_watch():
+                self._ports.clock.sleep_ms(ROLE_CHECK_MS)
+                continue
             try:
                 self._step()
             except HistoryGoneError:
-                self._revision = None
+                self._is_listed = False
             except PlatformError as error:
                 self._note_lost(str(error))
                 pause_ms = self._pause_ms * self._ports.rng.uniform(0.5, 1.0)
@@ -95,25 +103,27 @@
 
     def _step(self) -> None:
         ports = self._ports
-        if self._revision is None:
+        if not self._is_listed:
             items, revision = ports.source.list_items(self._prefix)
             self._note_reached(revision)
             ports.catalogue.replace(items, revision, "store listing")
+            self._is_listed = True
         else:
             # After an outage the first watch is short, so that the end of the
             # outage is noticed before the first change.
             wait_ms = WATCH_WAIT_MS if self.is_reaching else 1
-            items, revision = ports.source.watch(self._prefix, self._revision, wait_ms)
+            # Peers may have told of later changes than the last watch.
+            after = ports.catalogue.revision
+            items, revision = ports.source.watch(self._prefix, after, wait_ms)
             self._note_reached(revision)
             ports.catalogue.apply(items, revision, "store watch")
-        self._revision = revision
 
     def _note_reached(self, revision: int) -> None:
         self._pause_ms = FIRST_PAUSE_MS
         if self.is_reaching:
             return
         self.is_reaching = True
-        if self._revision is not None:
+        if self._is_listed:
             self._ports.catalogue.note_outage_end()
         lost_ms = self._lost_ms or self._ports.clock.monotonic_ms()
         outage_ms = self._ports.clock.monotonic_ms() - lost_ms
--- a/src/gypsumfield/gateway/ledger.py
+++ b/src/gypsumfield/gateway/ledger.py
@@ -1,5 +1,6 @@
 """Runs in flight by backend server: this host's own and its peers'."""
 
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -83,10 +84,11 @@
     def __init__(self) -> None:
         self._runs: dict[str, set[Run]] = {}
         self._peers: dict[str, tuple[float, Mapping[str, ServerLoad]]] = {}
+        self._shared: dict[str, tuple[float, ServerLoad]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call ``listener`` after each change of this host's own runs."""
+        """Call ``listener`` after each change of a load."""
         self._listeners.append(listener)
 
     def begin(self, run: Run) -> None:
@@ -117,11 +119,23 @@
         """Return this host's own load by server."""
         return {server_id: self.own_load(server_id) for server_id in self._runs}
 
+    def known_servers(self) -> set[str]:
+        """Return the servers that have runs of this host or of its peers."""
+        peers = (server_id for _, loads in self._peers.values() for server_id in loads)
+        return {*self._runs, *peers}
+
     def take_news(
         self, host_id: str, loads: Mapping[str, ServerLoad], now_ms: float
     ) -> None:
-        """Replace what is known of a peer's runs."""
+        """Replace what a peer tells of its runs on servers counted here."""
+        known = self._peers.get(host_id)
         self._peers[host_id] = (now_ms, loads)
+        if known is None or known[1] != loads:
+            self._tell()
+
+    def take_shared(self, server_id: str, load: ServerLoad, now_ms: float) -> None:
+        """Keep what the counting host tells of the other hosts' runs on a server."""
+        self._shared[server_id] = (now_ms, load)
 
     def forget_peer(self, host_id: str) -> None:
         """Drop what is known of a peer's runs."""
@@ -129,13 +143,26 @@
 
     def load(self, server_id: str, now_ms: float) -> ServerLoad:
         """Return the load of a server over all hosts."""
+        heard_ms, shared = self._shared.get(server_id, (-math.inf, ServerLoad()))
+        if heard_ms < now_ms - PEER_LOAD_LIFETIME_MS:
+            shared = ServerLoad()
+        told = self._told_load(server_id, "", now_ms)
+        # One of the two is empty, but for the moment in which the count moves.
+        others = max(shared, told, key=lambda load: load.committed_tokens)
+        return others.plus(self.own_load(server_id))
+
+    def load_without(self, server_id: str, host_id: str, now_ms: float) -> ServerLoad:
+        """Return the load of a server over all hosts but one."""
+        told = self._told_load(server_id, host_id, now_ms)
+        return told.plus(self.own_load(server_id))
+
+    def _told_load(self, server_id: str, without: str, now_ms: float) -> ServerLoad:
         since_ms = now_ms - PEER_LOAD_LIFETIME_MS
-        peers = (
+        return _total(
             loads[server_id]
-            for heard_ms, loads in self._peers.values()
-            if heard_ms >= since_ms and server_id in loads
+            for host_id, (heard_ms, loads) in self._peers.items()
+            if heard_ms >= since_ms and server_id in loads and host_id != without
         )
-        return _total(peers).plus(self.own_load(server_id))
 
     def _tell(self) -> None:
         for listener in self._listeners:
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -1,7 +1,7 @@
-"""News between the hosts of the fleet, and the published view they hand on.
+"""Link to the other hosts of the fleet: who lives, what changed, who runs what.
 
-Datagrams carry what fits into one and may be lost; each replaces the one before.
-A host that lacks published items pulls them from a peer that has them.
+News travels in datagrams that may be lost. Each engine has one host that keeps
+count of its runs: the others tell it theirs, and it tells them the sum.
 """
 
 from collections.abc import Callable
@@ -14,84 +14,54 @@
 import msgspec
 from gevent.event import Event as Signal
 
-from gypsumfield.aborts import AbortHandle
-from gypsumfield.adapters.backends import Exchange
-from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.exceptions import BackendError
+from gypsumfield.decisions.fleet_roles import counting_host
+from gypsumfield.decisions.fleet_roles import is_near
+from gypsumfield.decisions.fleet_roles import is_store_watcher
+from gypsumfield.decisions.fleet_roles import SMALL_FLEET_HOSTS
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import StoreItem
 from gypsumfield.gateway.engine_reports import EngineReport
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.events import PeerSeen
 from gypsumfield.gateway.events import PeerSilent
-from gypsumfield.gateway.events import ViewPulled
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import ServerLoad
+from gypsumfield.gateway.news import decode_news
+from gypsumfield.gateway.news import encode
+from gypsumfield.gateway.news import ItemNews
+from gypsumfield.gateway.news import LoadNews
+from gypsumfield.gateway.news import News
+from gypsumfield.gateway.news import ReportNews
 from gypsumfield.gateway.settings import EdgeSettings
-from gypsumfield.gateway.settings import split_address
+from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.ports import EmitEvent
 
-# Bytes a second that news may cost a host: a hundredth of a 5 Mbit/s link.
-NEWS_BYTES_PER_S = 6_250.0
-IDLE_INTERVAL_MS = 500.0
-SHORTEST_INTERVAL_MS = 30.0
-PEER_SILENCE_MS = 2_000.0
+# Near hosts hear of changes at once, and of life in this interval; far ones only
+# in every so many intervals.
+INTERVAL_MS = 400.0
+FAR_INTERVALS = 4
+SHORTEST_INTERVAL_MS = 15.0
+# A host of a large fleet has little processor time for news.
+SHORTEST_LARGE_FLEET_MS = 120.0
+# Three missed rounds, and a little for their way.
+NEAR_SILENCE_MS = 1_400.0
+FAR_SILENCE_MS = 6_000.0
 # Hosts heard within this time count for the fixed shares of common bounds.
 PEER_MEMORY_MS = 60_000.0
-# A watch delivers within a few ms; a peer that is ahead for longer shows that
-# this host's own watch is late or cut.
-LAG_TOLERANCE_MS = 250.0
-DATAGRAM_BYTES = 1_400
+# A change that fits into one datagram is sent along; others are pulled.
+CHANGES_BYTES = 900
+DATAGRAM_BYTES = 65_536
 PEERS_NAMED = 8
-PULL_TIMEOUTS = ExchangeTimeouts(connect_ms=300, answer_ms=1_000, silence_ms=1_000)
-VIEW_LIMIT_BYTES = 16 * 1_048_576
-VIEW_PATH = "/view"
-_ID_HEADER = "X-Call-Id"
-
-
-class News(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram.
-
-    Attributes:
-        host_id: Sender.
-        boot_id: Start of the sender's process.
-        ip: Address of the sender.
-        revision: Revision up to which its view is complete.
-        is_leaving: Whether it is about to stop.
-        peer_ips: Some of the hosts it has heard lately.
-        loads: Server id, runs, committed tokens, prompt tokens to be read.
-        reports: Engine id, waiting requests, used tokens, whether it leaves, and
-            the age of the report in ms.
-    """
-
-    host_id: str
-    boot_id: str
-    ip: str
-    revision: int
-    is_leaving: bool
-    peer_ips: list[str]
-    loads: list[tuple[str, int, int, int]]
-    reports: list[tuple[str, int, int, bool, int]]
-
-
-class View(msgspec.Struct, frozen=True, array_like=True):
-    """Published items handed to a peer: key, revision, value or None."""
-
-    revision: int
-    items: list[tuple[str, int, bytes | None]]
-
-
-_NEWS_DECODER = msgspec.msgpack.Decoder(News)
-_VIEW_DECODER = msgspec.msgpack.Decoder(View)
 
 
 class _Peer(NamedTuple):
     host_id: str
     boot_id: str
+    availability_zone: str
     heard_ms: float
+    is_reaching: bool
     is_silent: bool
 
 
@@ -104,8 +74,8 @@
         catalogue: The published view.
         ledger: Runs in flight.
         board: Reports of engines.
-        is_leaving: Whether this host is about to stop.
-        on_stale_watch: Called when a peer is ahead of this host's own watch.
+        pull: Takes what peers have and this host lacks.
+        is_reaching: Whether the store answers this host.
         clock: Time.
         emit: Log.
     """
@@ -115,23 +85,29 @@
     catalogue: Catalogue
     ledger: Ledger
     board: ReportBoard
-    is_leaving: Callable[[], bool]
-    on_stale_watch: Callable[[], None]
+    pull: ViewPull
+    is_reaching: Callable[[], bool]
     clock: Clock
     emit: EmitEvent
 
 
 class PeerLink:
-    """Sends this host's news, takes the peers', and pulls what it lacks."""
+    """Sends this host's news and takes the peers'."""
 
     def __init__(self, ports: PeerPorts) -> None:
         self._ports = ports
+        self._own_id = ports.settings.host_id
         self._peers: dict[str, _Peer] = {}
+        self._zones = {self._own_id: ports.settings.availability_zone}
+        # Both follow from the zones, and are asked for at every piece of news.
+        self._counting: dict[str, str] = {}
+        self._is_watcher = True
         self._seeds: list[str] = []
         self.set_seeds(ports.settings.seed_ips)
         self._news_due = Signal()
-        self._behind_since_ms: float | None = None
-        self._is_pulling = False
+        self._round = 0
+        self._round_ms = 0.0
+        self._told_revision = 0
         self._greenlets: list[gevent.Greenlet] = []
         self._socket: Any = None
         ports.ledger.on_change(self._news_due.set)
@@ -146,16 +122,16 @@
         self._socket.bind((settings.ip, settings.news_port))
         self._greenlets = [gevent.spawn(self._receive), gevent.spawn(self._send)]
 
-    def set_seeds(self, ips: Sequence[str]) -> None:
-        """Replace the hosts that the others are found through."""
-        self._seeds = [ip for ip in ips if ip != self._ports.settings.ip]
-
     def stop(self) -> None:
         """Close the socket."""
         gevent.killall(self._greenlets, block=False)
         if self._socket is not None:
             self._socket.close()
 
+    def set_seeds(self, ips: Sequence[str]) -> None:
+        """Replace the hosts that the others are found through."""
+        self._seeds = [ip for ip in ips if ip != self._ports.settings.ip]
+
     @property
     def host_count(self) -> int:
         """Hosts that have been heard lately, this one included."""
@@ -164,66 +140,152 @@
 
     def live_hosts(self) -> list[str]:
         """Return the ids of the hosts heard just now, this one included."""
-        live = [peer.host_id for peer in self._peers.values() if not peer.is_silent]
-        return sorted([self._ports.settings.host_id, *live])
+        return sorted(self._zones)
 
-    def encode_view(self, after_revision: int) -> bytes:
-        """Return what has changed since a revision, for a peer."""
-        catalogue = self._ports.catalogue
-        items = [tuple(item) for item in catalogue.items_after(after_revision)]
-        return msgspec.msgpack.encode((catalogue.revision, items))
+    def keeps_count_of(self, server_id: str, availability_zone: str) -> bool:
+        """Return whether this host keeps count of an engine's runs."""
+        return self._counting_host(server_id, availability_zone) == self._own_id
+
+    def _counting_host(self, server_id: str, availability_zone: str) -> str:
+        if server_id not in self._counting:
+            self._counting[server_id] = counting_host(
+                server_id, availability_zone, self._zones
+            )
+        return self._counting[server_id]
+
+    def must_watch_store(self) -> bool:
+        """Return whether this host watches the store itself.
+
+        It does as a watcher of its zone, and whenever no watcher of its zone
+        says that it reaches the store.
+        """
+        if self._is_watcher:
+            return True
+        zone = self._ports.settings.availability_zone
+        return not any(
+            peer.is_reaching
+            and not peer.is_silent
+            and peer.availability_zone == zone
+            and is_store_watcher(peer.host_id, self._zones)
+            for peer in self._peers.values()
+        )
 
     def _send(self) -> None:
         while True:
-            self._news_due.wait(IDLE_INTERVAL_MS / MS_PER_S)
+            self._news_due.wait(INTERVAL_MS / MS_PER_S)
             self._news_due.clear()
             self._mark_silent()
-            targets = self._targets()
-            datagram = self._encode_news()
-            for ip in targets:
-                self._send_to(ip, datagram)
-            sent_bytes = len(datagram) * len(targets)
-            pause_ms = sent_bytes / NEWS_BYTES_PER_S * MS_PER_S
-            self._ports.clock.sleep_ms(max(SHORTEST_INTERVAL_MS, pause_ms))
-
-    def _send_to(self, ip: str, datagram: bytes) -> None:
+            now_ms = self._ports.clock.monotonic_ms()
+            is_round = now_ms - self._round_ms >= INTERVAL_MS
+            if is_round:
+                self._round += 1
+                self._round_ms = now_ms
+            self._tell_all(is_round)
+            is_small = len(self._zones) <= SMALL_FLEET_HOSTS
+            self._ports.clock.sleep_ms(
+                SHORTEST_INTERVAL_MS if is_small else SHORTEST_LARGE_FLEET_MS
+            )
+
+    def _tell_all(self, is_round: bool) -> None:
+        changes, after = self._changes()
+        is_far_round = is_round and self._round % FAR_INTERVALS == 0
+        counted = self._counted_servers()
+        own_loads = self._own_loads()
+        for ip, peer in self._peers.items():
+            if peer.is_silent:
+                continue
+            is_near_peer = is_near(self._own_id, peer.host_id, self._zones)
+            own = own_loads.get(peer.host_id, [])
+            has_news = bool(changes or counted) and is_near_peer
+            is_due = is_far_round or (is_round and is_near_peer)
+            if not (is_due or has_news or own):
+                continue
+            shared = self._shared_loads(peer.host_id, counted)
+            self._send_to(ip, self._news(own, shared, changes, after))
+        if is_round:
+            heard = {ip for ip, peer in self._peers.items() if not peer.is_silent}
+            for ip in self._seeds:
+                if ip not in heard:
+                    self._send_to(ip, self._news([], [], [], 0))
+
+    def _send_to(self, ip: str, news: News) -> None:
         try:
-            self._socket.sendto(datagram, (ip, self._ports.settings.news_port))
+            self._socket.sendto(encode(news), (ip, self._ports.settings.news_port))
         except OSError:
             # A datagram may be lost anywhere; the next one follows shortly.
             return
 
-    def _targets(self) -> list[str]:
-        live = [ip for ip, peer in self._peers.items() if not peer.is_silent]
-        unheard = [ip for ip in self._seeds if ip not in live]
-        return live + unheard
-
-    def _encode_news(self) -> bytes:
+    def _news(
+        self,
+        own: list[LoadNews],
+        shared: list[LoadNews],
+        changes: list[ItemNews],
+        after: int,
+    ) -> News:
         ports = self._ports
-        loads = [
-            (server_id, *load) for server_id, load in ports.ledger.own_loads().items()
-        ]
         live = [ip for ip, peer in self._peers.items() if not peer.is_silent]
-        news = News(
-            ports.settings.host_id,
+        start = self._round % max(1, len(live))
+        named = (live[start:] + live[:start])[:PEERS_NAMED]
+        return News(
+            self._own_id,
             ports.boot_id,
             ports.settings.ip,
+            ports.settings.availability_zone,
             ports.catalogue.revision,
-            ports.is_leaving(),
-            live[-PEERS_NAMED:],
-            loads,
+            ports.is_reaching(),
+            named,
+            own,
+            shared,
             self._reports(),
+            changes,
+            after,
         )
-        datagram = msgspec.msgpack.encode(news)
-        while len(datagram) > DATAGRAM_BYTES and loads:
-            del loads[len(loads) // 2 :]
-            datagram = msgspec.msgpack.encode(news)
-        return datagram
 
-    def _reports(self) -> list[tuple[str, int, int, bool, int]]:
+    def _changes(self) -> tuple[list[ItemNews], int]:
+        """Return what changed since the last news, if it fits into a datagram."""
+        catalogue = self._ports.catalogue
+        after, self._told_revision = self._told_revision, catalogue.revision
+        if not after or after == catalogue.revision:
+            return [], 0
+        changes = [ItemNews(*item) for item in catalogue.items_after(after)]
+        size = sum(len(item.key) + len(item.value or b"") for item in changes)
+        return (changes, after) if size <= CHANGES_BYTES else ([], 0)
+
+    def _own_loads(self) -> dict[str, list[LoadNews]]:
+        """Return this host's runs by the host that keeps count of their engine."""
+        loads: dict[str, list[LoadNews]] = {}
+        for server_id, load in self._ports.ledger.own_loads().items():
+            belief = self._ports.catalogue.find_server(server_id)
+            if belief is None:
+                continue
+            zone = belief.server.availability_zone
+            host_id = self._counting_host(server_id, zone)
+            loads.setdefault(host_id, []).append(LoadNews(server_id, *load))
+        return loads
+
+    def _counted_servers(self) -> list[str]:
+        counted = []
+        for server_id in self._ports.ledger.known_servers():
+            belief = self._ports.catalogue.find_server(server_id)
+            if belief is not None and self.keeps_count_of(
+                server_id, belief.server.availability_zone
+            ):
+                counted.append(server_id)
+        return counted
+
+    def _shared_loads(self, receiver: str, counted: list[str]) -> list[LoadNews]:
+        now_ms = self._ports.clock.monotonic_ms()
+        return [
+            LoadNews(
+                server_id, *self._ports.ledger.load_without(server_id, receiver, now_ms)
+            )
+            for server_id in counted
+        ]
+
+    def _reports(self) -> list[ReportNews]:
         now_ms = self._ports.clock.monotonic_ms()
         return [
-            (
+            ReportNews(
                 server_id,
                 report.waiting_count,
                 report.used_tokens,
@@ -235,82 +297,83 @@
 
     def _receive(self) -> None:
         while True:
-            datagram, _ = self._socket.recvfrom(65_536)
+            datagram, _ = self._socket.recvfrom(DATAGRAM_BYTES)
             try:
-                news = _NEWS_DECODER.decode(datagram)
+                news = decode_news(datagram)
             except msgspec.MsgspecError:
                 # Other programs may reach the port; news has no other effect.
                 continue
-            if news.host_id != self._ports.settings.host_id:
+            if news.host_id != self._own_id:
                 self._take(news)
 
     def _take(self, news: News) -> None:
         now_ms = self._ports.clock.monotonic_ms()
+        self._note_heard(news, now_ms)
+        ledger = self._ports.ledger
+        loads = {load.server_id: _server_load(load) for load in news.own_loads}
+        ledger.take_news(news.host_id, loads, now_ms)
+        for load in news.shared_loads:
+            ledger.take_shared(load.server_id, _server_load(load), now_ms)
+        for each in news.reports:
+            heard_ms = now_ms - each.age_ms
+            report = EngineReport(
+                each.waiting_count, each.used_tokens, each.is_leaving, heard_ms
+            )
+            self._ports.board.take(each.server_id, report, f"peer {news.host_id}")
+        self._take_changes(news)
+
+    def _note_heard(self, news: News, now_ms: float) -> None:
         known = self._peers.get(news.ip)
-        is_news = known is None or known.is_silent or known.boot_id != news.boot_id
-        self._peers[news.ip] = _Peer(news.host_id, news.boot_id, now_ms, False)
-        if is_news:
+        is_new = known is None or known.is_silent or known.boot_id != news.boot_id
+        self._peers[news.ip] = _Peer(
+            news.host_id,
+            news.boot_id,
+            news.availability_zone,
+            now_ms,
+            news.is_reaching,
+            False,
+        )
+        if is_new:
+            self._update_zones()
             self._ports.emit(PeerSeen(peer=news.host_id, boot_id=news.boot_id))
-            self._news_due.set()
+            self._send_to(news.ip, self._news([], [], [], 0))
         for ip in news.peer_ips:
             if ip not in self._peers and ip != self._ports.settings.ip:
-                self._send_to(ip, self._encode_news())
-        loads = {server_id: ServerLoad(*rest) for server_id, *rest in news.loads}
-        self._ports.ledger.take_news(news.host_id, loads, now_ms)
-        for server_id, waiting, used, is_leaving, age_ms in news.reports:
-            report = EngineReport(waiting, used, is_leaving, now_ms - age_ms)
-            self._ports.board.take(server_id, report, f"peer {news.host_id}")
-        self._compare(news, now_ms)
-
-    def _compare(self, news: News, now_ms: float) -> None:
-        """Pull from a peer that is ahead for longer than a watch takes."""
-        if news.revision <= self._ports.catalogue.revision:
-            self._behind_since_ms = None
-            return
-        is_new_host = self._ports.catalogue.publication is None
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        if not is_new_host and now_ms - self._behind_since_ms < LAG_TOLERANCE_MS:
-            return
-        if not self._is_pulling:
-            self._is_pulling = True
-            gevent.spawn(self._pull, news)
+                self._send_to(ip, self._news([], [], [], 0))
 
-    def _pull(self, news: News) -> None:
-        try:
-            view = self._fetch_view(news.ip)
-        except (BackendError, msgspec.MsgspecError):
-            # The peer's next news starts another try, with this or another peer.
-            return
-        finally:
-            self._is_pulling = False
-        items = [StoreItem(*item) for item in view.items]
-        self._ports.emit(
-            ViewPulled(peer=news.host_id, item_count=len(items), revision=view.revision)
-        )
-        self._ports.catalogue.apply(items, view.revision, f"peer {news.host_id}")
-        self._behind_since_ms = None
-        self._ports.on_stale_watch()
-
-    def _fetch_view(self, ip: str) -> View:
-        _, port = split_address(self._ports.settings.peer_address)
-        target = f"{VIEW_PATH}?after={self._ports.catalogue.revision}"
-        request = OutgoingRequest(
-            f"{ip}:{port}", "GET", target, {}, b"", "", _ID_HEADER, must_echo_id=False
+    def _take_changes(self, news: News) -> None:
+        catalogue = self._ports.catalogue
+        if news.changes and catalogue.revision >= news.changes_after:
+            items = [
+                StoreItem(item.key, item.revision, item.value) for item in news.changes
+            ]
+            catalogue.apply(items, news.revision, f"peer {news.host_id}")
+        self._ports.pull.compare(
+            news.host_id, news.ip, news.revision, not self.must_watch_store()
         )
-        exchange = Exchange(request, PULL_TIMEOUTS, AbortHandle())
-        try:
-            exchange.open(lambda: "")
-            return _VIEW_DECODER.decode(exchange.read_body(VIEW_LIMIT_BYTES))
-        finally:
-            exchange.close()
+
+    def _update_zones(self) -> None:
+        zones = {self._own_id: self._ports.settings.availability_zone}
+        for peer in self._peers.values():
+            if not peer.is_silent:
+                zones[peer.host_id] = peer.availability_zone
+        self._zones = zones
+        self._counting.clear()
+        self._is_watcher = is_store_watcher(self._own_id, zones)
 
     def _mark_silent(self) -> None:
         now_ms = self._ports.clock.monotonic_ms()
         for ip, peer in list(self._peers.items()):
             silent_ms = now_ms - peer.heard_ms
-            if peer.is_silent or silent_ms <= PEER_SILENCE_MS:
+            is_near_peer = is_near(self._own_id, peer.host_id, self._zones)
+            limit_ms = NEAR_SILENCE_MS if is_near_peer else FAR_SILENCE_MS
+            if peer.is_silent or silent_ms <= limit_ms:
                 continue
             self._peers[ip] = peer._replace(is_silent=True)
+            self._update_zones()
             self._ports.ledger.forget_peer(peer.host_id)
             self._ports.emit(PeerSilent(peer=peer.host_id, silent_ms=silent_ms))
+
+
+def _server_load(load: LoadNews) -> ServerLoad:
+    return ServerLoad(load.run_count, load.committed_tokens, load.waiting_prompt_tokens)
--- /dev/null
+++ b/src/gypsumfield/gateway/view_pull.py
@@ -0,0 +1,118 @@
+"""Pulls published items from a peer that is ahead of this host."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+
+from gypsumfield.aborts import AbortHandle
+from gypsumfield.adapters.backends import Exchange
+from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.clock import Clock
+from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.gateway.events import PullFailed
+from gypsumfield.gateway.events import ViewPulled
+from gypsumfield.gateway.news import decode_view
+from gypsumfield.gateway.news import encode
+from gypsumfield.gateway.news import ItemNews
+from gypsumfield.gateway.news import View
+from gypsumfield.ports import EmitEvent
+
+# A watch delivers within a few ms; a peer that is ahead for longer shows that
+# this host's own watch is late or cut.
+LAG_TOLERANCE_MS = 250.0
+TIMEOUTS = ExchangeTimeouts(connect_ms=300, answer_ms=1_000, silence_ms=1_000)
+VIEW_LIMIT_BYTES = 16 * 1_048_576
+VIEW_PATH = "/view"
+_ID_HEADER = "X-Call-Id"
+
+
+class PullPorts(NamedTuple):
+    """What pulling uses.
+
+    Attributes:
+        catalogue: The published view.
+        peer_port: Port on which hosts hand out their view.
+        on_pulled: Called when a peer was ahead of this host's own watch.
+        clock: Time.
+        emit: Log.
+    """
+
+    catalogue: Catalogue
+    peer_port: int
+    on_pulled: Callable[[], None]
+    clock: Clock
+    emit: EmitEvent
+
+
+class ViewPull:
+    """Compares this host's revision with its peers' and pulls what it lacks."""
+
+    def __init__(self, ports: PullPorts) -> None:
+        self._ports = ports
+        self._ahead_revision = 0
+        self._behind_since_ms: float | None = None
+        self._is_pulling = False
+
+    def compare(self, host_id: str, ip: str, revision: int, is_pushed: bool) -> None:
+        """Pull from a peer that is ahead, at once or after the tolerance.
+
+        Args:
+            host_id: The peer.
+            ip: Its address.
+            revision: Revision up to which its view is complete.
+            is_pushed: Whether this host relies on its peers for changes.
+        """
+        catalogue = self._ports.catalogue
+        now_ms = self._ports.clock.monotonic_ms()
+        self._ahead_revision = max(self._ahead_revision, revision)
+        if catalogue.revision >= self._ahead_revision:
+            self._behind_since_ms = None
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        must_pull = is_pushed or catalogue.publication is None
+        is_late = now_ms - self._behind_since_ms >= LAG_TOLERANCE_MS
+        is_ahead = revision > catalogue.revision
+        if is_ahead and (must_pull or is_late) and not self._is_pulling:
+            self._is_pulling = True
+            gevent.spawn(self._pull, host_id, ip)
+
+    def encode_view(self, after_revision: int) -> bytes:
+        """Return what has changed since a revision, for a peer."""
+        catalogue = self._ports.catalogue
+        items = [ItemNews(*item) for item in catalogue.items_after(after_revision)]
+        return encode(View(catalogue.revision, items))
+
+    def _pull(self, host_id: str, ip: str) -> None:
+        try:
+            view = self._fetch(ip)
+        except (BackendError, msgspec.MsgspecError) as error:
+            # The next news starts another try, with this or another peer.
+            self._ports.emit(PullFailed(peer=host_id, reason=str(error)))
+            return
+        finally:
+            self._is_pulling = False
+        items = [StoreItem(item.key, item.revision, item.value) for item in view.items]
+        self._ports.emit(
+            ViewPulled(peer=host_id, item_count=len(items), revision=view.revision)
+        )
+        self._ports.catalogue.apply(items, view.revision, f"peer {host_id}")
+        self._ports.on_pulled()
+
+    def _fetch(self, ip: str) -> View:
+        target = f"{VIEW_PATH}?after={self._ports.catalogue.revision}"
+        address = f"{ip}:{self._ports.peer_port}"
+        request = OutgoingRequest(
+            address, "GET", target, {}, b"", "", _ID_HEADER, must_echo_id=False
+        )
+        exchange = Exchange(request, TIMEOUTS, AbortHandle())
+        try:
+            exchange.open(lambda: "")
+            return decode_view(exchange.read_body(VIEW_LIMIT_BYTES))
+        finally:
+            exchange.close()
