--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -42,7 +42,9 @@
 # in every so many intervals.
 INTERVAL_MS = 400.0
 FAR_INTERVALS = 4
-SHORTEST_INTERVAL_MS = 15.0
+SHORTEST_INTERVAL_MS = 20.0
+# Growth of a few runs is no news; a prompt more or less is.
+TOLD_STEP_TOKENS = 1_024
 # A host of a large fleet has little processor time for news.
 SHORTEST_LARGE_FLEET_MS = 120.0
 # Three missed rounds, and a little for their way.
@@ -108,6 +110,7 @@
         self._round = 0
         self._round_ms = 0.0
         self._told_revision = 0
+        self._told_loads: dict[str, list[tuple[str, int, int]]] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._socket: Any = None
         ports.ledger.on_change(self._news_due.set)
@@ -196,11 +199,11 @@
                 continue
             is_near_peer = is_near(self._own_id, peer.host_id, self._zones)
             own = own_loads.get(peer.host_id, [])
-            has_news = bool(changes or counted) and is_near_peer
             is_due = is_far_round or (is_round and is_near_peer)
-            if not (is_due or has_news or own):
-                continue
             shared = self._shared_loads(peer.host_id, counted)
+            is_new = self._is_new(peer.host_id, own, shared if is_near_peer else [])
+            if not (is_due or is_new or (changes and is_near_peer)):
+                continue
             self._send_to(ip, self._news(own, shared, changes, after))
         if is_round:
             heard = {ip for ip, peer in self._peers.items() if not peer.is_silent}
@@ -208,6 +211,18 @@
                 if ip not in heard:
                     self._send_to(ip, self._news([], [], [], 0))
 
+    def _is_new(
+        self, host_id: str, own: list[LoadNews], shared: list[LoadNews]
+    ) -> bool:
+        """Return whether loads differ from those told last by more than a little."""
+        told = [
+            (load.server_id, load.run_count, load.committed_tokens // TOLD_STEP_TOKENS)
+            for load in (*own, *shared)
+        ]
+        is_new = self._told_loads.get(host_id, []) != told
+        self._told_loads[host_id] = told
+        return is_new
+
     def _send_to(self, ip: str, news: News) -> None:
         try:
             self._socket.sendto(encode(news), (ip, self._ports.settings.news_port))
