Try servers of a silent zone last

Change: a connection into another zone that times out makes that zone's servers go last for 1.5 s; a connection is waited for 0.25 s.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -29,9 +29,9 @@
 from gypsumfield.ports import EmitEvent
 from gypsumfield.verdicts import RunVerdict
 
-# A server in reach accepts within a few ms, one behind a lossy link within a
-# retransmission or two.
-CONNECT_TIMEOUT_MS = 400.0
+# A server in reach accepts within a few ms; a lost opening packet is sent again
+# only after a second, so that waiting longer gains nothing.
+CONNECT_TIMEOUT_MS = 250.0
 # Callers stay with a silent stream for about seven seconds; a partition that heals
 # within that time lets it go on.
 PARTITION_MS = 8_000.0
@@ -182,8 +182,11 @@
             reason=str(error),
         )
     )
-    if error.code not in ("aborted", "not_sent"):
-        ports.placer.note_failure(server, error.code == "unreachable")
+    is_unreachable = error.code == "unreachable"
+    if is_unreachable and isinstance(error.__cause__, TimeoutError):
+        ports.placer.note_silence(server)
+    elif error.code not in ("aborted", "not_sent"):
+        ports.placer.note_failure(server, is_unreachable)
 
 
 def refuse_failed(error: BackendError, is_late: bool) -> RefusedError:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -46,6 +46,9 @@
 # store within a few heartbeats. The time doubles while no connection succeeds.
 UNREACHABLE_MS = 1_500.0
 LONGEST_UNREACHABLE_MS = 6_000.0
+# Servers of another zone go last for this time after a connection into it timed
+# out: a parted zone would cost each request one such wait a server.
+ZONE_SUSPECT_MS = 1_500.0
 # Time for which an engine that has just started is slow.
 FRESH_MS = 3_000.0
 # Clocks of two machines differ by less, unless one was stepped.
@@ -107,6 +110,7 @@
         self._ejectors: dict[str, Ejector] = {}
         self._unreachable_until_ms: dict[str, float] = {}
         self._unreachable_for_ms: dict[str, float] = {}
+        self._zone_suspect_until_ms: dict[str, float] = {}
         self._cold_shares: dict[str, ColdShare] = {}
 
     def place_plain(self, service: str, tried: Collection[str]) -> Place | None:
@@ -193,9 +197,15 @@
             and not self.hindrance(belief.server)
             and self._unreachable_until_ms.get(belief.server.server_id, 0.0) <= now_ms
         ]
-        return [
+        sound = [
             belief for belief in usable if belief.server.server_id not in ejected
         ] or usable
+        return [
+            belief
+            for belief in sound
+            if self._zone_suspect_until_ms.get(belief.server.availability_zone, 0.0)
+            <= now_ms
+        ] or sound
 
     def hindrance(self, server: BackendServer) -> str:
         """Return why a server must not get a request now, or an empty text."""
@@ -222,12 +232,21 @@
 
     def note_success(self, server: BackendServer, first_byte_ms: float) -> None:
         """Note an answer."""
+        self._zone_suspect_until_ms.pop(server.availability_zone, None)
         self._unreachable_until_ms.pop(server.server_id, None)
         self._unreachable_for_ms.pop(server.server_id, None)
         self._ejector(server.service).note_success(
             server.server_id, first_byte_ms, self._ports.clock.monotonic_ms()
         )
 
+    def note_silence(self, server: BackendServer) -> None:
+        """Note that a connection timed out, as in a partition."""
+        zone = server.availability_zone
+        if zone != self._ports.availability_zone:
+            until_ms = self._ports.clock.monotonic_ms() + ZONE_SUSPECT_MS
+            self._zone_suspect_until_ms[zone] = until_ms
+        self.note_failure(server, True)
+
     def note_failure(self, server: BackendServer, is_unreachable: bool) -> None:
         """Note an attempt that failed on the server's account."""
         now_ms = self._ports.clock.monotonic_ms()
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,121 @@
+import json
+import random
+
+import pytest
+
+from fake_platform import publication
+from gypsumfield.clock import ManualClock
+from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.catalogue import Decoders
+from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.gateway.engine_reports import ReportBoard
+from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.placing import Placer
+from gypsumfield.gateway.placing import PlacingPorts
+from gypsumfield.gateway.placing import UNREACHABLE_MS
+from gypsumfield.gateway.placing import ZONE_SUSPECT_MS
+from gypsumfield.gateway.settings import EdgeBounds
+from gypsumfield.platform import documents
+from gypsumfield.ports import discard_event
+
+
+class Fleet:
+    """A placer that knows one engine in each of some zones."""
+
+    def __init__(self, zones, cold_ms=0):
+        self.clock = ManualClock(1_000.0)
+        clock = self.clock.as_clock()
+        decoders = Decoders(
+            documents.is_configuration_key,
+            documents.is_server_key,
+            documents.evacuated_zone,
+            documents.decode_publication,
+            documents.decode_server,
+        )
+        self.catalogue = Catalogue(decoders, clock, discard_event)
+        wire = publication({"engine": "streaming"})
+        wire["services"][0]["cold_per_s"] = 20
+        items = [StoreItem("op/config", 1, json.dumps(wire).encode())]
+        for number, zone in enumerate(zones, 1):
+            value = {
+                "service": "engine",
+                "address": f"10.0.0.{number}:80",
+                "zone": zone,
+                "state": "ready",
+                "slot_count": 8,
+                "cold_remaining_ms": cold_ms,
+            }
+            data = json.dumps(value).encode()
+            items.append(StoreItem(f"servers/e{number}", number + 1, data))
+        self.catalogue.apply(items, len(items), "test")
+        self.placer = Placer(
+            PlacingPorts(
+                availability_zone="z1",
+                host_id="edge-1",
+                bounds=EdgeBounds(),
+                catalogue=self.catalogue,
+                ledger=Ledger(),
+                board=ReportBoard(self.catalogue, clock),
+                live_hosts=lambda: ["edge-1"],
+                host_count=lambda: 1,
+                clock=clock,
+                rng=random.Random(1),
+                emit=discard_event,
+            )
+        )
+
+    def server(self, server_id):
+        return self.catalogue.find_server(server_id).server
+
+    def candidates(self):
+        beliefs = self.placer.candidates("engine", ())
+        return sorted(belief.server.server_id for belief in beliefs)
+
+
+def test_a_zone_whose_servers_do_not_answer_goes_last():
+    # Incident on gangseo-lens: in a parted zone each stream tried four servers
+    # of other zones one after the other, and was refused after 1.6 s.
+    fleet = Fleet(["z1", "z2", "z2", "z3"])
+    fleet.placer.note_silence(fleet.server("e2"))
+    assert fleet.candidates() == ["e1", "e4"]
+    fleet.clock.advance(max(ZONE_SUSPECT_MS, UNREACHABLE_MS) + 1.0)
+    assert fleet.candidates() == ["e1", "e2", "e3", "e4"]
+
+
+def test_a_silent_zone_is_still_used_when_there_is_no_other():
+    fleet = Fleet(["z2", "z2"])
+    fleet.placer.note_silence(fleet.server("e1"))
+    assert fleet.candidates() == ["e2"]
+
+
+def test_one_silent_server_does_not_make_the_own_zone_suspect():
+    fleet = Fleet(["z1", "z1"])
+    fleet.placer.note_silence(fleet.server("e1"))
+    assert fleet.candidates() == ["e2"]
+
+
+def test_an_answer_clears_the_suspicion():
+    fleet = Fleet(["z1", "z2", "z2"])
+    fleet.placer.note_silence(fleet.server("e2"))
+    fleet.placer.note_success(fleet.server("e3"), 5.0)
+    assert fleet.candidates() == ["e1", "e3"]
+
+
+def test_a_server_that_refuses_again_and_again_is_left_alone_for_longer():
+    fleet = Fleet(["z1", "z1"])
+    for wait_ms in (UNREACHABLE_MS, 2 * UNREACHABLE_MS):
+        fleet.placer.note_failure(fleet.server("e1"), True)
+        fleet.clock.advance(wait_ms - 1.0)
+        assert fleet.candidates() == ["e2"]
+        fleet.clock.advance(2.0)
+        assert fleet.candidates() == ["e1", "e2"]
+
+
+@pytest.mark.parametrize("cold_ms", [0, 500])
+def test_a_cold_server_gets_no_more_than_this_hosts_share(cold_ms):
+    fleet = Fleet(["z1"], cold_ms)
+    sent = 0
+    while sent < 40 and not fleet.placer.hindrance(fleet.server("e1")):
+        fleet.placer.note_sent(fleet.server("e1"))
+        sent += 1
+    assert sent == (40 if not cold_ms else (20 * 1.5 + 5) // 12)
