Split the gateway's large modules; pages for developers and operators

Cause: two modules of the new surface had grown to 480 and 520 lines, and its composition was one function of 200.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -5,10 +5,6 @@
 every failure carries the stage it reached, and repeating is decided elsewhere.
 """
 
-import select
-import socket
-import time
-from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -21,6 +17,9 @@
 from geventhttpclient.response import HTTPSocketResponse
 
 from gypsumfield.aborts import AbortHandle
+from gypsumfield.adapters.connections import BackendPool
+from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
+from gypsumfield.adapters.connections import watch_for_silence
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.exceptions import BackendError
@@ -29,16 +28,8 @@
 from gypsumfield.verdicts import verdict_of_stage
 
 READ_SIZE_BYTES = 65_536
-IDLE_CONNECTIONS_PER_SERVER = 8
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
-# Servers commonly keep idle connections for 5 s or more; a used one may be
-# closed under way, so a pooled one is taken well before that.
-IDLE_LIMIT_S = 2.0
-# Idle connections are probed at this interval, so that a peer that vanished is
-# noticed.
-KEEP_ALIVE_INTERVAL_S = 1
-UNREACHABLE_LIMIT_MS = 3_000
 
 
 class OutgoingRequest(NamedTuple):
@@ -136,36 +127,6 @@
         return chunk
 
 
-class BackendPool:
-    """Idle connections by address, only ever used for repeatable requests."""
-
-    def __init__(self) -> None:
-        self._idle: dict[str, deque[tuple[Any, float]]] = {}
-
-    def take(self, address: str) -> Any:
-        """Return a connection that is not known to be closed, or None."""
-        idle = self._idle.get(address)
-        while idle:
-            sock, since_s = idle.pop()
-            if time.monotonic() - since_s < IDLE_LIMIT_S and _is_quiet(sock):
-                return sock
-            sock.close()
-        return None
-
-    def give_back(self, address: str, sock: Any) -> None:
-        """Keep a connection whose answer was read to the end."""
-        idle = self._idle.setdefault(address, deque())
-        if len(idle) >= IDLE_CONNECTIONS_PER_SERVER:
-            idle.popleft()[0].close()
-        idle.append((sock, time.monotonic()))
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            while idle:
-                idle.pop()[0].close()
-
-
 class Exchange:
     """One request and its answer; the request is sent at most once.
 
@@ -315,7 +276,7 @@
         sock = gevent.socket.create_connection(
             (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
         )
-        _watch_for_silence(sock, int(self._timeouts.unreachable_ms))
+        watch_for_silence(sock, int(self._timeouts.unreachable_ms))
         return sock
 
     def _send(self) -> None:
@@ -404,25 +365,5 @@
     return bytes(head.encode("latin-1")) + request.body
 
 
-def _watch_for_silence(sock: Any, limit_ms: int) -> None:
-    probes = max(1, int(limit_ms / MS_PER_S / KEEP_ALIVE_INTERVAL_S) - 1)
-    for level, name, value in (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms),
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    ):
-        sock.setsockopt(level, name, value)
-
-
-def _is_quiet(sock: Any) -> bool:
-    # An idle connection that is readable was closed or holds stray bytes.
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN)
-    return not poller.poll(0)
-
-
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -5,10 +5,10 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.caller_server import CallerServer
 from gypsumfield.adapters.caller_server import WorkGate
 from gypsumfield.adapters.callers import build_application
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.adapters.engines import CONTROL_TIMEOUTS
 from gypsumfield.adapters.engines import read_inventory
 from gypsumfield.adapters.engines import send_order
--- a/src/gypsumfield/entry_host.py
+++ b/src/gypsumfield/entry_host.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.caller_server import CallerServer
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.clock import Clock
 from gypsumfield.events import HostDrained
 from gypsumfield.events import HostDraining
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -7,11 +7,11 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
-from gypsumfield.adapters.backends import UNREACHABLE_LIMIT_MS
+from gypsumfield.adapters.connections import BackendPool
+from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
 from gypsumfield.clock import Clock
 from gypsumfield.events import AttemptFailed
 from gypsumfield.exceptions import BackendError
--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -16,7 +16,9 @@
 from gypsumfield.gateway.events import PublicationInForce
 from gypsumfield.gateway.events import PublicationRejected
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.model import EngineSpec
 from gypsumfield.gateway.model import Publication
+from gypsumfield.gateway.model import ServiceSpec
 from gypsumfield.ports import EmitEvent
 
 # Deletions are remembered this long, so that an older word of a peer does not
@@ -135,6 +137,20 @@
             if belief.server.service == service
         ]
 
+    def service_spec(self, service: str) -> ServiceSpec | None:
+        """Return what is published of a service."""
+        return self.publication.services.get(service) if self.publication else None
+
+    def engine_spec(self, service: str) -> EngineSpec | None:
+        """Return what engines of a service bear; None for a plain service."""
+        spec = self.service_spec(service)
+        return spec.engine if spec else None
+
+    def engine_services(self) -> list[str]:
+        """Return the services whose servers are engines."""
+        services = self.publication.services.values() if self.publication else ()
+        return [service.name for service in services if service.engine]
+
     def find_server(self, server_id: str) -> ServerBelief | None:
         """Return what is known of one server."""
         return self._beliefs.get(server_id)
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -4,10 +4,12 @@
 import uuid
 from collections import defaultdict
 from typing import Any
+from typing import NamedTuple
 
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.caller_server import CallerServer
+from gypsumfield.adapters.caller_server import ConnectionLimits
 from gypsumfield.adapters.caller_server import WorkGate
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.adapters.metrics import emit_to_all
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
@@ -21,6 +23,7 @@
 from gypsumfield.gateway.catalogue import Decoders
 from gypsumfield.gateway.edge_host import EdgeHost
 from gypsumfield.gateway.edge_host import EdgeParts
+from gypsumfield.gateway.edge_host import EdgeServers
 from gypsumfield.gateway.engine_reports import EngineReporter
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.engine_reports import ReporterPorts
@@ -28,21 +31,21 @@
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import DEFAULT_LIMITS
-from gypsumfield.gateway.model import EngineSpec
 from gypsumfield.gateway.pages import build_peer_pages
 from gypsumfield.gateway.pages import build_readiness_pages
 from gypsumfield.gateway.peers import PeerLink
 from gypsumfield.gateway.peers import PeerPorts
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.placing import PlacingPorts
-from gypsumfield.gateway.placing import StreamQueue
 from gypsumfield.gateway.plain import PlainPorts
 from gypsumfield.gateway.protection import ProtectionPorts
 from gypsumfield.gateway.protection import Protector
+from gypsumfield.gateway.run_copies import CopyPorts
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
+from gypsumfield.gateway.stream_queue import StreamQueue
+from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.gateway.streams import StreamPorts
-from gypsumfield.gateway.streams import StreamRegistry
 from gypsumfield.gateway.view_pull import PullPorts
 from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.platform import documents
@@ -55,6 +58,36 @@
 FOLLOWED_PREFIX = ""
 
 
+class _Base(NamedTuple):
+    """What nearly every part of the host needs."""
+
+    settings: EdgeSettings
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    emit: EmitEvent
+
+
+class _Fleet(NamedTuple):
+    """What the host knows of servers and of other hosts."""
+
+    catalogue: Catalogue
+    ledger: Ledger
+    board: ReportBoard
+    follower: StoreFollower
+    pull: ViewPull
+    peers: PeerLink
+
+
+class _Serving(NamedTuple):
+    """What carries calls."""
+
+    placer: Placer
+    queue: StreamQueue
+    registry: StreamRegistry
+    gate: WorkGate
+
+
 def build_edge_host(
     settings: EdgeSettings, clock: Clock, log_event: EmitEvent
 ) -> EdgeHost:
@@ -65,9 +98,37 @@
         clock: Time of the host.
         log_event: Appends an event to the host's log.
     """
-    rng = random.Random()
     metrics = Metrics(lambda service: service)
     emit = emit_to_all(log_event, metrics.observe_event)
+    base = _Base(settings, clock, random.Random(), metrics, emit)
+    fleet = _build_fleet(base)
+    serving = _build_serving(base, fleet)
+    protector = _build_protector(base, fleet, serving)
+    fleet.ledger.on_change(serving.queue.wake)
+    fleet.catalogue.on_change(serving.queue.wake)
+    fleet.catalogue.on_change(protector.look)
+    metrics.read_state = lambda: HostState(
+        configuration_revision=fleet.catalogue.revision,
+        member_count=len(fleet.peers.live_hosts()),
+        in_flight_count=serving.gate.in_flight_count,
+        queue_length=serving.queue.waiting_count,
+    )
+    servers = _build_servers(base, fleet, serving)
+    parts = EdgeParts(
+        gate=serving.gate,
+        servers=servers,
+        follower=fleet.follower,
+        peers=fleet.peers,
+        placer=serving.placer,
+        catalogue=fleet.catalogue,
+        protector=protector,
+        reporter=_build_reporter(base, fleet),
+    )
+    return EdgeHost(settings, parts, clock, emit)
+
+
+def _build_fleet(base: _Base) -> _Fleet:
+    settings, clock, emit = base.settings, base.clock, base.emit
     catalogue = Catalogue(
         Decoders(
             is_configuration=documents.is_configuration_key,
@@ -81,15 +142,15 @@
     )
     ledger = Ledger()
     board = ReportBoard(catalogue, clock)
-    front = _Front()
     follower = StoreFollower(
         FOLLOWED_PREFIX,
         FollowerPorts(
             source=StoreClient(settings.store_address),
             catalogue=catalogue,
+            # The link to the peers follows below; nothing runs before the start.
             must_watch=lambda: peers.must_watch_store(),
             clock=clock,
-            rng=rng,
+            rng=base.rng,
             emit=emit,
         ),
     )
@@ -115,6 +176,12 @@
             emit=emit,
         )
     )
+    return _Fleet(catalogue, ledger, board, follower, pull, peers)
+
+
+def _build_serving(base: _Base, fleet: _Fleet) -> _Serving:
+    settings, clock, emit = base.settings, base.clock, base.emit
+    catalogue, ledger, peers = fleet.catalogue, fleet.ledger, fleet.peers
     placer = Placer(
         PlacingPorts(
             availability_zone=settings.availability_zone,
@@ -122,11 +189,11 @@
             bounds=settings.bounds,
             catalogue=catalogue,
             ledger=ledger,
-            board=board,
+            board=fleet.board,
             live_hosts=peers.live_hosts,
             host_count=lambda: peers.host_count,
             clock=clock,
-            rng=rng,
+            rng=base.rng,
             emit=emit,
         )
     )
@@ -140,127 +207,99 @@
             settings.bounds.retry_window_ms,
         )
     )
-
-    def engine_spec(service: str) -> EngineSpec | None:
-        publication = catalogue.publication
-        spec = publication.services.get(service) if publication else None
-        return spec.engine if spec else None
-
-    def engine_services() -> list[str]:
-        publication = catalogue.publication
-        services = publication.services.values() if publication else ()
-        return [service.name for service in services if service.engine]
-
-    def tokens_per_event(service: str) -> int:
-        spec = engine_spec(service)
-        return spec.tokens_per_event if spec else 1
-
-    def can_move(service: str) -> bool:
-        spec = engine_spec(service)
-        return bool(spec and spec.can_move)
-
-    def can_back_up(service: str) -> bool:
-        spec = engine_spec(service)
-        return bool(spec and spec.can_back_up)
-
     streams = StreamPorts(
         attempts=attempts,
         queue=queue,
         ledger=ledger,
         retry_share=shares.__getitem__,
         host_count=lambda: peers.host_count,
-        tokens_per_event=tokens_per_event,
-        can_back_up=can_back_up,
+        tokens_per_event=lambda service: _tokens_per_event(catalogue, service),
+        copies=CopyPorts(
+            placer, ledger, lambda service: _can_back_up(catalogue, service), emit
+        ),
         registry=registry,
     )
-    plain = PlainPorts(attempts, ledger, shares.__getitem__, lambda: peers.host_count)
-    front.gate = WorkGate(
-        Gateway(
-            GatewayPorts(
-                wire=attempts.wire,
-                catalogue=catalogue,
-                plain=plain,
-                streams=streams,
-                draining_ms=lambda: front.gate.draining_ms(clock.monotonic_ms()),
-                stop_limit_ms=settings.bounds.stop_limit_ms,
-                clock=clock,
-                rng=rng,
-                emit=emit,
-            )
+    gateway = Gateway(
+        GatewayPorts(
+            wire=attempts.wire,
+            catalogue=catalogue,
+            plain=PlainPorts(
+                attempts, ledger, shares.__getitem__, lambda: peers.host_count
+            ),
+            streams=streams,
+            draining_ms=lambda: gate.draining_ms(clock.monotonic_ms()),
+            stop_limit_ms=settings.bounds.stop_limit_ms,
+            clock=clock,
+            rng=base.rng,
+            emit=emit,
         )
     )
-    protector = Protector(
+    gate = WorkGate(gateway)
+    return _Serving(placer, queue, registry, gate)
+
+
+def _build_protector(base: _Base, fleet: _Fleet, serving: _Serving) -> Protector:
+    return Protector(
         ProtectionPorts(
-            registry=registry,
-            catalogue=catalogue,
-            placer=placer,
-            ledger=ledger,
+            registry=serving.registry,
+            catalogue=fleet.catalogue,
+            placer=serving.placer,
+            ledger=fleet.ledger,
             copy_run=engines.copy_run,
             can_connect=engines.can_connect,
-            can_move=can_move,
-            clock=clock,
-            emit=emit,
+            can_move=lambda service: _can_move(fleet.catalogue, service),
+            clock=base.clock,
+            emit=base.emit,
         )
     )
-    reporter = EngineReporter(
+
+
+def _build_reporter(base: _Base, fleet: _Fleet) -> EngineReporter:
+    return EngineReporter(
         ReporterPorts(
-            keeps_count_of=peers.keeps_count_of,
-            engine_services=engine_services,
+            keeps_count_of=fleet.peers.keeps_count_of,
             read_state=engines.read_state,
-            catalogue=catalogue,
-            ledger=ledger,
-            board=board,
-            clock=clock,
+            catalogue=fleet.catalogue,
+            ledger=fleet.ledger,
+            board=fleet.board,
+            clock=base.clock,
         )
     )
-    ledger.on_change(queue.wake)
-    catalogue.on_change(queue.wake)
-    catalogue.on_change(protector.look)
-    metrics.read_state = lambda: HostState(
-        configuration_revision=catalogue.revision,
-        member_count=len(peers.live_hosts()),
-        in_flight_count=front.gate.in_flight_count,
-        queue_length=queue.waiting_count,
-    )
+
+
+def _build_servers(base: _Base, fleet: _Fleet, serving: _Serving) -> EdgeServers:
+    settings, catalogue, gate = base.settings, fleet.catalogue, serving.gate
 
     def is_ready() -> bool:
-        return catalogue.publication is not None and not front.gate.is_draining
+        return catalogue.publication is not None and not gate.is_draining
 
-    parts = EdgeParts(
-        gate=front.gate,
-        caller_server=CallerServer(
-            split_address(settings.caller_address),
-            front.gate,
-            lambda: (
-                catalogue.publication.limits
-                if catalogue.publication
-                else DEFAULT_LIMITS
-            ),
-        ),
-        readiness_server=_page_server(
-            settings.readiness_address, build_readiness_pages(is_ready, metrics.render)
-        ),
-        peer_server=_page_server(
-            settings.peer_address, build_peer_pages(pull.encode_view)
-        ),
-        metrics_server=_page_server(
-            settings.metrics_address,
-            build_readiness_pages(is_ready, metrics.render),
+    def read_limits() -> ConnectionLimits:
+        return catalogue.publication.limits if catalogue.publication else DEFAULT_LIMITS
+
+    pages = build_readiness_pages(is_ready, base.metrics.render)
+    return EdgeServers(
+        callers=CallerServer(split_address(settings.caller_address), gate, read_limits),
+        readiness=_page_server(settings.readiness_address, pages),
+        peers=_page_server(
+            settings.peer_address, build_peer_pages(fleet.pull.encode_view)
         ),
-        follower=follower,
-        peers=peers,
-        placer=placer,
-        catalogue=catalogue,
-        protector=protector,
-        reporter=reporter,
+        metrics=_page_server(settings.metrics_address, pages),
     )
-    return EdgeHost(settings, parts, clock, emit)
 
 
-class _Front:
-    """Gate of the callers' server, which is wired last."""
+def _tokens_per_event(catalogue: Catalogue, service: str) -> int:
+    spec = catalogue.engine_spec(service)
+    return spec.tokens_per_event if spec else 1
 
-    gate: WorkGate
+
+def _can_move(catalogue: Catalogue, service: str) -> bool:
+    spec = catalogue.engine_spec(service)
+    return bool(spec and spec.can_move)
+
+
+def _can_back_up(catalogue: Catalogue, service: str) -> bool:
+    spec = catalogue.engine_spec(service)
+    return bool(spec and spec.can_back_up)
 
 
 def _page_server(address: str, application: Any) -> CallerServer:
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -35,14 +35,20 @@
 GONE_LIFETIME_MS = 10_000.0
 
 
+class EdgeServers(NamedTuple):
+    """Servers of an edge host, in the order in which they start."""
+
+    readiness: CallerServer
+    peers: CallerServer
+    metrics: CallerServer
+    callers: CallerServer
+
+
 class EdgeParts(NamedTuple):
     """Parts of an edge host that are started and stopped with it."""
 
     gate: WorkGate
-    caller_server: CallerServer
-    readiness_server: CallerServer
-    peer_server: CallerServer
-    metrics_server: CallerServer
+    servers: EdgeServers
     follower: StoreFollower
     peers: PeerLink
     placer: Placer
@@ -70,12 +76,7 @@
     def start(self) -> None:
         """Follow the store, find peers, and take callers."""
         parts = self.parts
-        for server in (
-            parts.readiness_server,
-            parts.peer_server,
-            parts.metrics_server,
-            parts.caller_server,
-        ):
+        for server in parts.servers:
             server.start()
         parts.follower.start()
         parts.peers.start()
@@ -111,12 +112,7 @@
             self._housekeeping.kill(block=False)
         for part in (parts.follower, parts.peers, parts.protector, parts.reporter):
             part.stop()
-        for server in (
-            parts.readiness_server,
-            parts.peer_server,
-            parts.metrics_server,
-            parts.caller_server,
-        ):
+        for server in parts.servers:
             server.stop(timeout=0)
 
     def reload(self, settings: EdgeSettings) -> None:
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -86,12 +86,10 @@
 
     Attributes:
         keeps_count_of: Whether an engine of a zone falls to this host.
-        engine_services: Names of the services whose servers are engines.
         read_state: Asks one engine.
     """
 
     keeps_count_of: Callable[[str, str], bool]
-    engine_services: Callable[[], list[str]]
     read_state: Callable[[str], EngineState]
     catalogue: Catalogue
     ledger: Ledger
@@ -128,7 +126,7 @@
         now_ms = ports.clock.monotonic_ms()
         return [
             belief.server
-            for service in ports.engine_services()
+            for service in ports.catalogue.engine_services()
             for belief in ports.catalogue.servers_of(service)
             if belief.server.server_id not in self._asking
             and ports.ledger.load(belief.server.server_id, now_ms).run_count
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -1,4 +1,4 @@
-"""Chooses backend servers from what the host believes, and holds streams back."""
+"""Chooses backend servers from what the host believes."""
 
 import math
 import random
@@ -6,19 +6,12 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from gevent.event import Event as Signal
-
 from gypsumfield.clock import Clock
-from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.ejection import BackendHealth
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.fleet_shares import ColdShare
-from gypsumfield.decisions.holding import HeldStream
-from gypsumfield.decisions.holding import hold_ms
-from gypsumfield.decisions.holding import return_after_ms
-from gypsumfield.decisions.holding import time_left_ms
 from gypsumfield.decisions.ownership import rank_hosts
 from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
@@ -28,17 +21,12 @@
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import StreamNeed
 from gypsumfield.events import BackendHealthChanged
-from gypsumfield.events import RequestQueued
-from gypsumfield.exceptions import Refusal
-from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import ServerBelief
 from gypsumfield.gateway.engine_reports import ReportBoard
-from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
-from gypsumfield.gateway.model import EngineSpec
 from gypsumfield.gateway.settings import EdgeBounds
 from gypsumfield.ports import EmitEvent
 
@@ -279,7 +267,7 @@
 
     def _engine_load(self, belief: ServerBelief, service: str) -> EngineLoad:
         server = belief.server
-        spec = self._engine_spec(service)
+        spec = self._ports.catalogue.engine_spec(service)
         load = self._ports.ledger.load(
             server.server_id, self._ports.clock.monotonic_ms()
         )
@@ -314,18 +302,12 @@
         age_ms = abs(clock.wall_ms() - belief.server.started_wall_ms)
         return seen_for_ms < FRESH_MS and age_ms < FRESH_MS + CLOCK_ERROR_MS
 
-    def _engine_spec(self, service: str) -> EngineSpec | None:
-        publication = self._ports.catalogue.publication
-        spec = publication.services.get(service) if publication else None
-        return spec.engine if spec else None
-
     def _is_cold(self, belief: ServerBelief) -> bool:
         return belief.cold_until_ms > self._ports.clock.monotonic_ms()
 
     def _has_cold_share(self, belief: ServerBelief) -> bool:
         server = belief.server
-        publication = self._ports.catalogue.publication
-        spec = publication.services.get(server.service) if publication else None
+        spec = self._ports.catalogue.service_spec(server.service)
         rate_per_s = spec.cold_requests_per_s if spec else 0.0
         if rate_per_s <= 0.0:
             return True
@@ -361,119 +343,3 @@
                 reason=reason,
             )
         )
-
-
-class _Waiter:
-    """A stream that is held back."""
-
-    def __init__(self, job: Job) -> None:
-        self.job = job
-        self.is_due = Signal()
-
-
-class StreamQueue:
-    """Holds streams back until an engine has room, the most urgent first."""
-
-    def __init__(self, placer: Placer, clock: Clock, emit: EmitEvent) -> None:
-        self._placer = placer
-        self._clock = clock
-        self._emit = emit
-        self._waiters: list[_Waiter] = []
-
-    @property
-    def waiting_count(self) -> int:
-        """Streams that are held back now."""
-        return len(self._waiters)
-
-    def wake(self) -> None:
-        """Look at all held streams again; a place may have come free."""
-        for waiter in self._waiters:
-            waiter.is_due.set()
-
-    def acquire(self, job: Job, peak_tokens: int, tried: Collection[str]) -> Place:
-        """Return a place for a stream, waiting while it can be served in time.
-
-        Raises:
-            RefusedError: No engine has room in time; with when to come back.
-        """
-        place = None
-        if not self._is_behind_others(job, None):
-            place = self._place_in_time(job, peak_tokens, tried)
-        if place is None:
-            place = self._wait(job, peak_tokens, tried)
-        if place is None and not job.abort.reason:
-            # A late answer is worth less than one in time, but not nothing.
-            place = self._placer.place_stream(job.service, peak_tokens, tried)
-        if place is None:
-            runs = self._placer.run_count(job.service)
-            raise RefusedError(
-                Refusal(
-                    503,
-                    "engines_full",
-                    "no engine has room in time",
-                    retry_after_ms=return_after_ms(runs, self.waiting_count),
-                )
-            )
-        return place
-
-    def _wait(self, job: Job, peak_tokens: int, tried: Collection[str]) -> Place | None:
-        waiter = _Waiter(job)
-        self._waiters.append(waiter)
-        self._waiters.sort(
-            key=lambda each: (each.job.route.priority, each.job.started_ms)
-        )
-        self._emit(
-            RequestQueued(
-                request_id=job.request_id,
-                account=job.account_name,
-                service=job.service,
-                queue_length=self.waiting_count,
-            )
-        )
-        try:
-            while not job.abort.reason:
-                left_ms = hold_ms(self._held(job))
-                if left_ms <= 0.0:
-                    return None
-                job.abort.attach(waiter.is_due.set)
-                waiter.is_due.wait(left_ms / MS_PER_S)
-                waiter.is_due.clear()
-                if self._is_behind_others(job, waiter):
-                    continue
-                place = self._place_in_time(job, peak_tokens, tried)
-                if place is not None:
-                    return place
-            return None
-        finally:
-            job.abort.attach(None)
-            self._waiters.remove(waiter)
-            self.wake()
-
-    def _place_in_time(
-        self, job: Job, peak_tokens: int, tried: Collection[str]
-    ) -> Place | None:
-        return self._placer.place_stream(
-            job.service,
-            peak_tokens,
-            tried,
-            job.ask.prompt_tokens,
-            time_left_ms(self._held(job)),
-        )
-
-    def _is_behind_others(self, job: Job, own: _Waiter | None) -> bool:
-        for waiter in self._waiters:
-            if waiter is own:
-                return False
-            if waiter.job.service != job.service:
-                continue
-            if own is not None or waiter.job.route.priority <= job.route.priority:
-                return True
-        return False
-
-    def _held(self, job: Job) -> HeldStream:
-        return HeldStream(
-            waited_ms=self._clock.monotonic_ms() - job.started_ms,
-            target_latency_ms=job.route.target_latency_ms,
-            remaining_ms=job.remaining_ms(self._clock),
-            prompt_tokens=job.ask.prompt_tokens,
-        )
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -21,9 +21,9 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Placer
-from gypsumfield.gateway.streams import Standby
+from gypsumfield.gateway.run_copies import Standby
+from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.gateway.streams import Stream
-from gypsumfield.gateway.streams import StreamRegistry
 from gypsumfield.ports import EmitEvent
 
 # One copy takes a few hundred ms on its link, behind those of other hosts.
@@ -110,7 +110,7 @@
             # An engine knows a run only from its first token on.
             if not stream.event_count or stream.is_safe:
                 continue
-            standby = stream.standby
+            standby = stream.copies.standby
             if standby is not None and self._ports.placer.hindrance(standby.server):
                 standby = None
             exposed.append(
@@ -119,7 +119,9 @@
                     stream.generated_tokens,
                     stream.expected_tokens,
                     now_ms - standby.made_ms if standby else None,
-                    now_ms - stream.copy_refused_ms if stream.copy_refused_ms else None,
+                    now_ms - stream.copies.refused_ms
+                    if stream.copies.refused_ms
+                    else None,
                 )
             )
         return exposed
@@ -140,7 +142,7 @@
         return None
 
     def _copy(self, stream: Stream, source: BackendServer) -> None:
-        standby = stream.standby
+        standby = stream.copies.standby
         if standby and not self._ports.placer.hindrance(standby.server):
             self._copy_to(stream, source, standby.server)
             return
@@ -152,9 +154,9 @@
             tried.append(target.server_id)
             if self._copy_to(stream, source, target):
                 return
-        if not stream.copy_refused_ms:
+        if not stream.copies.refused_ms:
             self._log(stream, source, "", 0.0, "no engine has room")
-        stream.copy_refused_ms = self._ports.clock.monotonic_ms()
+        stream.copies.refused_ms = self._ports.clock.monotonic_ms()
 
     def _copy_to(
         self, stream: Stream, source: BackendServer, target: BackendServer
@@ -190,7 +192,7 @@
             # 404: the run has ended; 409: a copy of it is under way.
             return is_complete or (result is not None and result.status != 503)
         resume = ResumePoint("", source.address, result.copy_name)
-        stream.take_standby(Standby(target, resume, started_ms, run))
+        stream.copies.take_standby(Standby(target, resume, started_ms, run))
         return True
 
     def _probe_silent(self) -> None:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -22,44 +22,28 @@
 from gypsumfield.gateway.calls import SendOrder
 from gypsumfield.gateway.event_stream import EventCutter
 from gypsumfield.gateway.event_stream import StreamEvent
-from gypsumfield.gateway.events import CopyChosen
 from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Place
-from gypsumfield.gateway.placing import StreamQueue
 from gypsumfield.gateway.plain import WholeAnswer
+from gypsumfield.gateway.run_copies import CopyPorts
+from gypsumfield.gateway.run_copies import RunCopies
+from gypsumfield.gateway.stream_queue import StreamQueue
+from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.verdicts import RunVerdict
 
 ANSWER_LIMIT_BYTES = 32 * 1_048_576
 # Callers guess the length right at the median; the memory is planned for a
 # longer run, up to their token limit.
 LENGTH_MARGIN = 1.1
-# A shorter run is over before a copy of it is of use.
-SHORTEST_BACKED_UP_TOKENS = 60
 # Engines that refuse a stream are full or leaving; one more is tried than the
 # balancer would.
 REFUSED_TRIES = 3
 
 
-class Standby(NamedTuple):
-    """Copy of a run's memory that was made after its start.
-
-    Attributes:
-        server: Engine that holds the copy.
-        resume: Its name.
-        made_ms: When the copy was begun.
-        run: Its part of that engine's load.
-    """
-
-    server: BackendServer
-    resume: ResumePoint
-    made_ms: float
-    run: Run
-
-
 class StreamPorts(NamedTuple):
     """What streams use.
 
@@ -70,7 +54,7 @@
         retry_share: This host's part of the repeats of a service.
         host_count: Hosts that may exist.
         tokens_per_event: Tokens in one event of a service's streams.
-        can_back_up: Whether engines of a service keep copies of runs.
+        copies: Copies of runs.
         registry: Streams that run now, for moves.
     """
 
@@ -80,35 +64,8 @@
     retry_share: Callable[[str], RetryShare]
     host_count: Callable[[], int]
     tokens_per_event: Callable[[str], int]
-    can_back_up: Callable[[str], bool]
-    registry: "StreamRegistry"
-
-
-class StreamRegistry:
-    """Streams that run now, by engine."""
-
-    def __init__(self) -> None:
-        self._streams: set[Stream] = set()
-
-    def add(self, stream: "Stream") -> None:
-        """Note a stream that runs."""
-        self._streams.add(stream)
-
-    def discard(self, stream: "Stream") -> None:
-        """Note that a stream has ended."""
-        self._streams.discard(stream)
-
-    def on_server(self, server_id: str) -> list["Stream"]:
-        """Return the streams of one engine."""
-        return [each for each in self._streams if each.server.server_id == server_id]
-
-    def streams(self) -> list["Stream"]:
-        """Return all streams."""
-        return list(self._streams)
-
-    def server_ids(self) -> set[str]:
-        """Return the engines that run streams of this host."""
-        return {stream.server.server_id for stream in self._streams}
+    copies: CopyPorts
+    registry: StreamRegistry
 
 
 class Stream:
@@ -121,9 +78,7 @@
         last_event_id: Last event that has left for the caller.
         event_count: Events that have left.
         heard_ms: When the engine was heard last.
-        backup: Engine that keeps a copy from the run's start, or None.
-        standby: Copy that was made later, or None.
-        copy_refused_ms: When no engine had room for a later copy; 0 for never.
+        copies: Copies of its memory on other engines.
     """
 
     def __init__(self, ports: StreamPorts, job: Job) -> None:
@@ -131,10 +86,7 @@
         self.last_event_id = job.ask.last_event_id
         self.event_count = 0
         self.heard_ms = ports.attempts.clock.monotonic_ms()
-        self.standby: Standby | None = None
-        self.copy_refused_ms = 0.0
-        self.backup: BackendServer | None = None
-        self._backup_run: Run | None = None
+        self.copies = RunCopies(ports.copies, job)
         self.server: BackendServer
         self.run: Run
         self._ports = ports
@@ -144,7 +96,6 @@
         self._tried: list[str] = []
         self._run_count = 0
         self._is_over = False
-        self._is_closed = False
         self._delivered_ms = 0.0
         self._longest_gap_ms = 0.0
 
@@ -197,9 +148,7 @@
             else:
                 self._answer.exchange.close()
             self._answer = None
-        self._is_closed = True
-        self._drop_backup()
-        self._drop_standby()
+        self.copies.close()
         if hasattr(self, "run"):
             self._ports.ledger.end(self.run)
 
@@ -249,14 +198,17 @@
         self._ports.ledger.begin(self.run)
         self.heard_ms = self._ports.attempts.clock.monotonic_ms()
         self._ports.registry.add(self)
-        self._choose_backup(server)
+        if not self.job.route.is_resumable:
+            self.copies.choose_backup(
+                server, self.expected_tokens, self.generated_tokens
+            )
         order = SendOrder(
             server.server_id,
             max(1.0, self._remaining_ms()),
             self.job.account_name,
             urgency=self.job.route.priority,
             resume=resume,
-            backup_address=self.backup.address if self.backup else "",
+            backup_address=self.copies.backup_address,
         )
         try:
             self._answer = open_answer(self._ports.attempts, self.job, server, order)
@@ -266,62 +218,15 @@
             raise
         return self._answer
 
-    def _choose_backup(self, server: BackendServer) -> None:
-        """Choose where a copy of the run is kept, if it cannot be run again."""
-        self._drop_backup()
-        left_tokens = self.expected_tokens - self.generated_tokens
-        may_run_again = self.job.route.is_resumable
-        if (
-            may_run_again
-            or left_tokens < SHORTEST_BACKED_UP_TOKENS
-            or not self._ports.can_back_up(self.job.service)
-        ):
-            return
-        prompt_tokens = self.job.ask.prompt_tokens
-        self.backup = self._ports.attempts.placer.place_backup(
-            self.job.service, self._planned_tokens(True), server.server_id
-        )
-        if self.backup is not None:
-            self._backup_run = Run(
-                self.backup.server_id, prompt_tokens, self.expected_tokens, True
-            )
-            self._backup_run.generated_tokens = self.generated_tokens
-            self._ports.ledger.begin(self._backup_run)
-        self._ports.attempts.emit(
-            CopyChosen(
-                request_id=self.job.request_id,
-                account=self.job.account_name,
-                service=self.job.service,
-                backend_server=server.server_id,
-                target=self.backup.server_id if self.backup else "",
-            )
-        )
-
-    def _planned_tokens(self, is_copy: bool = False) -> int:
-        return planned_tokens(
-            self.job.ask.prompt_tokens,
-            self.generated_tokens,
-            self.expected_tokens,
-            is_copy,
-        )
-
-    def _drop_backup(self) -> None:
-        if self._backup_run is not None:
-            self._ports.ledger.end(self._backup_run)
-        self.backup = None
-        self._backup_run = None
+    def _planned_tokens(self) -> int:
+        ask = self.job.ask
+        expected, generated = self.expected_tokens, self.generated_tokens
+        return planned_tokens(ask.prompt_tokens, generated, expected, is_copy=False)
 
     @property
     def is_safe(self) -> bool:
         """Whether it could go on, were its engine gone now."""
-        return self.job.route.is_resumable or self.has_backup
-
-    @property
-    def has_backup(self) -> bool:
-        """Whether the run could go on from its copy now."""
-        if self.backup is None:
-            return False
-        return not self._ports.attempts.placer.hindrance(self.backup)
+        return self.job.route.is_resumable or self.copies.has_backup
 
     def _read_events(self) -> None:
         """Read until at least one event is whole or the answer has ended."""
@@ -347,7 +252,7 @@
         self._note_failure(error)
         if self.job.abort.reason or self._remaining_ms() <= 0.0:
             raise error
-        copies = self._usable_copies()
+        copies = self.copies.usable()
         if copies:
             self._resume_at_copy(copies)
             return
@@ -357,15 +262,6 @@
         self._log_placed(place)
         self._open_again(place.server, ResumePoint(self.last_event_id))
 
-    def _usable_copies(self) -> list[tuple[BackendServer, ResumePoint]]:
-        copies = []
-        if self.backup is not None and self.has_backup:
-            resume = ResumePoint("", self.backup.address, self.job.request_id)
-            copies.append((self.backup, resume))
-        if self.standby is not None:
-            copies.append((self.standby.server, self.standby.resume))
-        return copies
-
     def _resume_at_copy(self, copies: list[tuple[BackendServer, ResumePoint]]) -> None:
         now_ms = self._ports.attempts.clock.monotonic_ms()
         # Counted, but never refused: it is the only way for the run to go on.
@@ -382,35 +278,21 @@
                     raise
                 self._note_failure(error)
 
-    def take_standby(self, standby: Standby) -> None:
-        """Keep a copy that was made of the run, in place of an earlier one."""
-        self._drop_standby()
-        if self._is_closed:
-            self._ports.ledger.end(standby.run)
-            return
-        self.standby = standby
-
     def break_off(self) -> None:
         """End the wait for an engine that is out of reach, if there is a way on.
 
         Without one the stream waits: behind a partition its engine still works,
         and a late answer is worth more than none.
         """
-        has_way_on = self.job.route.is_resumable or bool(self._usable_copies())
+        has_way_on = self.job.route.is_resumable or bool(self.copies.usable())
         if has_way_on and self._answer is not None:
             self._answer.exchange.abandon()
 
-    def _drop_standby(self) -> None:
-        if self.standby is not None:
-            self._ports.ledger.end(self.standby.run)
-        self.standby = None
-
     def _open_again(self, server: BackendServer, resume: ResumePoint) -> None:
         if self._answer is not None:
             self._answer.exchange.close()
         answer = self._open_at(server, resume)
-        self._drop_standby()
-        self.copy_refused_ms = 0.0
+        self.copies.drop_standby()
         if answer.status not in SUCCESS_STATUSES:
             raise BackendError(
                 f"the engine answered {answer.status} to a resumption",
@@ -472,8 +354,7 @@
         self.event_count += len(batch)
         self.last_event_id = batch[-1].event_id or self.last_event_id
         self.run.generated_tokens = self.generated_tokens
-        if self._backup_run is not None:
-            self._backup_run.generated_tokens = self.generated_tokens
+        self.copies.note_generated(self.generated_tokens)
 
     def _note_complete(self) -> None:
         now_ms = self._ports.attempts.clock.monotonic_ms()
@@ -491,15 +372,15 @@
 
     def note_broken(self, error: BackendError | RefusedError) -> None:
         """Log that the caller's stream ends without its end."""
-        verdict = RunVerdict.MAY_HAVE_RUN
+        code = error.refusal.code if isinstance(error, RefusedError) else error.code
         self._ports.attempts.emit(
             RequestFailed(
                 request_id=self.job.request_id,
                 account=self.job.account_name,
                 service=self.job.service,
                 backend_server=self.server.server_id,
-                code=getattr(error, "code", "stream_broken"),
-                verdict=verdict.value,
+                code=code,
+                verdict=RunVerdict.MAY_HAVE_RUN.value,
                 reason=str(error),
             )
         )
--- a/src/gypsumfield/plain_calls.py
+++ b/src/gypsumfield/plain_calls.py
@@ -7,9 +7,9 @@
 from urllib.parse import quote
 from urllib.parse import urlencode
 
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.attempts import Attempt
 from gypsumfield.attempts import AttemptPorts
 from gypsumfield.attempts import run_attempts
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from gypsumfield.aborts import AbortHandle
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import HistoryGoneError
 from gypsumfield.exceptions import PlatformError
--- a/tests/markdown_pages.py
+++ b/tests/markdown_pages.py
@@ -23,7 +23,7 @@
 
 
 def project_pages(root: Path = ROOT) -> list[Path]:
-    tops = [root / name for name in ("README.md", "CONTRIBUTING.md", "CHANGES.md")]
+    tops = [root / name for name in ("README.md", "DEVELOPERS.md", "CHANGES.md")]
     return [page for page in tops if page.exists()] + sorted(root.glob("docs/**/*.md"))
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -4,10 +4,10 @@
 from geventhttpclient import HTTPClient
 
 from gypsumfield.aborts import AbortHandle
-from gypsumfield.adapters.backends import BackendPool
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.connections import BackendPool
 from gypsumfield.exceptions import BackendError
 from gypsumfield.verdicts import RunVerdict
 from gypsumfield.verdicts import Stage
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -42,7 +42,7 @@
 
 def test_all_pages_are_read():
     names = {page.name for page in project_pages()}
-    assert {"README.md", "CONTRIBUTING.md", "index.md", "glossary.md"} <= names
+    assert {"README.md", "DEVELOPERS.md", "index.md", "glossary.md"} <= names
     assert len(code_blocks("python")) >= 2
 
 
