--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 
 from fleet_processes import ProcessFleet
-from gypsumfield.load_experiment import published_values
-from gypsumfield.load_experiment import read_experiment
+from gypsumfield.load.experiment import published_values
+from gypsumfield.load.experiment import read_experiment
 
 READY_EXPERIMENTS = Path(__file__).parents[1] / "src" / "gypsumfield" / "data"
 
--- a/bench/fleet_processes.py
+++ b/bench/fleet_processes.py
@@ -12,7 +12,7 @@
 from types import TracebackType
 from typing import Any
 
-from gypsumfield.load_experiment import FleetSize
+from gypsumfield.load.experiment import FleetSize
 
 READY_LIMIT_S = 30.0
 READY_CHECK_INTERVAL_S = 0.05
--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -24,8 +24,8 @@
 
 from fleet_processes import ProcessFleet
 from fleet_processes import Program
-from gypsumfield.load_experiment import BackendGroup
-from gypsumfield.load_experiment import FleetSize
+from gypsumfield.load.experiment import BackendGroup
+from gypsumfield.load.experiment import FleetSize
 
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KIBIBYTE = 1_024
--- a/src/gypsumfield/commands/load.py
+++ b/src/gypsumfield/commands/load.py
@@ -17,12 +17,12 @@
 
 from gypsumfield.clock import system_clock  # noqa: E402
 from gypsumfield.exceptions import SettingsError  # noqa: E402
-from gypsumfield.load_compare import comparison_lines  # noqa: E402
-from gypsumfield.load_compare import summary_lines  # noqa: E402
-from gypsumfield.load_driver import Fleet  # noqa: E402
-from gypsumfield.load_driver import LoadDriver  # noqa: E402
-from gypsumfield.load_experiment import read_experiment  # noqa: E402
-from gypsumfield.load_results import LoadResult  # noqa: E402
+from gypsumfield.load.compare import comparison_lines  # noqa: E402
+from gypsumfield.load.compare import summary_lines  # noqa: E402
+from gypsumfield.load.driver import Fleet  # noqa: E402
+from gypsumfield.load.driver import LoadDriver  # noqa: E402
+from gypsumfield.load.experiment import read_experiment  # noqa: E402
+from gypsumfield.load.results import LoadResult  # noqa: E402
 from gypsumfield.settings import read_settings  # noqa: E402
 
 EXIT_BAD_INPUT = 2
@@ -123,7 +123,7 @@
 
 def _write_report(result: LoadResult, directory: Path) -> None:
     # The plotting library is slow to load, and not every command needs it.
-    from gypsumfield.load_report import write_report
+    from gypsumfield.load.report import write_report
 
     write_report(result, directory)
 
--- a/src/gypsumfield/commands/timeline.py
+++ b/src/gypsumfield/commands/timeline.py
@@ -10,18 +10,18 @@
 
 from gypsumfield.commands.program import run_program
 from gypsumfield.exceptions import SettingsError
-from gypsumfield.timeline_filter import parse_time_ms
-from gypsumfield.timeline_filter import TimelineFilter
-from gypsumfield.timeline_merge import index_logs
-from gypsumfield.timeline_merge import merge_logs
-from gypsumfield.timeline_merge import TimedLine
-from gypsumfield.timeline_merge import TimelineIndex
-from gypsumfield.timeline_narrative import collect_story
-from gypsumfield.timeline_narrative import tell_story
-from gypsumfield.timeline_records import DamageReport
-from gypsumfield.timeline_svg import draw_svg
-from gypsumfield.timeline_text import draw_lanes
-from gypsumfield.timeline_text import list_lines
+from gypsumfield.timeline.filter import parse_time_ms
+from gypsumfield.timeline.filter import TimelineFilter
+from gypsumfield.timeline.merge import index_logs
+from gypsumfield.timeline.merge import merge_logs
+from gypsumfield.timeline.merge import TimedLine
+from gypsumfield.timeline.merge import TimelineIndex
+from gypsumfield.timeline.narrative import collect_story
+from gypsumfield.timeline.narrative import tell_story
+from gypsumfield.timeline.records import DamageReport
+from gypsumfield.timeline.svg import draw_svg
+from gypsumfield.timeline.text import draw_lanes
+from gypsumfield.timeline.text import list_lines
 
 EXIT_DONE = 0
 EXIT_NOTHING_READ = 1
--- /dev/null
+++ b/src/gypsumfield/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: arrivals, client, recorder, reports."""
--- a/src/gypsumfield/load_arrivals.py
+++ b/src/gypsumfield/load/arrivals.py
@@ -7,12 +7,12 @@
 from typing import NamedTuple
 
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.load_experiment import Arrivals
-from gypsumfield.load_experiment import Experiment
-from gypsumfield.load_experiment import Lengths
-from gypsumfield.load_experiment import LoadAccount
-from gypsumfield.load_experiment import Phase
-from gypsumfield.load_experiment import Traffic
+from gypsumfield.load.experiment import Arrivals
+from gypsumfield.load.experiment import Experiment
+from gypsumfield.load.experiment import Lengths
+from gypsumfield.load.experiment import LoadAccount
+from gypsumfield.load.experiment import Phase
+from gypsumfield.load.experiment import Traffic
 
 
 class PlannedRequest(NamedTuple):
--- a/src/gypsumfield/load_client.py
+++ b/src/gypsumfield/load/client.py
@@ -15,7 +15,7 @@
 
 from gypsumfield.caller_api import ErrorBody
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.load_arrivals import PlannedRequest
+from gypsumfield.load.arrivals import PlannedRequest
 
 CONNECT_TIMEOUT_MS = 5_000.0
 SILENCE_TIMEOUT_MS = 120_000.0
--- a/src/gypsumfield/load_compare.py
+++ b/src/gypsumfield/load/compare.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from gypsumfield.load_results import LoadResult
-from gypsumfield.load_results import TrafficResult
+from gypsumfield.load.results import LoadResult
+from gypsumfield.load.results import TrafficResult
 
 
 class ComparedFigure(NamedTuple):
--- a/src/gypsumfield/load_driver.py
+++ b/src/gypsumfield/load/driver.py
@@ -14,19 +14,19 @@
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.engine_api import LoadReport
 from gypsumfield.exceptions import SettingsError
-from gypsumfield.load_arrivals import plan_requests
-from gypsumfield.load_arrivals import PlannedRequest
-from gypsumfield.load_client import send_request
-from gypsumfield.load_experiment import account_key
-from gypsumfield.load_experiment import BackendFault
-from gypsumfield.load_experiment import Experiment
-from gypsumfield.load_experiment import Fault
-from gypsumfield.load_experiment import PlatformFault
-from gypsumfield.load_experiment import published_values
-from gypsumfield.load_experiment import ValueFault
-from gypsumfield.load_recorder import Recorder
-from gypsumfield.load_results import FaultRecord
-from gypsumfield.load_results import LoadResult
+from gypsumfield.load.arrivals import plan_requests
+from gypsumfield.load.arrivals import PlannedRequest
+from gypsumfield.load.client import send_request
+from gypsumfield.load.experiment import account_key
+from gypsumfield.load.experiment import BackendFault
+from gypsumfield.load.experiment import Experiment
+from gypsumfield.load.experiment import Fault
+from gypsumfield.load.experiment import PlatformFault
+from gypsumfield.load.experiment import published_values
+from gypsumfield.load.experiment import ValueFault
+from gypsumfield.load.recorder import Recorder
+from gypsumfield.load.results import FaultRecord
+from gypsumfield.load.results import LoadResult
 
 IN_FLIGHT_LIMIT = 5_000
 PROGRESS_INTERVAL_MS = 5_000.0
--- a/src/gypsumfield/load_recorder.py
+++ b/src/gypsumfield/load/recorder.py
@@ -6,17 +6,17 @@
 from hdrh.histogram import HdrHistogram
 
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.load_arrivals import PlannedRequest
-from gypsumfield.load_client import RequestOutcome
-from gypsumfield.load_experiment import Experiment
-from gypsumfield.load_oracle import BoundMeter
-from gypsumfield.load_oracle import RateOracle
-from gypsumfield.load_results import AccountResult
-from gypsumfield.load_results import FaultRecord
-from gypsumfield.load_results import LoadResult
-from gypsumfield.load_results import SecondResult
-from gypsumfield.load_results import Times
-from gypsumfield.load_results import TrafficResult
+from gypsumfield.load.arrivals import PlannedRequest
+from gypsumfield.load.client import RequestOutcome
+from gypsumfield.load.experiment import Experiment
+from gypsumfield.load.oracle import BoundMeter
+from gypsumfield.load.oracle import RateOracle
+from gypsumfield.load.results import AccountResult
+from gypsumfield.load.results import FaultRecord
+from gypsumfield.load.results import LoadResult
+from gypsumfield.load.results import SecondResult
+from gypsumfield.load.results import Times
+from gypsumfield.load.results import TrafficResult
 from gypsumfield.verdicts import RunVerdict
 
 HIGHEST_TIME_US = 3_600_000_000
--- a/src/gypsumfield/load_report.py
+++ b/src/gypsumfield/load/report.py
@@ -11,12 +11,12 @@
 
 from matplotlib.figure import Figure  # noqa: E402
 
-from gypsumfield.load_compare import format_figure  # noqa: E402
-from gypsumfield.load_compare import list_figures  # noqa: E402
-from gypsumfield.load_results import decode_histogram  # noqa: E402
-from gypsumfield.load_results import LoadResult  # noqa: E402
-from gypsumfield.load_results import Times  # noqa: E402
-from gypsumfield.load_results import TrafficResult  # noqa: E402
+from gypsumfield.load.compare import format_figure  # noqa: E402
+from gypsumfield.load.compare import list_figures  # noqa: E402
+from gypsumfield.load.results import decode_histogram  # noqa: E402
+from gypsumfield.load.results import LoadResult  # noqa: E402
+from gypsumfield.load.results import Times  # noqa: E402
+from gypsumfield.load.results import TrafficResult  # noqa: E402
 
 PICTURE_SIZE_IN = (9.0, 3.6)
 PICTURE_DPI = 110
--- /dev/null
+++ b/src/gypsumfield/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Time line of the events of many processes, as text and drawing."""
--- a/src/gypsumfield/timeline_filter.py
+++ b/src/gypsumfield/timeline/filter.py
@@ -8,7 +8,7 @@
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.exceptions import SettingsError
-from gypsumfield.timeline_merge import TimedLine
+from gypsumfield.timeline.merge import TimedLine
 
 
 class TimelineFilter(NamedTuple):
--- a/src/gypsumfield/timeline_merge.py
+++ b/src/gypsumfield/timeline/merge.py
@@ -10,14 +10,14 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from gypsumfield.timeline_offsets import ClockBound
-from gypsumfield.timeline_offsets import estimate_corrections
-from gypsumfield.timeline_offsets import INFINITY_MS
-from gypsumfield.timeline_offsets import ROUNDING_MS
-from gypsumfield.timeline_records import DamageReport
-from gypsumfield.timeline_records import LogLine
-from gypsumfield.timeline_records import read_log
-from gypsumfield.timeline_records import ReadLine
+from gypsumfield.timeline.offsets import ClockBound
+from gypsumfield.timeline.offsets import estimate_corrections
+from gypsumfield.timeline.offsets import INFINITY_MS
+from gypsumfield.timeline.offsets import ROUNDING_MS
+from gypsumfield.timeline.records import DamageReport
+from gypsumfield.timeline.records import LogLine
+from gypsumfield.timeline.records import read_log
+from gypsumfield.timeline.records import ReadLine
 
 UNMATCHED_LIMIT = 100_000
 
--- a/src/gypsumfield/timeline_narrative.py
+++ b/src/gypsumfield/timeline/narrative.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from gypsumfield import events
-from gypsumfield.timeline_filter import format_time
-from gypsumfield.timeline_merge import TimedLine
-from gypsumfield.timeline_text import printable
+from gypsumfield.timeline.filter import format_time
+from gypsumfield.timeline.merge import TimedLine
+from gypsumfield.timeline.text import printable
 
 CONTEXT_BEFORE_MS = 10_000.0
 CONTEXT_LIMIT = 200
--- a/src/gypsumfield/timeline_svg.py
+++ b/src/gypsumfield/timeline/svg.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 from xml.etree import ElementTree
 
-from gypsumfield.timeline_merge import MESSAGE_RECEIVED
-from gypsumfield.timeline_merge import MESSAGE_SENT
-from gypsumfield.timeline_merge import TimedLine
-from gypsumfield.timeline_text import describe_fields
-from gypsumfield.timeline_text import printable
+from gypsumfield.timeline.merge import MESSAGE_RECEIVED
+from gypsumfield.timeline.merge import MESSAGE_SENT
+from gypsumfield.timeline.merge import TimedLine
+from gypsumfield.timeline.text import describe_fields
+from gypsumfield.timeline.text import printable
 
 EVENT_LIMIT = 2_000
 LANE_GAP_PX = 180
--- a/src/gypsumfield/timeline_text.py
+++ b/src/gypsumfield/timeline/text.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from gypsumfield.timeline_filter import format_time
-from gypsumfield.timeline_merge import TimedLine
+from gypsumfield.timeline.filter import format_time
+from gypsumfield.timeline.merge import TimedLine
 
 ORDER_FIELDS = frozenset(
     {
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -70,5 +70,5 @@
     done = subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, check=True
     )
-    for name in ("matplotlib", "cleo", "falcon", "gypsumfield.load_driver"):
+    for name in ("matplotlib", "cleo", "falcon", "gypsumfield.load.driver"):
         assert f"'{name}'" not in done.stdout
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -15,27 +15,27 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from gypsumfield import load_compare
+from gypsumfield.load import compare as load_compare
 from gypsumfield.clock import Clock
 from gypsumfield.clock import system_clock
 from gypsumfield.configuration import parse_value
 from gypsumfield.exceptions import SettingsError
-from gypsumfield.load_arrivals import draw_length
-from gypsumfield.load_arrivals import plan_requests
-from gypsumfield.load_client import send_request
-from gypsumfield.load_driver import Fleet
-from gypsumfield.load_driver import FleetHost
-from gypsumfield.load_driver import LoadDriver
-from gypsumfield.load_experiment import account_key
-from gypsumfield.load_experiment import Experiment
-from gypsumfield.load_experiment import Lengths
-from gypsumfield.load_experiment import published_values
-from gypsumfield.load_experiment import read_experiment
-from gypsumfield.load_oracle import BoundMeter
-from gypsumfield.load_oracle import RateOracle
-from gypsumfield.load_report import write_report
-from gypsumfield.load_results import decode_histogram
-from gypsumfield.load_results import LoadResult
+from gypsumfield.load.arrivals import draw_length
+from gypsumfield.load.arrivals import plan_requests
+from gypsumfield.load.client import send_request
+from gypsumfield.load.driver import Fleet
+from gypsumfield.load.driver import FleetHost
+from gypsumfield.load.driver import LoadDriver
+from gypsumfield.load.experiment import account_key
+from gypsumfield.load.experiment import Experiment
+from gypsumfield.load.experiment import Lengths
+from gypsumfield.load.experiment import published_values
+from gypsumfield.load.experiment import read_experiment
+from gypsumfield.load.oracle import BoundMeter
+from gypsumfield.load.oracle import RateOracle
+from gypsumfield.load.report import write_report
+from gypsumfield.load.results import decode_histogram
+from gypsumfield.load.results import LoadResult
 
 DATA = Path(__file__).parents[1] / "src" / "gypsumfield" / "data"
 READY = sorted(DATA.glob("*.json"))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -16,12 +16,12 @@
 from event_samples import event_types
 from event_samples import filled_event
 from gypsumfield import events
-from gypsumfield.timeline_merge import index_logs
-from gypsumfield.timeline_merge import merge_logs
-from gypsumfield.timeline_narrative import tell_event
-from gypsumfield.timeline_offsets import ClockBound
-from gypsumfield.timeline_offsets import estimate_corrections
-from gypsumfield.timeline_records import DamageReport
+from gypsumfield.timeline.merge import index_logs
+from gypsumfield.timeline.merge import merge_logs
+from gypsumfield.timeline.narrative import tell_event
+from gypsumfield.timeline.offsets import ClockBound
+from gypsumfield.timeline.offsets import estimate_corrections
+from gypsumfield.timeline.records import DamageReport
 
 offsets = st.floats(-600_000.0, 600_000.0)
 fleet_clocks = st.lists(
