Count all events in the metrics, and say how many log lines were dropped

Cause: copies, partitions and placements were in the log only, and lines that a full pipe did not take left no trace. Change: one counter by event; a line tells the number of dropped ones once there is room; a job tells its predicted length itself.

--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -51,6 +51,7 @@
 )
 
 COUNTERS = (
+    MetricSpec("events", ("event",), "Logged decisions, beliefs and faults"),
     MetricSpec("requests_admitted", ("service",), "Requests that passed all checks"),
     MetricSpec("requests_completed", ("service",), "Whole answers delivered"),
     MetricSpec("requests_failed", ("code", "verdict"), "Answers that broke off"),
@@ -194,7 +195,9 @@
         self._record("queue_wait_ms", profile, duration_ms)
 
     def observe_event(self, event: events.Event) -> None:
-        """Count what ``event`` tells; events without a metric are ignored."""
+        """Count the event, and what it tells where there is a metric for that."""
+        if not event.IS_HOT:
+            self._count("events", event=str(type(event).__struct_config__.tag))
         match event:
             case events.RequestAdmitted(service=service):
                 self._count("requests_admitted", service=service)
--- a/src/gypsumfield/gateway/job.py
+++ b/src/gypsumfield/gateway/job.py
@@ -8,6 +8,10 @@
 from gypsumfield.gateway.model import Account
 from gypsumfield.gateway.model import Route
 
+# Callers guess the length right at the median; the memory is planned for a
+# longer run, up to their token limit.
+LENGTH_MARGIN = 1.1
+
 
 class Job(NamedTuple):
     """One permitted call.
@@ -48,6 +52,15 @@
         """Name of the client account, or empty."""
         return self.account.name if self.account else ""
 
+    @property
+    def expected_tokens(self) -> int:
+        """Predicted tokens of the whole output of a stream."""
+        ask = self.ask
+        if not ask.expected_tokens:
+            return ask.max_tokens
+        guess = int(ask.expected_tokens * LENGTH_MARGIN)
+        return min(guess, ask.max_tokens) if ask.max_tokens else guess
+
     def remaining_ms(self, clock: Clock) -> float:
         """Return the time until the final answer is due."""
         return self.deadline_ms - clock.monotonic_ms()
--- a/src/gypsumfield/gateway/log_writer.py
+++ b/src/gypsumfield/gateway/log_writer.py
@@ -3,6 +3,7 @@
 import os
 
 PENDING_LIMIT_BYTES = 262_144
+DROPPED_LINE = b'{"event":"log_lines_dropped","line_count":%d}\n'
 
 
 class BoundedWriter:
@@ -14,15 +15,23 @@
 
     def __init__(self, descriptor: int) -> None:
         self.dropped_count = 0
+        self._untold_count = 0
         self._descriptor = descriptor
         self._pending = bytearray()
         os.set_blocking(descriptor, False)
 
     def write(self, line: bytes) -> int:
-        """Write a line, or keep it until the next one when the pipe is full."""
+        """Write a line, or keep it until the next one when the pipe is full.
+
+        What had to be dropped is told by a line of its own once there is room.
+        """
         if len(self._pending) + len(line) > PENDING_LIMIT_BYTES:
             self.dropped_count += 1
+            self._untold_count += 1
             return 0
+        if self._untold_count:
+            self._pending += DROPPED_LINE % self._untold_count
+            self._untold_count = 0
         self._pending += line
         self.flush()
         return len(line)
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -117,7 +117,7 @@
                 ExposedRun(
                     stream.job.request_id,
                     stream.generated_tokens,
-                    stream.expected_tokens,
+                    stream.job.expected_tokens,
                     now_ms - standby.made_ms if standby else None,
                     now_ms - stream.copies.refused_ms
                     if stream.copies.refused_ms
@@ -166,7 +166,7 @@
         # The target's room is taken from the first call on, so that no other
         # host picks the same hole.
         run = Run(
-            target.server_id, stream.run.prompt_tokens, stream.expected_tokens, True
+            target.server_id, stream.run.prompt_tokens, stream.job.expected_tokens, True
         )
         run.generated_tokens = stream.generated_tokens
         self._ports.ledger.begin(run)
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -36,9 +36,6 @@
 from gypsumfield.verdicts import RunVerdict
 
 ANSWER_LIMIT_BYTES = 32 * 1_048_576
-# Callers guess the length right at the median; the memory is planned for a
-# longer run, up to their token limit.
-LENGTH_MARGIN = 1.1
 # Engines that refuse a stream are full or leaving; one more is tried than the
 # balancer would.
 REFUSED_TRIES = 3
@@ -109,8 +106,8 @@
         Raises:
             RefusedError: No engine serves it.
         """
-        now_ms = self._ports.attempts.clock.monotonic_ms()
-        self._ports.retry_share(self.job.service).note_request(now_ms)
+        clock = self._ports.attempts.clock
+        self._ports.retry_share(self.job.service).note_request(clock.monotonic_ms())
         try:
             return self._open_first()
         except BaseException:
@@ -157,15 +154,6 @@
         """Tokens that have left for the caller."""
         return self.event_count * self._ports.tokens_per_event(self.job.service)
 
-    @property
-    def expected_tokens(self) -> int:
-        """Predicted tokens of the whole output."""
-        ask = self.job.ask
-        if not ask.expected_tokens:
-            return ask.max_tokens
-        guess = int(ask.expected_tokens * LENGTH_MARGIN)
-        return min(guess, ask.max_tokens) if ask.max_tokens else guess
-
     def _open_first(self) -> WholeAnswer | list[tuple[str, str]]:
         peak_tokens = self._planned_tokens()
         resume = ResumePoint(self.last_event_id) if self.last_event_id else None
@@ -190,7 +178,7 @@
         """Send the request to an engine and read the head of its answer."""
         ask = self.job.ask
         self.server = server
-        self.run = Run(server.server_id, ask.prompt_tokens, self.expected_tokens)
+        self.run = Run(server.server_id, ask.prompt_tokens, self.job.expected_tokens)
         self.run.generated_tokens = self.generated_tokens
         self._cutter = EventCutter()
         self._tried.append(server.server_id)
@@ -200,7 +188,7 @@
         self._ports.registry.add(self)
         if not self.job.route.is_resumable:
             self.copies.choose_backup(
-                server, self.expected_tokens, self.generated_tokens
+                server, self.job.expected_tokens, self.generated_tokens
             )
         order = SendOrder(
             server.server_id,
@@ -220,7 +208,7 @@
 
     def _planned_tokens(self) -> int:
         ask = self.job.ask
-        expected, generated = self.expected_tokens, self.generated_tokens
+        expected, generated = self.job.expected_tokens, self.generated_tokens
         return planned_tokens(ask.prompt_tokens, generated, expected, is_copy=False)
 
     @property
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -15,11 +15,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from gypsumfield.load import compare as load_compare
 from gypsumfield.clock import Clock
 from gypsumfield.clock import system_clock
 from gypsumfield.configuration import parse_value
 from gypsumfield.exceptions import SettingsError
+from gypsumfield.load import compare as load_compare
 from gypsumfield.load.arrivals import draw_length
 from gypsumfield.load.arrivals import plan_requests
 from gypsumfield.load.client import send_request
