--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -3,13 +3,6 @@
 from typing import NamedTuple
 
 
-class PromptPart(NamedTuple):
-    """Part of a prompt that several requests may share."""
-
-    part_id: str
-    token_count: int
-
-
 class CallerAsk(NamedTuple):
     """What the headers of a caller's request say.
 
@@ -22,7 +15,6 @@
         prompt_tokens: Tokens of the prompt; 0 for a plain call.
         max_tokens: Most tokens of the output.
         expected_tokens: The caller's guess of the output, 0 for none.
-        prompt_parts: Parts of the prompt, in order.
     """
 
     request_id: str
@@ -33,7 +25,6 @@
     prompt_tokens: int
     max_tokens: int
     expected_tokens: int
-    prompt_parts: tuple[PromptPart, ...]
 
 
 class ResumePoint(NamedTuple):
@@ -77,14 +68,12 @@
         request_id: The request it answers, or empty.
         is_sealed: Whether the server vouches for status and body.
         is_not_run: Whether the server states that it did not run the request.
-        is_leaving: Whether the server closes the connection.
         is_encoded: Whether the body is not the server's plain one.
     """
 
     request_id: str
     is_sealed: bool
     is_not_run: bool
-    is_leaving: bool
     is_encoded: bool
 
 
--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -70,14 +70,12 @@
         publication: Configuration in force, or None until one is known.
         evacuated_zones: Zones whose servers get nothing.
         revision: Revision up to which the view is complete.
-        version: Grows with every change of a belief.
     """
 
     def __init__(self, decoders: Decoders, clock: Clock, emit: EmitEvent) -> None:
         self.publication: Publication | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
         self.revision = 0
-        self.version = 0
         self._decoders = decoders
         self._clock = clock
         self._emit = emit
@@ -219,7 +217,6 @@
         self._tell()
 
     def _tell(self) -> None:
-        self.version += 1
         for listener in self._listeners:
             listener()
 
--- a/src/gypsumfield/gateway/model.py
+++ b/src/gypsumfield/gateway/model.py
@@ -42,7 +42,6 @@
         max_attempts: Most backend servers that may run one call.
         is_open: Whether calls need no key.
         is_resumable: Whether a stream may go on from another run.
-        gap_target_ms: Longest pause between two events of a timely stream.
     """
 
     name: str
@@ -56,7 +55,6 @@
     max_attempts: int
     is_open: bool
     is_resumable: bool
-    gap_target_ms: float
 
 
 class EngineSpec(NamedTuple):
@@ -68,7 +66,6 @@
         tokens_per_event: Tokens in one event of a stream.
         can_move: Whether a run's memory can be moved to another engine.
         can_back_up: Whether a run's memory can be copied as it grows.
-        copy_lifetime_ms: How long a copy is kept that nobody uses.
     """
 
     slot_count: int
@@ -76,7 +73,6 @@
     tokens_per_event: int
     can_move: bool
     can_back_up: bool
-    copy_lifetime_ms: float
 
 
 class ServiceSpec(NamedTuple):
@@ -84,13 +80,11 @@
 
     Attributes:
         name: Unique name.
-        connection_limit: Connections a server accepts from all callers.
         cold_requests_per_s: Requests a cold server bears; 0 when it is never cold.
         engine: What its engines bear; None for a plain service.
     """
 
     name: str
-    connection_limit: int
     cold_requests_per_s: float
     engine: EngineSpec | None
 
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -9,7 +9,6 @@
     The defaults hold where an installation states none.
 
     Attributes:
-        drain_ms: How long a leaving server still serves.
         stop_limit_ms: Time between the signal to stop and the kill.
         retry_ratio: Repeats a service may get for each request.
         retry_window_ms: Span over which repeats are counted.
@@ -18,7 +17,6 @@
         cold_extra: Requests beyond that in one second.
     """
 
-    drain_ms: float = 2_000.0
     stop_limit_ms: float = 8_000.0
     retry_ratio: float = 0.2
     retry_window_ms: float = 10_000.0
@@ -41,7 +39,6 @@
         news_port: UDP port for peers' news; the same on all hosts.
         seed_ips: Hosts to find the others through; may be stale or down.
         store_address: ``IP:PORT`` of the published store.
-        is_first_start: Whether the whole system starts for the first time.
         bounds: Bounds that bind this host.
     """
 
@@ -55,7 +52,6 @@
     news_port: int
     seed_ips: tuple[str, ...]
     store_address: str
-    is_first_start: bool
     bounds: EdgeBounds
 
 
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -48,7 +48,6 @@
     max_attempts: int = 1
     allow_anonymous: bool = False
     stream_resume: bool = False
-    gap_aim_ms: float = 0.0
 
 
 class _WireEngine(msgspec.Struct):
@@ -59,13 +58,10 @@
     # Whether runs can be moved while they run.
     migrations: bool = False
     backups: bool = False
-    # How long a copy of a run is kept that nobody takes up.
-    handle_s: float = 5.0
 
 
 class _WireService(msgspec.Struct):
     name: str
-    max_connections: int = 100
     cold_per_s: float = 0.0
     engine: _WireEngine | None = None
 
@@ -189,14 +185,12 @@
         max_attempts=max(1, wire.max_attempts),
         is_open=wire.allow_anonymous,
         is_resumable=wire.stream_resume,
-        gap_target_ms=wire.gap_aim_ms,
     )
 
 
 def _service(wire: _WireService) -> ServiceSpec:
     return ServiceSpec(
         name=wire.name,
-        connection_limit=wire.max_connections,
         cold_requests_per_s=wire.cold_per_s,
         engine=_engine(wire.engine) if wire.engine else None,
     )
@@ -209,7 +203,6 @@
         tokens_per_event=max(1, wire.stride),
         can_move=wire.migrations,
         can_back_up=wire.backups,
-        copy_lifetime_ms=wire.handle_s * 1_000.0,
     )
 
 
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -6,7 +6,6 @@
 
 from gypsumfield.gateway.calls import AnswerMarks
 from gypsumfield.gateway.calls import CallerAsk
-from gypsumfield.gateway.calls import PromptPart
 from gypsumfield.gateway.calls import ResumePoint
 from gypsumfield.gateway.calls import SendOrder
 
@@ -20,7 +19,6 @@
 # Prompt tokens and the most output tokens, with a comma between.
 TOKEN_COUNTS = "X-Token-Counts"
 LENGTH_HINT = "X-Length-Hint"
-PROMPT_PARTS = "X-Prompt-Prefix"
 URGENCY = "X-Request-Urgency"
 COPY_SOURCE = "Kv-From"
 BACKUP_TARGET = "X-Kv-Backup"
@@ -82,7 +80,6 @@
         prompt_tokens=prompt_tokens,
         max_tokens=max_tokens,
         expected_tokens=int(_number(values.get(LENGTH_HINT.lower(), "")) or 0),
-        prompt_parts=_prompt_parts(values.get(PROMPT_PARTS.lower(), "")),
     )
 
 
@@ -115,7 +112,6 @@
         request_id=values.get(REQUEST_ID.lower(), ""),
         is_sealed=SEAL.lower() in values,
         is_not_run=NOT_RUN.lower() in values,
-        is_leaving="close" in values.get("connection", "").lower(),
         is_encoded=bool(values.get("content-encoding", "")),
     )
 
@@ -146,15 +142,6 @@
     return int(_number(prompt) or 0), int(_number(most) or 0)
 
 
-def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
-    parts = []
-    for entry in text.split(","):
-        part_id, colon, tokens = entry.strip().partition(":")
-        if colon and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
-    return tuple(parts)
-
-
 def _number(text: str) -> float | None:
     try:
         value = float(text)
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -69,14 +69,12 @@
                 str(seed).rpartition(":")[0] for seed in self._list("seed_nodes")
             ),
             store_address=self._text("platform.address"),
-            is_first_start=bool(self._find("bootstrap")),
             bounds=self._bounds(),
         )
 
     def _bounds(self) -> EdgeBounds:
         default = EdgeBounds()
         return EdgeBounds(
-            drain_ms=self._number("bounds.drain_ms", default.drain_ms),
             stop_limit_ms=MS_PER_S
             * self._number("bounds.grace_s", default.stop_limit_ms / MS_PER_S),
             retry_ratio=self._number("bounds.retry_budget_ratio", default.retry_ratio),
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -58,7 +58,6 @@
             news_port=free_port(socket.SOCK_DGRAM),
             seed_ips=tuple(seed_ips),
             store_address=self.store.address,
-            is_first_start=True,
             bounds=EdgeBounds(),
         )
         self.host = build_edge_host(self.settings, system_clock(), self.events.append)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -129,14 +129,12 @@
             ("Authorization", "Token k"),
             ("X-Deadline-Ms", "1500"),
             ("X-Token-Counts", "1460,80"),
-            ("X-Prompt-Prefix", "5c:800,zz,91:x"),
             ("X-Length-Hint", "nonsense"),
         ]
     )
     assert (ask.host, ask.request_id, ask.key) == ("h.example", "a1", "k")
     assert ask.time_limit_ms == 1500.0
     assert (ask.prompt_tokens, ask.max_tokens, ask.expected_tokens) == (1460, 80, 0)
-    assert [part.part_id for part in ask.prompt_parts] == ["5c"]
 
 
 @pytest.mark.parametrize("value", ["-1", "nan", "inf", "", "1e99"])
