Name the time for which a server stays cold in our own words

Cause: a field of ours had the platform's name, and the check for such names left it out. Change: cold_left_ms; the check looks for the platform's name everywhere.

--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -281,7 +281,7 @@
         known = self._beliefs.get(server.server_id)
         is_same_start = known and known.server.started_wall_ms == server.started_wall_ms
         first_seen_ms = known.first_seen_ms if known and is_same_start else now_ms
-        cold_until_ms = now_ms + server.cold_remaining_ms
+        cold_until_ms = now_ms + server.cold_left_ms
         belief = ServerBelief(server, first_seen_ms, cold_until_ms)
         self._beliefs[server.server_id] = belief
         self._emit_server(belief, "leaving" if server.is_leaving else "ready", source)
@@ -303,7 +303,7 @@
                 availability_zone=server.availability_zone,
                 state=state,
                 revision=server.revision,
-                cold_remaining_ms=server.cold_remaining_ms,
+                cold_left_ms=server.cold_left_ms,
                 source=source,
             )
         )
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -33,7 +33,7 @@
 
     state: str
     revision: int
-    cold_remaining_ms: float
+    cold_left_ms: float
     source: str
 
 
--- a/src/gypsumfield/gateway/model.py
+++ b/src/gypsumfield/gateway/model.py
@@ -127,7 +127,7 @@
         availability_zone: Zone it stands in.
         slot_count: Requests it works on at once.
         is_leaving: Whether it has announced its end.
-        cold_remaining_ms: How much longer it was to be cold when it wrote this.
+        cold_left_ms: How much longer it was to be cold when it wrote this.
         started_wall_ms: Its start; another value under the same id is a restart.
         revision: Revision of the registration.
     """
@@ -138,7 +138,7 @@
     availability_zone: str
     slot_count: int
     is_leaving: bool
-    cold_remaining_ms: float
+    cold_left_ms: float
     started_wall_ms: int
     revision: int
 
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -148,7 +148,7 @@
         availability_zone=wire.zone,
         slot_count=wire.slot_count,
         is_leaving=is_leaving,
-        cold_remaining_ms=wire.cold_remaining_ms,
+        cold_left_ms=wire.cold_remaining_ms,
         started_wall_ms=wire.born,
         revision=revision,
     )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -45,7 +45,7 @@
 WIRE_NAMES = re.compile(
     r"kv-watch|kv-range|kv-move|kv-key|X-Response-Seal|X-Expect-Instance|"
     r"X-Not-Executed|X-Attempt-Id|X-Kv-Backup|Kv-From|X-Token-Counts|X-Tenant|"
-    r"traffic_split|cold_remaining_ms\"|seed_nodes|GYPSUMFIELD_NODE_FILE|op/config"
+    r"traffic_split|cold_remaining_ms|seed_nodes|GYPSUMFIELD_NODE_FILE|op/config"
 )
 
 
