Let a lone host act only while the platform or another zone hears it

Cause: a host that knew nobody in its zone took the platform's last list, however old, for the word that it is alone. Parted from all, it went on beside the replacement that the platform had listed: the known red case. Change: a lone host is confirmed by fresh contact to the platform or by a host of another zone that hears it. It sends its heartbeat to one fixed host elsewhere every round; a host that hears a lone host of another zone answers it every round. Ruled out: contact to any random peer as the only change (heartbeats between zones every two seconds reach a given host too seldom: in the membership machine a lone host's join time began anew again and again); the last list with a lifetime (a parted host would use the whole of it beside its replacement). Cost: an installation of one entry host in all stops acting as owner while the platform is away.

--- a/src/gypsumfield/decisions/membership.py
+++ b/src/gypsumfield/decisions/membership.py
@@ -163,14 +163,12 @@
         has_platform = self._is_fresh(self._platform_contact_ms, now_ms)
         live_count = len(self.live_hosts(self.availability_zone))
         known_count = live_count + self._missing_count(now_ms)
+        is_heard = self._is_fresh(self._heard_by_peer_ms, now_ms)
         if known_count <= 1:
-            # A host that starts parted from all others knows of nobody. Only
-            # a list of the platform tells that it is alone.
-            was_told = self.host_id in self._listed
-            return has_platform or (was_told and not self._seeds)
+            # A replacement may act while this host is parted from all others.
+            return has_platform or is_heard
         if 2 * live_count == known_count:
             return has_platform
-        is_heard = self._is_fresh(self._heard_by_peer_ms, now_ms)
         return 2 * live_count > known_count and is_heard
 
     def note_platform_contact(self, now_ms: float) -> None:
@@ -250,7 +248,7 @@
         self._forget(now_ms)
         return [
             Outgoing(host_id, self._heartbeat(host_id, now_ms, position))
-            for host_id in self._choose_targets(random)
+            for host_id in self._choose_targets(now_ms, random)
         ]
 
     def send_urgent(self, now_ms: float, random: Random) -> list[Outgoing]:
@@ -471,18 +469,41 @@
                 del self._entries[host_id]
                 self.view_version += 1
 
-    def _choose_targets(self, random: Random) -> list[str]:
+    def _choose_targets(self, now_ms: float, random: Random) -> list[str]:
         targets = self._ring_neighbours()
         own_zone = self.live_hosts(self.availability_zone) - {self.host_id}
         targets += _choose(random, own_zone.difference(targets))
+        elsewhere = self.live_hosts() - own_zone - {self.host_id}
+        if not own_zone:
+            targets += self._choose_witness(elsewhere)
+        targets += self._lone_hosts_heard(now_ms)
         if self._round % self.times.cross_zone_every == 0:
-            elsewhere = self.live_hosts() - own_zone - {self.host_id}
-            targets += _choose(random, elsewhere)
+            targets += _choose(random, elsewhere.difference(targets))
             # A host that was given up is tried now and then: it may be parted
             # from this one and not dead.
             targets += _choose(random, self._silent_hosts())
         unknown_seeds = set(self._seeds) - set(self._entries)
-        return targets + _choose(random, unknown_seeds)
+        targets += _choose(random, unknown_seeds)
+        return list(dict.fromkeys(targets))
+
+    def _choose_witness(self, elsewhere: Iterable[str]) -> list[str]:
+        """Return the host of another zone that is to confirm this lone one."""
+        witness = max(elsewhere, key=_ring_position, default=None)
+        return [witness] if witness else []
+
+    def _lone_hosts_heard(self, now_ms: float) -> list[str]:
+        """Return the hosts whose zone has no other that could confirm them."""
+        hosts_by_zone: dict[str, list[MemberEntry]] = {}
+        for entry in self._entries.values():
+            if entry.news.state == "live":
+                hosts_by_zone.setdefault(entry.news.availability_zone, []).append(entry)
+        return sorted(
+            entries[0].news.host_id
+            for zone, entries in hosts_by_zone.items()
+            if zone != self.availability_zone
+            and len(entries) == 1
+            and self._was_heard(entries[0], now_ms)
+        )
 
     def _silent_hosts(self) -> set[str]:
         return {
