Compare a few engines instead of all in a large fleet

News of other zones' engines is up to 1.6 s old there, and every host chose the one engine that looked emptiest. Ruled out: engines that answer slowly by themselves (the other engines of the same seconds started streams within 0.3 to 0.8 s).

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -91,6 +91,25 @@
     is_fresh: bool = False
 
 
+class SampleSize(NamedTuple):
+    """How many engines with room a choice compares.
+
+    Hosts that choose the best of all by the same stale news choose the same one.
+
+    Attributes:
+        near_count: Engines of the host's own zone, whose news is fresher.
+        far_count: Engines of other zones.
+    """
+
+    near_count: int
+    far_count: int
+
+
+# Two random candidates are enough to avoid the fullest engines (power of two
+# choices); the own zone's fresher news bears one more.
+LARGE_FLEET_SAMPLE = SampleSize(near_count=3, far_count=2)
+
+
 class StreamNeed(NamedTuple):
     """What a stream asks of an engine.
 
@@ -99,12 +118,14 @@
         availability_zone: Zone of the host that carries it.
         prompt_tokens: Tokens to read before the first event.
         time_left_ms: Time in which the first event earns full credit.
+        sample_size: How many engines to compare; None compares all.
     """
 
     peak_tokens: int
     availability_zone: str
     prompt_tokens: int = 0
     time_left_ms: float = math.inf
+    sample_size: SampleSize | None = None
 
 
 def choose_engine(
@@ -124,7 +145,10 @@
     candidates = warm or fitting
     if not candidates:
         return None
-    return min(candidates, key=lambda engine: (_cost(engine, need), rng.random()))
+    return min(
+        _sample(candidates, need, rng),
+        key=lambda engine: (_cost(engine, need), rng.random()),
+    )
 
 
 def choose_rescue(
@@ -139,7 +163,9 @@
         <= engine.memory_tokens * RESCUE_MEMORY_RATIO
     ]
     return min(
-        fitting, key=lambda engine: (_cost(engine, need), rng.random()), default=None
+        _sample(fitting, need, rng),
+        key=lambda engine: (_cost(engine, need), rng.random()),
+        default=None,
     )
 
 
@@ -161,7 +187,7 @@
         <= engine.memory_tokens * BACKUP_MEMORY_RATIO
     ]
     return min(
-        fitting,
+        _sample(fitting, need, rng),
         key=lambda engine: (engine.committed_tokens, rng.random()),
         default=None,
     )
@@ -184,6 +210,20 @@
     return engine.committed_tokens + need.peak_tokens <= planned_tokens
 
 
+def _sample(
+    engines: Sequence[EngineLoad], need: StreamNeed, rng: random.Random
+) -> Sequence[EngineLoad]:
+    size = need.sample_size
+    if size is None:
+        return engines
+    near = [e for e in engines if e.availability_zone == need.availability_zone]
+    far = [e for e in engines if e.availability_zone != need.availability_zone]
+    return [
+        *rng.sample(near, min(size.near_count, len(near))),
+        *rng.sample(far, min(size.far_count, len(far))),
+    ]
+
+
 def _cost(engine: EngineLoad, need: StreamNeed) -> float:
     memory = engine.committed_tokens / max(1, engine.memory_tokens)
     is_other_zone = engine.availability_zone != need.availability_zone
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -10,6 +10,7 @@
 from gypsumfield.decisions.ejection import BackendHealth
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
+from gypsumfield.decisions.fleet_roles import SMALL_FLEET_HOSTS
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.fleet_shares import ColdShare
 from gypsumfield.decisions.ownership import rank_hosts
@@ -18,7 +19,9 @@
 from gypsumfield.decisions.placement import choose_plain
 from gypsumfield.decisions.placement import choose_rescue
 from gypsumfield.decisions.placement import EngineLoad
+from gypsumfield.decisions.placement import LARGE_FLEET_SAMPLE
 from gypsumfield.decisions.placement import PlainLoad
+from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import StreamNeed
 from gypsumfield.events import BackendHealthChanged
 from gypsumfield.gateway.catalogue import Catalogue
@@ -132,7 +135,11 @@
     ) -> Place | None:
         """Return an engine that has room for a stream and is in time, or None."""
         need = StreamNeed(
-            peak_tokens, self._ports.availability_zone, prompt_tokens, time_left_ms
+            peak_tokens,
+            self._ports.availability_zone,
+            prompt_tokens,
+            time_left_ms,
+            self._sample_size(),
         )
         beliefs = self.candidates(service, tried)
         loads = [self._engine_load(belief, service) for belief in beliefs]
@@ -155,7 +162,11 @@
         """
         beliefs = self.candidates(source.service, tried)
         loads = [self._engine_load(belief, source.service) for belief in beliefs]
-        need = StreamNeed(run.planned_tokens, source.availability_zone)
+        need = StreamNeed(
+            run.planned_tokens,
+            source.availability_zone,
+            sample_size=self._sample_size(),
+        )
         chosen = choose_rescue(loads, need, self._ports.rng)
         belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
         return belief.server if belief else None
@@ -166,7 +177,11 @@
         """Return an engine that can keep a copy of a run, or None."""
         beliefs = self.candidates(service, [runs_on])
         loads = [self._engine_load(belief, service) for belief in beliefs]
-        need = StreamNeed(peak_tokens, self._ports.availability_zone)
+        need = StreamNeed(
+            peak_tokens,
+            self._ports.availability_zone,
+            sample_size=self._sample_size(),
+        )
         chosen = choose_backup(loads, need, self._ports.rng)
         belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
         return belief.server if belief else None
@@ -291,6 +306,11 @@
             is_fresh=self._is_fresh(belief),
         )
 
+    def _sample_size(self) -> SampleSize | None:
+        """Return how many engines to compare; a small fleet's news is fresh."""
+        is_small = self._ports.host_count() <= SMALL_FLEET_HOSTS
+        return None if is_small else LARGE_FLEET_SAMPLE
+
     def _is_fresh(self, belief: ServerBelief) -> bool:
         """Return whether a server has just started, by both clocks.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,6 +9,7 @@
 from gypsumfield.decisions.placement import choose_plain
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import GROWTH_TOKENS
+from gypsumfield.decisions.placement import LARGE_FLEET_SAMPLE
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.decisions.placement import start_ms
@@ -103,3 +104,51 @@
     loaded = near._replace(active_count=5)
     assert choose_plain([loaded, far], "z1", random.Random(1)) == far
     assert choose_plain([], "z1", random.Random(1)) is None
+
+
+ZONES = [f"z{number}" for number in range(5)]
+STREAM_MS = 6_000.0
+FAR_NEWS_MS = 1_600.0
+NEAR_NEWS_MS = 240.0
+
+
+def fullest_memory_ratio(sample_size, seed):
+    """Return how full the fullest engine gets in a fleet that hears late.
+
+    Eighty hosts place 30 streams a second on 45 engines, whose news is 0.24 s old
+    in the own zone and 1.6 s elsewhere; half of one zone's engines stay away.
+    """
+    rng = random.Random(seed)
+    zones = {f"e{number}": ZONES[number % 5] for number in range(45)}
+    for away in ("e0", "e5", "e10", "e15", "e20"):
+        del zones[away]
+    runs = []
+    fullest = 0.0
+    for step in range(600):
+        now_ms = step * 1_000.0 / 30.0
+        zone = rng.choice(ZONES)
+        loads = []
+        for name, at in zones.items():
+            age_ms = NEAR_NEWS_MS if at == zone else FAR_NEWS_MS
+            known = sum(
+                begun_ms <= now_ms - age_ms < begun_ms + STREAM_MS
+                for begun_ms, server in runs
+                if server == name
+            )
+            loads.append(
+                EngineLoad(name, at, 24, MEMORY_TOKENS, known, known * 3_500, 0)
+            )
+        need = StreamNeed(3_500, zone, 3_000, 1_800.0, sample_size)
+        chosen = choose_engine(loads, need, rng)
+        runs.append((now_ms, chosen.server_id))
+        runs = [run for run in runs if run[0] + STREAM_MS + FAR_NEWS_MS > now_ms]
+        running = [server for begun_ms, server in runs if begun_ms + STREAM_MS > now_ms]
+        most = max(running.count(server) for server in zones)
+        fullest = max(fullest, most * 3_500 / MEMORY_TOKENS)
+    return fullest
+
+
+def test_a_large_fleet_does_not_crowd_the_engine_that_looked_emptiest():
+    for seed in range(3):
+        assert fullest_memory_ratio(LARGE_FLEET_SAMPLE, seed) <= 1.2
+        assert fullest_memory_ratio(None, seed) > 1.5
