Watch the store with one host a large zone, and let changes gather

The loss of a watcher is made good when its silence is noticed (1.4 s), by every host of the zone at once. Ruled out: fewer watchers than zones, since a parted zone must hear of its engines.

--- a/src/gypsumfield/decisions/fleet_roles.py
+++ b/src/gypsumfield/decisions/fleet_roles.py
@@ -11,10 +11,13 @@
 from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import rank_hosts
 
-# Two watchers in a zone, so that the loss of one delays no change.
-WATCHERS_PER_ZONE = 2
 # Up to this size every host is told of every run at once.
 SMALL_FLEET_HOSTS = 12
+# Two watchers in a zone, so that the loss of one delays no change.
+WATCHERS_PER_ZONE = 2
+# Each call to the store is paid for: with many hosts in a zone the loss of its
+# watcher is rare beside the changes, and is made good within two seconds.
+WATCHERS_PER_LARGE_ZONE = 1
 
 
 def is_store_watcher(host_id: str, zones: Mapping[str, str]) -> bool:
@@ -26,7 +29,9 @@
     """
     zone = zones[host_id]
     hosts = [other for other, at in zones.items() if at == zone]
-    return host_id in rank_hosts(f"store watch {zone}", hosts)[:WATCHERS_PER_ZONE]
+    is_small = len(zones) <= SMALL_FLEET_HOSTS
+    count = WATCHERS_PER_ZONE if is_small else WATCHERS_PER_LARGE_ZONE
+    return host_id in rank_hosts(f"store watch {zone}", hosts)[:count]
 
 
 def counting_host(server_id: str, zone: str, zones: Mapping[str, str]) -> str:
--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -20,6 +20,9 @@
 WATCH_WAIT_MS = 10_000
 FIRST_PAUSE_MS = 50.0
 LONGEST_PAUSE_MS = 500.0
+# Several servers that leave together do so within some tens of ms; after a change
+# the next watch waits for the others, so that one call brings them all.
+SETTLE_MS = 60.0
 # How soon a host takes the watch over.
 ROLE_CHECK_MS = 100.0
 
@@ -117,6 +120,8 @@
             items, revision = ports.source.watch(self._prefix, after, wait_ms)
             self._note_reached(revision)
             ports.catalogue.apply(items, revision, "store watch")
+            if items:
+                ports.clock.sleep_ms(SETTLE_MS)
 
     def _note_reached(self, revision: int) -> None:
         self._pause_ms = FIRST_PAUSE_MS
