Send every stream with the same urgency to engines

The priority of an account was decoded but used nowhere. Change: no urgency is sent; who goes first is decided in the hosts' queues, by the account's priority, else the route's.

--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -48,7 +48,6 @@
         server_id: The server that is meant; another one refuses.
         time_limit_ms: Time left.
         account: Client account of the key, or empty.
-        urgency: Rank at an engine, 0 first; None for plain services.
         resume: Where a run goes on, or None for a new one.
         backup_address: ``IP:PORT`` of the engine that keeps a copy, or empty.
     """
@@ -56,7 +55,6 @@
     server_id: str
     time_limit_ms: float
     account: str = ""
-    urgency: int | None = None
     resume: ResumePoint | None = None
     backup_address: str = ""
 
--- a/src/gypsumfield/gateway/job.py
+++ b/src/gypsumfield/gateway/job.py
@@ -61,6 +61,13 @@
         guess = int(ask.expected_tokens * LENGTH_MARGIN)
         return min(guess, ask.max_tokens) if ask.max_tokens else guess
 
+    @property
+    def priority(self) -> int:
+        """Rank among the calls that wait, 0 first; the account's goes first."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
     def remaining_ms(self, clock: Clock) -> float:
         """Return the time until the final answer is due."""
         return self.deadline_ms - clock.monotonic_ms()
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -75,9 +75,7 @@
     def _wait(self, job: Job, peak_tokens: int, tried: Collection[str]) -> Place | None:
         waiter = _Waiter(job)
         self._waiters.append(waiter)
-        self._waiters.sort(
-            key=lambda each: (each.job.route.priority, each.job.started_ms)
-        )
+        self._waiters.sort(key=lambda each: (each.job.priority, each.job.started_ms))
         self._emit(
             RequestQueued(
                 request_id=job.request_id,
@@ -122,7 +120,7 @@
                 return False
             if waiter.job.service != job.service:
                 continue
-            if own is not None or waiter.job.route.priority <= job.route.priority:
+            if own is not None or waiter.job.priority <= job.priority:
                 return True
         return False
 
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -194,7 +194,6 @@
             server.server_id,
             max(1.0, self._remaining_ms()),
             self.job.account_name,
-            urgency=self.job.route.priority,
             resume=resume,
             backup_address=self.copies.backup_address,
         )
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -24,7 +24,6 @@
 BACKUP_TARGET = "X-Kv-Backup"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "Token "
-MOST_URGENT, LEAST_URGENT = 0, 9
 
 _HOP_BY_HOP = frozenset(
     {
@@ -97,8 +96,6 @@
     headers[EXPECTED_SERVER] = order.server_id
     if order.account:
         headers[ACCOUNT] = order.account
-    if order.urgency is not None:
-        headers[URGENCY] = str(min(max(order.urgency, MOST_URGENT), LEAST_URGENT))
     if order.backup_address:
         headers[BACKUP_TARGET] = order.backup_address
     headers.update(_resume_headers(order.resume))
