Reserve memory at the engine before each stream in a large fleet

An engine without room is logged (`reservation_refused`), left alone for 250 ms, and another is asked; the stream waits at the host, not at the engine.

--- a/src/gypsumfield/decisions/fleet_roles.py
+++ b/src/gypsumfield/decisions/fleet_roles.py
@@ -20,6 +20,16 @@
 WATCHERS_PER_LARGE_ZONE = 1
 
 
+def is_large_fleet(host_count: int) -> bool:
+    """Return whether news between hosts is too old to place by it alone.
+
+    A large fleet compares a few random engines and reserves memory at the engine
+    before each stream; a small one hears of every run within 20 ms, where asking
+    costs more time than it saves.
+    """
+    return host_count > SMALL_FLEET_HOSTS
+
+
 def is_store_watcher(host_id: str, zones: Mapping[str, str]) -> bool:
     """Return whether a host watches the store for its zone.
 
@@ -29,8 +39,8 @@
     """
     zone = zones[host_id]
     hosts = [other for other, at in zones.items() if at == zone]
-    is_small = len(zones) <= SMALL_FLEET_HOSTS
-    count = WATCHERS_PER_ZONE if is_small else WATCHERS_PER_LARGE_ZONE
+    is_large = is_large_fleet(len(zones))
+    count = WATCHERS_PER_LARGE_ZONE if is_large else WATCHERS_PER_ZONE
     return host_id in rank_hosts(f"store watch {zone}", hosts)[:count]
 
 
@@ -48,6 +58,6 @@
 
 def is_near(host_id: str, other: str, zones: Mapping[str, str]) -> bool:
     """Return whether two hosts tell each other news at once."""
-    if len(zones) <= SMALL_FLEET_HOSTS:
+    if not is_large_fleet(len(zones)):
         return True
     return zones.get(host_id) == zones.get(other)
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -50,6 +50,7 @@
         account: Client account of the key, or empty.
         resume: Where a run goes on, or None for a new one.
         backup_address: ``IP:PORT`` of the engine that keeps a copy, or empty.
+        reservation: Name of the memory that the engine has reserved, or empty.
     """
 
     server_id: str
@@ -57,6 +58,7 @@
     account: str = ""
     resume: ResumePoint | None = None
     backup_address: str = ""
+    reservation: str = ""
 
 
 class AnswerMarks(NamedTuple):
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -14,6 +14,7 @@
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.clock import Clock
+from gypsumfield.decisions.fleet_roles import is_large_fleet
 from gypsumfield.decisions.fleet_shares import RetryShare
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayPorts
@@ -30,6 +31,7 @@
 from gypsumfield.gateway.follower import FollowerPorts
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import DEFAULT_LIMITS
 from gypsumfield.gateway.pages import build_peer_pages
 from gypsumfield.gateway.pages import build_readiness_pages
@@ -43,6 +45,7 @@
 from gypsumfield.gateway.run_copies import CopyPorts
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
+from gypsumfield.gateway.stream_queue import Reserve
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.gateway.streams import StreamPorts
@@ -197,7 +200,7 @@
             emit=emit,
         )
     )
-    queue = StreamQueue(placer, clock, emit)
+    queue = StreamQueue(placer, _reserver(catalogue, peers), clock, emit)
     registry = StreamRegistry()
     attempts = AttemptPorts(_wire(), catalogue, placer, BackendPool(), clock, emit)
     shares: defaultdict[str, RetryShare] = defaultdict(
@@ -302,6 +305,18 @@
     return bool(spec and spec.can_back_up)
 
 
+def _reserver(catalogue: Catalogue, peers: PeerLink) -> Reserve:
+    def reserve(server: BackendServer, tokens: int) -> str | None:
+        spec = catalogue.engine_spec(server.service)
+        if spec is None or spec.reservation_ms <= 0.0:
+            return ""
+        if not is_large_fleet(peers.host_count):
+            return ""
+        return engines.reserve(server.address, tokens, spec.reservation_ms)
+
+    return reserve
+
+
 def _page_server(address: str, application: Any) -> CallerServer:
     return CallerServer(split_address(address), WorkGate(application))
 
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -98,6 +98,14 @@
     reason: str = ""
 
 
+class ReservationRefused(Event, frozen=True, kw_only=True, tag="reservation_refused"):
+    """An engine had no room for a stream that this host thought would fit."""
+
+    stream_count: int
+    committed_tokens: int
+    reason: str
+
+
 class CopyChosen(Event, frozen=True, kw_only=True, tag="copy_chosen"):
     """An engine keeps a copy of a run from its start; empty when none has room."""
 
--- a/src/gypsumfield/gateway/model.py
+++ b/src/gypsumfield/gateway/model.py
@@ -66,6 +66,8 @@
         tokens_per_event: Tokens in one event of a stream.
         can_move: Whether a run's memory can be moved to another engine.
         can_back_up: Whether a run's memory can be copied as it grows.
+        reservation_ms: How long an engine keeps reserved memory at most; 0 when
+            it reserves none.
     """
 
     slot_count: int
@@ -73,6 +75,7 @@
     tokens_per_event: int
     can_move: bool
     can_back_up: bool
+    reservation_ms: float = 0.0
 
 
 class ServiceSpec(NamedTuple):
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -17,9 +17,9 @@
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.fleet_roles import counting_host
+from gypsumfield.decisions.fleet_roles import is_large_fleet
 from gypsumfield.decisions.fleet_roles import is_near
 from gypsumfield.decisions.fleet_roles import is_store_watcher
-from gypsumfield.decisions.fleet_roles import SMALL_FLEET_HOSTS
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import StoreItem
 from gypsumfield.gateway.engine_reports import EngineReport
@@ -184,9 +184,9 @@
                 self._round += 1
                 self._round_ms = now_ms
             self._tell_all(is_round)
-            is_small = len(self._zones) <= SMALL_FLEET_HOSTS
+            is_large = is_large_fleet(len(self._zones))
             self._ports.clock.sleep_ms(
-                SHORTEST_INTERVAL_MS if is_small else SHORTEST_LARGE_FLEET_MS
+                SHORTEST_LARGE_FLEET_MS if is_large else SHORTEST_INTERVAL_MS
             )
 
     def _tell_all(self, is_round: bool) -> None:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -10,7 +10,7 @@
 from gypsumfield.decisions.ejection import BackendHealth
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
-from gypsumfield.decisions.fleet_roles import SMALL_FLEET_HOSTS
+from gypsumfield.decisions.fleet_roles import is_large_fleet
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.fleet_shares import ColdShare
 from gypsumfield.decisions.ownership import rank_hosts
@@ -40,6 +40,8 @@
 # Servers of another zone go last for this time after a connection into it timed
 # out: a parted zone would cost each request one such wait a server.
 ZONE_SUSPECT_MS = 1_500.0
+# Runs on a full engine end about once a second; it is not asked again before.
+FULL_MS = 250.0
 # Time for which an engine that has just started is slow.
 FRESH_MS = 3_000.0
 # Clocks of two machines differ by less, unless one was stepped.
@@ -80,12 +82,21 @@
 
 
 class Place(NamedTuple):
-    """A chosen server and what the choice rested on."""
+    """A chosen server and what the choice rested on.
+
+    Attributes:
+        server: The server.
+        candidate_count: Servers that could have been chosen.
+        stream_count: Runs on it that this host knew of.
+        committed_tokens: Memory planned on it, as this host knew it.
+        reservation: Name of the memory that it has reserved, or empty.
+    """
 
     server: BackendServer
     candidate_count: int
     stream_count: int
     committed_tokens: int
+    reservation: str = ""
 
 
 class Placer:
@@ -102,6 +113,7 @@
         self._unreachable_until_ms: dict[str, float] = {}
         self._unreachable_for_ms: dict[str, float] = {}
         self._zone_suspect_until_ms: dict[str, float] = {}
+        self._full_until_ms: dict[str, float] = {}
         self._cold_shares: dict[str, ColdShare] = {}
 
     def place_plain(self, service: str, tried: Collection[str]) -> Place | None:
@@ -141,14 +153,13 @@
             time_left_ms,
             self._sample_size(),
         )
-        beliefs = self.candidates(service, tried)
-        loads = [self._engine_load(belief, service) for belief in beliefs]
+        loads = self._engine_loads(service, tried)
         chosen = choose_engine(loads, need, self._ports.rng)
         if chosen is None:
             return None
         return self._place(
             chosen.server_id,
-            len(beliefs),
+            len(loads),
             chosen.stream_count,
             chosen.committed_tokens,
         )
@@ -160,8 +171,7 @@
 
         A copy takes twice as long between zones, so the source's zone comes first.
         """
-        beliefs = self.candidates(source.service, tried)
-        loads = [self._engine_load(belief, source.service) for belief in beliefs]
+        loads = self._engine_loads(source.service, tried)
         need = StreamNeed(
             run.planned_tokens,
             source.availability_zone,
@@ -175,8 +185,7 @@
         self, service: str, peak_tokens: int, runs_on: str
     ) -> BackendServer | None:
         """Return an engine that can keep a copy of a run, or None."""
-        beliefs = self.candidates(service, [runs_on])
-        loads = [self._engine_load(belief, service) for belief in beliefs]
+        loads = self._engine_loads(service, [runs_on])
         need = StreamNeed(
             peak_tokens,
             self._ports.availability_zone,
@@ -242,6 +251,11 @@
             server.server_id, first_byte_ms, self._ports.clock.monotonic_ms()
         )
 
+    def note_full(self, server: BackendServer) -> None:
+        """Note that an engine has just refused to reserve memory."""
+        until_ms = self._ports.clock.monotonic_ms() + FULL_MS
+        self._full_until_ms[server.server_id] = until_ms
+
     def note_silence(self, server: BackendServer) -> None:
         """Note that a connection timed out, as in a partition."""
         zone = server.availability_zone
@@ -280,6 +294,15 @@
             return None
         return Place(belief.server, candidates, streams, tokens)
 
+    def _engine_loads(self, service: str, tried: Collection[str]) -> list[EngineLoad]:
+        """Return the engines that may get a run and have not just been full."""
+        now_ms = self._ports.clock.monotonic_ms()
+        return [
+            self._engine_load(belief, service)
+            for belief in self.candidates(service, tried)
+            if self._full_until_ms.get(belief.server.server_id, 0.0) <= now_ms
+        ]
+
     def _engine_load(self, belief: ServerBelief, service: str) -> EngineLoad:
         server = belief.server
         spec = self._ports.catalogue.engine_spec(service)
@@ -308,8 +331,8 @@
 
     def _sample_size(self) -> SampleSize | None:
         """Return how many engines to compare; a small fleet's news is fresh."""
-        is_small = self._ports.host_count() <= SMALL_FLEET_HOSTS
-        return None if is_small else LARGE_FLEET_SAMPLE
+        is_large = is_large_fleet(self._ports.host_count())
+        return LARGE_FLEET_SAMPLE if is_large else None
 
     def _is_fresh(self, belief: ServerBelief) -> bool:
         """Return whether a server has just started, by both clocks.
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -1,5 +1,7 @@
 """Holds streams back until an engine has room for them."""
 
+import math
+from collections.abc import Callable
 from collections.abc import Collection
 
 from gevent.event import Event as Signal
@@ -11,13 +13,23 @@
 from gypsumfield.decisions.holding import return_after_ms
 from gypsumfield.decisions.holding import time_left_ms
 from gypsumfield.events import RequestQueued
+from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.events import ReservationRefused
 from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.placing import FULL_MS
 from gypsumfield.gateway.placing import Place
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.ports import EmitEvent
 
+# Engines that refuse to reserve memory are full; a request asks this many before
+# it waits for a place to come free.
+RESERVE_TRIES = 3
+
+Reserve = Callable[[BackendServer, int], str | None]
+
 
 class _Waiter:
     """A stream that is held back."""
@@ -30,8 +42,21 @@
 class StreamQueue:
     """Holds streams back until an engine has room, the most urgent first."""
 
-    def __init__(self, placer: Placer, clock: Clock, emit: EmitEvent) -> None:
+    def __init__(
+        self, placer: Placer, reserve: Reserve, clock: Clock, emit: EmitEvent
+    ) -> None:
+        """Start with nobody waiting.
+
+        Args:
+            placer: Chooses engines.
+            reserve: Reserves tokens of memory at an engine; returns the name of
+                the reservation, which is empty where engines reserve none, or
+                None without room.
+            clock: Time.
+            emit: Log.
+        """
         self._placer = placer
+        self._reserve = reserve
         self._clock = clock
         self._emit = emit
         self._waiters: list[_Waiter] = []
@@ -59,7 +84,7 @@
             place = self._wait(job, peak_tokens, tried)
         if place is None and not job.abort.reason:
             # A late answer is worth less than one in time, but not nothing.
-            place = self._placer.place_stream(job.service, peak_tokens, tried)
+            place = self._place(job, peak_tokens, tried, math.inf)
         if place is None:
             runs = self._placer.run_count(job.service)
             raise RefusedError(
@@ -90,7 +115,7 @@
                 if left_ms <= 0.0:
                     return None
                 job.abort.attach(waiter.is_due.set)
-                waiter.is_due.wait(left_ms / MS_PER_S)
+                waiter.is_due.wait(min(left_ms, FULL_MS) / MS_PER_S)
                 waiter.is_due.clear()
                 if self._is_behind_others(job, waiter):
                     continue
@@ -106,13 +131,44 @@
     def _place_in_time(
         self, job: Job, peak_tokens: int, tried: Collection[str]
     ) -> Place | None:
-        return self._placer.place_stream(
-            job.service,
-            peak_tokens,
-            tried,
-            job.ask.prompt_tokens,
-            time_left_ms(self._held(job)),
-        )
+        return self._place(job, peak_tokens, tried, time_left_ms(self._held(job)))
+
+    def _place(
+        self, job: Job, peak_tokens: int, tried: Collection[str], left_ms: float
+    ) -> Place | None:
+        """Return a place whose memory the engine has reserved, or None."""
+        for _ in range(RESERVE_TRIES):
+            place = self._placer.place_stream(
+                job.service, peak_tokens, tried, job.ask.prompt_tokens, left_ms
+            )
+            if place is None:
+                return None
+            reservation = self._ask_engine(job, place, peak_tokens)
+            if reservation is not None:
+                return place._replace(reservation=reservation)
+        return None
+
+    def _ask_engine(self, job: Job, place: Place, peak_tokens: int) -> str | None:
+        reason = "no room"
+        try:
+            reservation = self._reserve(place.server, peak_tokens)
+        except BackendError as error:
+            self._placer.note_failure(place.server, is_unreachable=True)
+            reservation, reason = None, str(error)
+        if reservation is None:
+            self._placer.note_full(place.server)
+            self._emit(
+                ReservationRefused(
+                    request_id=job.request_id,
+                    account=job.account_name,
+                    service=job.service,
+                    backend_server=place.server.server_id,
+                    stream_count=place.stream_count,
+                    committed_tokens=place.committed_tokens,
+                    reason=reason,
+                )
+            )
+        return reservation
 
     def _is_behind_others(self, job: Job, own: _Waiter | None) -> bool:
         for waiter in self._waiters:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -161,7 +161,7 @@
             place = self._ports.queue.acquire(self.job, peak_tokens, self._tried)
             self._log_placed(place)
             try:
-                answer = self._open_at(place.server, resume)
+                answer = self._open_at(place.server, resume, place.reservation)
                 if answer.status not in SUCCESS_STATUSES:
                     return self._read_failure(answer)
                 headers = self._ports.attempts.wire.answer_headers(answer.headers)
@@ -174,7 +174,9 @@
                 continue
             return headers
 
-    def _open_at(self, server: BackendServer, resume: ResumePoint | None) -> OpenAnswer:
+    def _open_at(
+        self, server: BackendServer, resume: ResumePoint | None, reservation: str = ""
+    ) -> OpenAnswer:
         """Send the request to an engine and read the head of its answer."""
         ask = self.job.ask
         self.server = server
@@ -196,6 +198,7 @@
             self.job.account_name,
             resume=resume,
             backup_address=self.copies.backup_address,
+            reservation=reservation,
         )
         try:
             self._answer = open_answer(self._ports.attempts, self.job, server, order)
@@ -247,7 +250,8 @@
             raise error
         place = self._ports.queue.acquire(self.job, self._planned_tokens(), self._tried)
         self._log_placed(place)
-        self._open_again(place.server, ResumePoint(self.last_event_id))
+        resume = ResumePoint(self.last_event_id)
+        self._open_again(place.server, resume, place.reservation)
 
     def _resume_at_copy(self, copies: list[tuple[BackendServer, ResumePoint]]) -> None:
         now_ms = self._ports.attempts.clock.monotonic_ms()
@@ -275,10 +279,12 @@
         if has_way_on and self._answer is not None:
             self._answer.exchange.abandon()
 
-    def _open_again(self, server: BackendServer, resume: ResumePoint) -> None:
+    def _open_again(
+        self, server: BackendServer, resume: ResumePoint, reservation: str = ""
+    ) -> None:
         if self._answer is not None:
             self._answer.exchange.close()
-        answer = self._open_at(server, resume)
+        answer = self._open_at(server, resume, reservation)
         self.copies.drop_standby()
         if answer.status not in SUCCESS_STATUSES:
             raise BackendError(
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -58,6 +58,7 @@
     # Whether runs can be moved while they run.
     migrations: bool = False
     backups: bool = False
+    hold_ms: float = 0.0
 
 
 class _WireService(msgspec.Struct):
@@ -203,6 +204,7 @@
         tokens_per_event=max(1, wire.stride),
         can_move=wire.migrations,
         can_back_up=wire.backups,
+        reservation_ms=wire.hold_ms,
     )
 
 
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -20,6 +20,7 @@
 ANSWER_MS = 500.0
 ANSWER_LIMIT_BYTES = 1_048_576
 OK_STATUS = 200
+UNAVAILABLE_STATUS = 503
 _ID_HEADER = "X-Call-Id"
 
 
@@ -39,6 +40,10 @@
     created: int = 0
 
 
+class _WireHold(msgspec.Struct):
+    hold: Any
+
+
 class _Answer(NamedTuple):
     status: int
     body: bytes
@@ -91,6 +96,28 @@
     return MoveResult(answer.status == OK_STATUS, handle, move.created, answer.status)
 
 
+def reserve(address: str, tokens: int, lifetime_ms: float) -> str | None:
+    """Reserve a slot and memory at an engine for one request.
+
+    Returns:
+        The name of the reservation, or None when the engine has no room.
+
+    Raises:
+        BackendError: It did not answer, or not in its proper form.
+    """
+    body = msgspec.json.encode({"tokens": tokens, "ttl_ms": int(lifetime_ms)})
+    timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, ANSWER_MS, ANSWER_MS)
+    answer = _call(address, "POST", "/-/hold-take", body, timeouts)
+    if answer.status == UNAVAILABLE_STATUS:
+        return None
+    if answer.status != OK_STATUS:
+        raise BackendError(f"reservation: {answer.status}", RunVerdict.NOT_RUN)
+    try:
+        return str(msgspec.json.decode(answer.body, type=_WireHold).hold)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BackendError(f"reservation: {error}", RunVerdict.NOT_RUN) from error
+
+
 def _call(
     address: str, method: str, target: str, body: bytes, timeouts: ExchangeTimeouts
 ) -> _Answer:
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -19,9 +19,12 @@
 # Prompt tokens and the most output tokens, with a comma between.
 TOKEN_COUNTS = "X-Token-Counts"
 LENGTH_HINT = "X-Length-Hint"
+# Never set: an engine lets a more urgent request preempt a running one, which then
+# reads its prompt again. The hosts' queues decide who goes first.
 URGENCY = "X-Request-Urgency"
 COPY_SOURCE = "Kv-From"
 BACKUP_TARGET = "X-Kv-Backup"
+RESERVATION = "X-Hold"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "Token "
 
@@ -53,7 +56,7 @@
         "X-Expect-Version",
         URGENCY,
         "X-Pin-Ms",
-        "X-Hold",
+        RESERVATION,
         COPY_SOURCE,
         "Kv-Fetch",
         BACKUP_TARGET,
@@ -98,6 +101,8 @@
         headers[ACCOUNT] = order.account
     if order.backup_address:
         headers[BACKUP_TARGET] = order.backup_address
+    if order.reservation:
+        headers[RESERVATION] = order.reservation
     headers.update(_resume_headers(order.resume))
     return headers
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,75 +1,8 @@
-import json
-import random
-
 import pytest
 
-from fake_platform import publication
-from gypsumfield.clock import ManualClock
-from gypsumfield.gateway.catalogue import Catalogue
-from gypsumfield.gateway.catalogue import Decoders
-from gypsumfield.gateway.catalogue import StoreItem
-from gypsumfield.gateway.engine_reports import ReportBoard
-from gypsumfield.gateway.ledger import Ledger
-from gypsumfield.gateway.placing import Placer
-from gypsumfield.gateway.placing import PlacingPorts
 from gypsumfield.gateway.placing import UNREACHABLE_MS
 from gypsumfield.gateway.placing import ZONE_SUSPECT_MS
-from gypsumfield.gateway.settings import EdgeBounds
-from gypsumfield.platform import documents
-from gypsumfield.ports import discard_event
-
-
-class Fleet:
-    """A placer that knows one engine in each of some zones."""
-
-    def __init__(self, zones, cold_ms=0):
-        self.clock = ManualClock(1_000.0)
-        clock = self.clock.as_clock()
-        decoders = Decoders(
-            documents.is_configuration_key,
-            documents.is_server_key,
-            documents.evacuated_zone,
-            documents.decode_publication,
-            documents.decode_server,
-        )
-        self.catalogue = Catalogue(decoders, clock, discard_event)
-        wire = publication({"engine": "streaming"})
-        wire["services"][0]["cold_per_s"] = 20
-        items = [StoreItem("op/config", 1, json.dumps(wire).encode())]
-        for number, zone in enumerate(zones, 1):
-            value = {
-                "service": "engine",
-                "address": f"10.0.0.{number}:80",
-                "zone": zone,
-                "state": "ready",
-                "slot_count": 8,
-                "cold_remaining_ms": cold_ms,
-            }
-            data = json.dumps(value).encode()
-            items.append(StoreItem(f"servers/e{number}", number + 1, data))
-        self.catalogue.apply(items, len(items), "test")
-        self.placer = Placer(
-            PlacingPorts(
-                availability_zone="z1",
-                host_id="edge-1",
-                bounds=EdgeBounds(),
-                catalogue=self.catalogue,
-                ledger=Ledger(),
-                board=ReportBoard(self.catalogue, clock),
-                live_hosts=lambda: ["edge-1"],
-                host_count=lambda: 1,
-                clock=clock,
-                rng=random.Random(1),
-                emit=discard_event,
-            )
-        )
-
-    def server(self, server_id):
-        return self.catalogue.find_server(server_id).server
-
-    def candidates(self):
-        beliefs = self.placer.candidates("engine", ())
-        return sorted(belief.server.server_id for belief in beliefs)
+from placing_fleet import Fleet
 
 
 def test_a_zone_whose_servers_do_not_answer_goes_last():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from fake_platform import FakeRunner
 from fake_platform import publication
+from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import ConfigurationError
 from gypsumfield.exceptions import SettingsError
 from gypsumfield.gateway.calls import ResumePoint
@@ -13,10 +15,12 @@
 from gypsumfield.gateway.routes import find_account
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
+from gypsumfield.platform.engines import reserve
 from gypsumfield.platform.headers import decode_ask
 from gypsumfield.platform.headers import decode_marks
 from gypsumfield.platform.headers import encode_send
 from gypsumfield.platform.settings import read_edge_settings
+from gypsumfield.verdicts import RunVerdict
 
 SETTINGS = """
 node_name = "edge-1"
@@ -178,6 +182,53 @@
     assert sent["X-Kv-Backup"] == "10.0.0.2:80"
 
 
+def test_a_request_names_the_memory_reserved_for_it_and_no_urgency():
+    # An engine lets a more urgent request preempt a running one, which then reads
+    # its prompt again: 183 runs on the grown quiet day of gangseo-lens.
+    sent = encode_send([], "h", SendOrder("i-1", 900.0, reservation="r-1"))
+    assert sent["X-Hold"] == "r-1"
+    assert "X-Request-Urgency" not in sent
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        ("200 OK", b'{"hold":"r-1"}', "r-1"),
+        ("200 OK", b'{"hold":7}', "7"),
+        ("503 Service Unavailable", b"", None),
+    ],
+)
+def test_a_reservation_has_a_name_or_there_is_no_room(status, body, expected):
+    def respond(request, sock):
+        assert (request["method"], request["target"]) == ("POST", "/-/hold-take")
+        assert json.loads(request["body"]) == {"tokens": 160, "ttl_ms": 2000}
+        sock.sendall(
+            f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+        )
+
+    runner = FakeRunner(respond)
+    runner.start()
+    try:
+        assert reserve(runner.address, 160, 2_000.0) == expected
+    finally:
+        runner.crash()
+
+
+@pytest.mark.parametrize("answer", ["500 Oops", "200 OK"])
+def test_a_reservation_that_cannot_be_read_is_an_error(answer):
+    def respond(request, sock):
+        sock.sendall(f"HTTP/1.1 {answer}\r\nContent-Length: 1\r\n\r\nx".encode())
+
+    runner = FakeRunner(respond)
+    runner.start()
+    try:
+        with pytest.raises(BackendError) as caught:
+            reserve(runner.address, 160, 2_000.0)
+        assert caught.value.verdict is RunVerdict.NOT_RUN
+    finally:
+        runner.crash()
+
+
 def test_marks_of_an_answer():
     marks = decode_marks([("x-attempt-id", "a"), ("X-Not-Executed", "1")])
     assert marks.is_not_run and not marks.is_sealed
