--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -17,20 +17,25 @@
 from gypsumfield.ports import discard_event
 
 
+def make_catalogue(clock):
+    """Return an empty catalogue that reads the platform's documents."""
+    decoders = Decoders(
+        documents.is_configuration_key,
+        documents.is_server_key,
+        documents.evacuated_zone,
+        documents.decode_publication,
+        documents.decode_server,
+    )
+    return Catalogue(decoders, clock, discard_event)
+
+
 class Fleet:
     """A placer that knows one engine in each of some zones."""
 
     def __init__(self, zones, cold_ms=0):
         self.clock = ManualClock(1_000.0)
         clock = self.clock.as_clock()
-        decoders = Decoders(
-            documents.is_configuration_key,
-            documents.is_server_key,
-            documents.evacuated_zone,
-            documents.decode_publication,
-            documents.decode_server,
-        )
-        self.catalogue = Catalogue(decoders, clock, discard_event)
+        self.catalogue = make_catalogue(clock)
         wire = publication({"engine": "streaming"})
         wire["services"][0]["cold_per_s"] = 20
         items = [StoreItem("op/config", 1, json.dumps(wire).encode())]
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -4,12 +4,9 @@
 
 from fake_platform import publication
 from gypsumfield.clock import ManualClock
-from gypsumfield.gateway.catalogue import Catalogue
-from gypsumfield.gateway.catalogue import Decoders
 from gypsumfield.gateway.catalogue import LAPSE_GRACE_MS
 from gypsumfield.gateway.catalogue import StoreItem
-from gypsumfield.platform import documents
-from gypsumfield.ports import discard_event
+from placing_fleet import make_catalogue
 
 
 @pytest.fixture
@@ -19,14 +16,7 @@
 
 @pytest.fixture
 def catalogue(clock):
-    decoders = Decoders(
-        documents.is_configuration_key,
-        documents.is_server_key,
-        documents.evacuated_zone,
-        documents.decode_publication,
-        documents.decode_server,
-    )
-    return Catalogue(decoders, clock.as_clock(), discard_event)
+    return make_catalogue(clock.as_clock())
 
 
 def server(server_id, revision, state="ready", born=1):
