Ask the own zone's engines first, and tell other zones of loads every 0.4 s

News went to other zones every 1.6 s. Change: in a large fleet an engine of another zone is asked only when the own zone has none with room; a host that keeps count of engines tells far hosts every 0.4 s. Ruled out: engines of the own zone as the cause (307 refusals to 648 places).

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -98,7 +98,7 @@
 
     Attributes:
         near_count: Engines of the host's own zone, whose news is fresher.
-        far_count: Engines of other zones.
+        far_count: Engines of other zones, when the own zone has none with room.
     """
 
     near_count: int
@@ -218,10 +218,9 @@
         return engines
     near = [e for e in engines if e.availability_zone == need.availability_zone]
     far = [e for e in engines if e.availability_zone != need.availability_zone]
-    return [
-        *rng.sample(near, min(size.near_count, len(near))),
-        *rng.sample(far, min(size.far_count, len(far))),
-    ]
+    if near:
+        return rng.sample(near, min(size.near_count, len(near)))
+    return rng.sample(far, min(size.far_count, len(far)))
 
 
 def _cost(engine: EngineLoad, need: StreamNeed) -> float:
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -38,8 +38,8 @@
 from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.ports import EmitEvent
 
-# Near hosts hear of changes at once, and of life in this interval; far ones only
-# in every so many intervals.
+# Near hosts hear of changes at once, and of life in this interval. Far ones hear in
+# the same interval from a host that keeps count of engines, else in every so many.
 INTERVAL_MS = 400.0
 FAR_INTERVALS = 4
 SHORTEST_INTERVAL_MS = 20.0
@@ -191,8 +191,9 @@
 
     def _tell_all(self, is_round: bool) -> None:
         changes, after = self._changes()
-        is_far_round = is_round and self._round % FAR_INTERVALS == 0
         counted = self._counted_servers()
+        # Other zones know of an engine only what its counting host tells them.
+        is_far_round = is_round and (bool(counted) or self._round % FAR_INTERVALS == 0)
         own_loads = self._own_loads()
         for ip, peer in self._peers.items():
             if peer.is_silent:
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -111,7 +111,9 @@
     if answer.status == UNAVAILABLE_STATUS:
         return None
     if answer.status != OK_STATUS:
-        raise BackendError(f"reservation: {answer.status}", RunVerdict.NOT_RUN)
+        raise BackendError(
+            f"a reservation was answered with {answer.status}", RunVerdict.NOT_RUN
+        )
     try:
         return str(msgspec.json.decode(answer.body, type=_WireHold).hold)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
