--- a/src/gypsumfield/decisions/fleet_roles.py
+++ b/src/gypsumfield/decisions/fleet_roles.py
@@ -6,18 +6,20 @@
 for a while, only a few messages are sent twice.
 """
 
+import functools
+from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from gypsumfield.decisions.ownership import owner_of
 from gypsumfield.decisions.ownership import rank_hosts
+from gypsumfield.decisions.ownership import score_of
 
 # Up to this size every host is told of every run at once.
 SMALL_FLEET_HOSTS = 12
 # Two watchers in a zone, so that the loss of one delays no change.
 WATCHERS_PER_ZONE = 2
-# Each call to the store is paid for: with many hosts in a zone the loss of its
-# watcher is rare beside the changes, and is made good within two seconds.
-WATCHERS_PER_LARGE_ZONE = 1
 
 
 def is_large_fleet(host_count: int) -> bool:
@@ -31,7 +33,7 @@
 
 
 def is_store_watcher(host_id: str, zones: Mapping[str, str]) -> bool:
-    """Return whether a host watches the store for its zone.
+    """Return whether a host of a small fleet watches the store for its zone.
 
     Args:
         host_id: The host.
@@ -39,13 +41,11 @@
     """
     zone = zones[host_id]
     hosts = [other for other, at in zones.items() if at == zone]
-    is_large = is_large_fleet(len(zones))
-    count = WATCHERS_PER_LARGE_ZONE if is_large else WATCHERS_PER_ZONE
-    return host_id in rank_hosts(f"store watch {zone}", hosts)[:count]
+    return host_id in rank_hosts(f"store watch {zone}", hosts)[:WATCHERS_PER_ZONE]
 
 
 def counting_host(server_id: str, zone: str, zones: Mapping[str, str]) -> str:
-    """Return the host that keeps count of an engine's runs.
+    """Return the host of a small fleet that keeps count of an engine's runs.
 
     Args:
         server_id: The engine.
@@ -56,8 +56,65 @@
     return owner_of(server_id, near or zones) or ""
 
 
-def is_near(host_id: str, other: str, zones: Mapping[str, str]) -> bool:
-    """Return whether two hosts tell each other news at once."""
-    if not is_large_fleet(len(zones)):
-        return True
-    return zones.get(host_id) == zones.get(other)
+# The first delegate of a zone speaks for it, the second stands by.
+DELEGATES_PER_ZONE = 2
+# Zones whose delegates watch the store; the other zones hear from these.
+WATCHING_ZONES = 2
+
+
+class HostRank(NamedTuple):
+    """What decides which host speaks for its zone.
+
+    Attributes:
+        host_id: The host.
+        availability_zone: Its zone.
+        capacity: What it can carry beside its calls; hosts with more go first.
+    """
+
+    host_id: str
+    availability_zone: str
+    capacity: int
+
+
+def rank_delegates(hosts: Iterable[HostRank]) -> list[str]:
+    """Return the hosts of one zone in the order in which they speak for it.
+
+    A host need not know all others: who outranks whom follows from the two alone.
+    """
+    ranked = sorted(hosts, key=_delegate_key, reverse=True)
+    return [host.host_id for host in ranked]
+
+
+# The same hosts are ranked again whenever one of them comes or goes.
+@functools.lru_cache(maxsize=2_048)
+def _delegate_key(host: HostRank) -> tuple[int, tuple[int, str]]:
+    return host.capacity, score_of(f"delegate {host.availability_zone}", host.host_id)
+
+
+def watching_zones(zones: Iterable[str]) -> list[str]:
+    """Return the zones whose delegates watch the store, of those that are heard."""
+    return rank_hosts("store watch", zones)[:WATCHING_ZONES]
+
+
+def lowest_cold_score(
+    server_id: str, hosts: Collection[str], bound_per_s: int
+) -> tuple[int, str] | None:
+    """Return the lowest score with which a host may send to a cold server.
+
+    Half of the bound is given out, one request a second to each host, so that two
+    delegates that do not know of each other stay inside it together.
+
+    Args:
+        server_id: The cold server.
+        hosts: Hosts of its zone.
+        bound_per_s: Requests a second that the server bears from all hosts.
+
+    Returns:
+        The score, or None when the server bears too little.
+    """
+    taker_count = min(len(hosts), bound_per_s // 2)
+    if taker_count < 1:
+        return None
+    return sorted((score_of(server_id, host) for host in hosts), reverse=True)[
+        taker_count - 1
+    ]
--- a/src/gypsumfield/decisions/fleet_shares.py
+++ b/src/gypsumfield/decisions/fleet_shares.py
@@ -35,11 +35,18 @@
         self._requests.append(now_ms)
         self._forget(now_ms)
 
-    def take(self, now_ms: float, host_count: int) -> bool:
-        """Take one repeat out of the share, if there is one left."""
+    def take(self, now_ms: float, host_count: int | None) -> bool:
+        """Take one repeat out of the share, if there is one left.
+
+        Args:
+            now_ms: Monotonic time.
+            host_count: Hosts that may exist; None while this host knows too little
+                of its fleet to take a part beyond its own requests.
+        """
         self._forget(now_ms)
-        parts = max(host_count, FEWEST_PARTS)
-        allowed = self._extra / parts + self._ratio * len(self._requests)
+        allowed = self._ratio * len(self._requests)
+        if host_count is not None:
+            allowed += self._extra / max(host_count, FEWEST_PARTS)
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_ms)
@@ -69,21 +76,27 @@
         self._sent.append(now_ms)
 
 
-def cold_share_per_s(
-    rate_per_s: float, factor: float, extra: float, host_count: int, host_rank: int
-) -> int:
-    """Return how many requests a second one host may send to a cold server.
+def cold_bound_per_s(rate_per_s: float, factor: float, extra: float) -> int:
+    """Return how many requests a second a cold server may get from all hosts.
 
     Args:
         rate_per_s: Requests a second that a cold server bears.
         factor: Multiple of it that is still borne.
         extra: Requests beyond that.
+    """
+    return int(rate_per_s * factor + extra)
+
+
+def cold_share_per_s(bound_per_s: int, host_count: int, host_rank: int) -> int:
+    """Return how many requests a second one host may send to a cold server.
+
+    Args:
+        bound_per_s: What the server may get from all hosts.
         host_count: Hosts that may exist.
         host_rank: Rank of this host for this server among the hosts it knows;
             with more hosts than requests only the first ones may send.
     """
-    bound = int(rate_per_s * factor + extra)
     parts = max(host_count, FEWEST_PARTS)
-    if bound >= parts:
-        return bound // parts
-    return 1 if host_rank < bound // 2 else 0
+    if bound_per_s >= parts:
+        return bound_per_s // parts
+    return 1 if host_rank < bound_per_s // 2 else 0
--- a/src/gypsumfield/decisions/ownership.py
+++ b/src/gypsumfield/decisions/ownership.py
@@ -33,15 +33,16 @@
 
 def owner_of(resource: str, hosts: Iterable[str]) -> str | None:
     """Return the owner of ``resource`` among ``hosts``, or None without hosts."""
-    return max(hosts, key=lambda host: _score(resource, host), default=None)
+    return max(hosts, key=lambda host: score_of(resource, host), default=None)
 
 
 def rank_hosts(resource: str, hosts: Iterable[str]) -> list[str]:
     """Return ``hosts`` in the order in which they would own ``resource``."""
-    return sorted(hosts, key=lambda host: _score(resource, host), reverse=True)
+    return sorted(hosts, key=lambda host: score_of(resource, host), reverse=True)
 
 
-def _score(resource: str, host: str) -> tuple[int, str]:
+def score_of(resource: str, host: str) -> tuple[int, str]:
+    """Return how well a host suits a resource; the best of some hosts owns it."""
     # The name breaks a tie, so that every host breaks it alike.
     return xxhash.xxh3_64_intdigest(f"{resource}\0{host}".encode()), host
 
@@ -161,7 +162,7 @@
             return False
         best = self._best.get(resource)
         if best is None:
-            best = max(_score(resource, host) for host in self._rivals)
+            best = max(score_of(resource, host) for host in self._rivals)
             self._best[resource] = best
         return best[1] == self.host_id
 
@@ -176,9 +177,9 @@
         order of the hosts keeps this one from owning it.
         """
         waits = [self._ready_at_ms - now_ms]
-        own_score = _score(resource, self.host_id)
+        own_score = score_of(resource, self.host_id)
         for host, departed_at_ms in self._departed_at_ms.items():
-            if _score(resource, host) > own_score:
+            if score_of(resource, host) > own_score:
                 waits.append(departed_at_ms + self._hold_down_ms - now_ms)
         return max(0.0, *waits)
 
@@ -188,7 +189,7 @@
             if best[1] in gone:
                 del self._best[resource]
             elif joined:
-                scores = (_score(resource, host) for host in joined)
+                scores = (score_of(resource, host) for host in joined)
                 self._best[resource] = max(best, *scores)
 
     def _forget_departed(self, now_ms: float) -> None:
--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -154,6 +154,16 @@
         services = self.publication.services.values() if self.publication else ()
         return [service.name for service in services if service.engine]
 
+    def cold_servers(self, availability_zone: str) -> list[BackendServer]:
+        """Return the servers of a zone that bear only a little load now."""
+        now_ms = self._clock.monotonic_ms()
+        return [
+            belief.server
+            for belief in self._beliefs.values()
+            if belief.cold_until_ms > now_ms
+            and belief.server.availability_zone == availability_zone
+        ]
+
     def find_server(self, server_id: str) -> ServerBelief | None:
         """Return what is known of one server."""
         return self._beliefs.get(server_id)
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -14,7 +14,7 @@
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.clock import Clock
-from gypsumfield.decisions.fleet_roles import is_large_fleet
+from gypsumfield.decisions.fleet_shares import cold_bound_per_s
 from gypsumfield.decisions.fleet_shares import RetryShare
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayPorts
@@ -117,7 +117,7 @@
     fleet.catalogue.on_change(protector.look)
     metrics.read_state = lambda: HostState(
         configuration_revision=fleet.catalogue.revision,
-        member_count=len(fleet.peers.live_hosts()),
+        member_count=fleet.peers.live_count,
         in_flight_count=serving.gate.in_flight_count,
         queue_length=serving.queue.waiting_count,
     )
@@ -158,6 +158,7 @@
             catalogue=catalogue,
             # The link to the peers follows below; nothing runs before the start.
             must_watch=lambda: peers.must_watch_store(),
+            may_list=lambda: peers.may_list_store(),
             clock=clock,
             rng=base.rng,
             emit=emit,
@@ -168,6 +169,8 @@
             catalogue=catalogue,
             peer_port=split_address(settings.peer_address)[1],
             on_pulled=follower.restart_watch,
+            is_large_fleet=lambda: peers.is_large_fleet,
+            rng=base.rng,
             clock=clock,
             emit=emit,
         )
@@ -180,7 +183,9 @@
             ledger=ledger,
             board=board,
             pull=pull,
-            is_reaching=lambda: follower.is_reaching,
+            is_answered=lambda: follower.is_reaching,
+            cold_servers=lambda zone: _cold_servers(catalogue, settings, zone),
+            cold_bound_per_s=lambda server: _cold_bound(catalogue, settings, server),
             clock=clock,
             emit=emit,
         )
@@ -209,8 +214,8 @@
             ledger=ledger,
             board=fleet.board,
             notices=fleet.notices,
-            live_hosts=peers.live_hosts,
-            host_count=lambda: peers.host_count,
+            cold_allowed=peers.cold_allowed,
+            is_large_fleet=lambda: peers.is_large_fleet,
             clock=clock,
             rng=base.rng,
             emit=emit,
@@ -233,7 +238,7 @@
         queue=queue,
         ledger=ledger,
         retry_share=shares.__getitem__,
-        host_count=lambda: peers.host_count,
+        host_count=peers.host_count,
         tokens_per_event=lambda service: _tokens_per_event(catalogue, service),
         copies=CopyPorts(
             placer, ledger, lambda service: _can_back_up(catalogue, service), emit
@@ -244,9 +249,7 @@
         GatewayPorts(
             wire=attempts.wire,
             catalogue=catalogue,
-            plain=PlainPorts(
-                attempts, ledger, shares.__getitem__, lambda: peers.host_count
-            ),
+            plain=PlainPorts(attempts, ledger, shares.__getitem__, peers.host_count),
             streams=streams,
             draining_ms=lambda: gate.draining_ms(clock.monotonic_ms()),
             stop_limit_ms=settings.bounds.stop_limit_ms,
@@ -310,6 +313,24 @@
     )
 
 
+def _cold_bound(
+    catalogue: Catalogue, settings: EdgeSettings, server: BackendServer
+) -> int:
+    spec = catalogue.service_spec(server.service)
+    rate_per_s = spec.cold_requests_per_s if spec else 0.0
+    bounds = settings.bounds
+    return cold_bound_per_s(rate_per_s, bounds.cold_factor, bounds.cold_extra)
+
+
+def _cold_servers(
+    catalogue: Catalogue, settings: EdgeSettings, zone: str
+) -> list[tuple[BackendServer, int]]:
+    return [
+        (server, _cold_bound(catalogue, settings, server))
+        for server in catalogue.cold_servers(zone)
+    ]
+
+
 def _tokens_per_event(catalogue: Catalogue, service: str) -> int:
     spec = catalogue.engine_spec(service)
     return spec.tokens_per_event if spec else 1
@@ -330,7 +351,7 @@
         spec = fleet.catalogue.engine_spec(server.service)
         if spec is None or spec.reservation_ms <= 0.0:
             return ""
-        if not is_large_fleet(fleet.peers.host_count):
+        if not fleet.peers.is_large_fleet:
             return ""
         return fleet.engines.reserve(server, tokens, spec.reservation_ms)
 
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -70,6 +70,14 @@
                 del self._own[server_id]
         return dict(self._own)
 
+    def fresh_reports(self) -> dict[str, EngineReport]:
+        """Return all fresh reports, whoever asked for them, by engine."""
+        since_ms = self._clock.monotonic_ms() - REPORT_LIFETIME_MS
+        for server_id, report in list(self._reports.items()):
+            if report.heard_ms < since_ms:
+                del self._reports[server_id]
+        return dict(self._reports)
+
     def find(self, server_id: str) -> EngineReport | None:
         """Return the fresh report of an engine, or None."""
         report = self._reports.get(server_id)
--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -46,6 +46,7 @@
         source: Client of the store.
         catalogue: Where changes go.
         must_watch: Whether this host watches itself, or hears from its peers.
+        may_list: Whether a host without a view reads it from the store now.
         clock: Time.
         rng: Draws the pauses between tries.
         emit: Log.
@@ -54,6 +55,7 @@
     source: ItemSource
     catalogue: Catalogue
     must_watch: Callable[[], bool]
+    may_list: Callable[[], bool]
     clock: Clock
     rng: random.Random
     emit: EmitEvent
@@ -71,6 +73,7 @@
         self._prefix = prefix
         self._ports = ports
         self._is_listed = False
+        self._is_history_gone = False
         self._lost_ms: float | None = ports.clock.monotonic_ms()
         self._pause_ms = FIRST_PAUSE_MS
         self._greenlet: gevent.Greenlet | None = None
@@ -91,13 +94,20 @@
 
     def _run(self) -> None:
         while True:
-            if self._is_listed and not self._ports.must_watch():
+            if self._ports.catalogue.publication is not None and not self._is_listed:
+                # A peer's view is as complete as a listing of its revision.
+                self._is_listed = not self._is_history_gone
+            may_call = (
+                self._ports.must_watch if self._is_listed else self._ports.may_list
+            )
+            if not may_call():
                 self._ports.clock.sleep_ms(ROLE_CHECK_MS)
                 continue
             try:
                 self._step()
             except HistoryGoneError:
                 self._is_listed = False
+                self._is_history_gone = True
             except PlatformError as error:
                 self._note_lost(str(error))
                 pause_ms = self._pause_ms * self._ports.rng.uniform(0.5, 1.0)
@@ -111,6 +121,7 @@
             self._note_reached(revision)
             ports.catalogue.replace(items, revision, "store listing")
             self._is_listed = True
+            self._is_history_gone = False
         else:
             # After an outage the first watch is short, so that the end of the
             # outage is noticed before the first change.
--- a/src/gypsumfield/gateway/ledger.py
+++ b/src/gypsumfield/gateway/ledger.py
@@ -34,6 +34,14 @@
             self.waiting_prompt_tokens + other.waiting_prompt_tokens,
         )
 
+    def without(self, other: "ServerLoad") -> "ServerLoad":
+        """Return this load without a part of it; nothing falls below 0."""
+        return ServerLoad(
+            max(0, self.run_count - other.run_count),
+            max(0, self.committed_tokens - other.committed_tokens),
+            max(0, self.waiting_prompt_tokens - other.waiting_prompt_tokens),
+        )
+
 
 class Run:
     """One request on a server, or a copy of its memory.
@@ -137,6 +145,39 @@
         """Keep what the counting host tells of the other hosts' runs on a server."""
         self._shared[server_id] = (now_ms, load)
 
+    def replace_shared(
+        self,
+        totals: Mapping[str, ServerLoad],
+        own: Mapping[str, ServerLoad],
+        now_ms: float,
+    ) -> None:
+        """Keep a delegate's count of the runs of all hosts, by server.
+
+        Args:
+            totals: Load of each server that has any.
+            own: What the delegate was told of this host's own runs; it is in the
+                totals.
+            now_ms: When the count arrived.
+        """
+        self._shared = {
+            server_id: (now_ms, load.without(own.get(server_id, ServerLoad())))
+            for server_id, load in totals.items()
+        }
+        self._tell()
+
+    def loads_of(
+        self, is_counted: Callable[[str], bool], now_ms: float
+    ) -> dict[str, ServerLoad]:
+        """Return the own load by server with what some peers told of theirs."""
+        since_ms = now_ms - PEER_LOAD_LIFETIME_MS
+        sums = self.own_loads()
+        for host_id, (heard_ms, loads) in self._peers.items():
+            if heard_ms < since_ms or not is_counted(host_id):
+                continue
+            for server_id, load in loads.items():
+                sums[server_id] = load.plus(sums.get(server_id, ServerLoad()))
+        return sums
+
     def forget_peer(self, host_id: str) -> None:
         """Drop what is known of a peer's runs."""
         self._peers.pop(host_id, None)
--- a/src/gypsumfield/gateway/news.py
+++ b/src/gypsumfield/gateway/news.py
@@ -1,7 +1,14 @@
 """Wire form of what the hosts of the fleet tell each other."""
 
+import enum
+import zlib
+
 import msgspec
 
+# Views are mostly JSON with repeated names; the fastest level makes a fifth of them.
+VIEW_COMPRESSION_LEVEL = 1
+VIEW_LIMIT_BYTES = 16 * 1_048_576
+
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
     """Load on one engine: runs, planned memory, prompts still to be read."""
@@ -30,35 +37,92 @@
     value: bytes | None
 
 
-class News(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram; it may be lost, and replaces the one before.
+class HostCard(msgspec.Struct, frozen=True, array_like=True):
+    """Who a host is.
 
     Attributes:
-        host_id: Sender.
-        boot_id: Start of the sender's process.
-        ip: Address of the sender.
-        availability_zone: Zone of the sender.
-        revision: Revision up to which its view is complete.
-        is_reaching: Whether the store answers it.
-        peer_ips: Some of the hosts it has heard lately.
-        own_loads: Its runs on engines that the receiver keeps count of.
-        shared_loads: Runs of all hosts but the receiver on engines that the
-            sender keeps count of.
-        reports: Reports of engines that the sender has asked for.
-        changes: Published items that changed after ``changes_after``.
-        changes_after: Revision that the changes follow on.
+        host_id: Its name.
+        boot_id: Start of its process.
+        ip: Its address.
+        availability_zone: Its zone.
+        capacity: What it can carry beside its calls; see ``EdgeSettings``.
     """
 
     host_id: str
     boot_id: str
     ip: str
     availability_zone: str
+    capacity: int
+
+
+class LeavingNews(msgspec.Struct, frozen=True, array_like=True):
+    """Start of a server that said itself that it leaves."""
+
+    server_id: str
+    started_wall_ms: int
+
+
+class ColdLimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """Lowest score with which a host may send to a cold server now."""
+
+    server_id: str
+    score: int
+    host_id: str
+
+
+class NewsKind(enum.IntEnum):
+    """What a datagram is for, and what its loads count.
+
+    Attributes:
+        GREETING: Says who is there; no loads.
+        PEER: To every host of a small fleet: own runs on servers that the receiver
+            keeps count of, and the sum without the receiver's where the sender does.
+        MEMBER: To the delegates of a large fleet's zone: own runs.
+        DIGEST: From a delegate to the hosts of its zone: runs of all hosts.
+        ZONE: From a delegate to those of other zones: runs of the sender's zone.
+    """
+
+    GREETING = 0
+    PEER = 1
+    MEMBER = 2
+    DIGEST = 3
+    ZONE = 4
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram; it may be lost, and replaces the one before of its kind.
+
+    Attributes:
+        kind: What it is for.
+        sender: Who sends it.
+        revision: Revision up to which the sender's view is complete.
+        is_reaching: Whether the sender watches the store and is answered.
+        is_fed: Whether the sender learns of changes, from whomever.
+        zone_host_count: Hosts that a delegate hears in its zone; else 0.
+        fleet_host_count: Hosts of a large fleet; 0 when the sender knows no number.
+        named: Some hosts that it hears.
+        own_loads: See `NewsKind`.
+        shared_loads: See `NewsKind`; None where the sender has no count.
+        reports: Reports of engines.
+        leaving: Servers that said lately that they leave.
+        cold_limits: Who may send to cold servers of the sender's zone.
+        changes: Published items that changed after ``changes_after``.
+        changes_after: Revision that the changes follow on.
+    """
+
+    kind: NewsKind
+    sender: HostCard
     revision: int
     is_reaching: bool
-    peer_ips: list[str]
-    own_loads: list[LoadNews]
-    shared_loads: list[LoadNews]
-    reports: list[ReportNews]
+    is_fed: bool
+    zone_host_count: int = 0
+    fleet_host_count: int = 0
+    named: list[HostCard] = []
+    own_loads: list[LoadNews] = []
+    shared_loads: list[LoadNews] | None = None
+    reports: list[ReportNews] = []
+    leaving: list[LeavingNews] = []
+    cold_limits: list[ColdLimitNews] = []
     changes: list[ItemNews] = []
     changes_after: int = 0
 
@@ -75,9 +139,9 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-def encode(message: News | View) -> bytes:
-    """Return the wire form of a message."""
-    return _ENCODER.encode(message)
+def encode_news(news: News) -> bytes:
+    """Return the datagram of news."""
+    return _ENCODER.encode(news)
 
 
 def decode_news(data: bytes) -> News:
@@ -89,10 +153,22 @@
     return _NEWS_DECODER.decode(data)
 
 
+def encode_view(view: View) -> bytes:
+    """Return the compressed wire form of a view."""
+    return zlib.compress(_ENCODER.encode(view), VIEW_COMPRESSION_LEVEL)
+
+
 def decode_view(data: bytes) -> View:
     """Return the view in an answer.
 
     Raises:
-        msgspec.MsgspecError: It holds none.
+        msgspec.MsgspecError: It holds none, or one above ``VIEW_LIMIT_BYTES``.
     """
-    return _VIEW_DECODER.decode(data)
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, VIEW_LIMIT_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(f"view: {error}") from error
+    if not inflater.eof:
+        raise msgspec.DecodeError("view: it is cut or too large")
+    return _VIEW_DECODER.decode(plain)
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -1,7 +1,6 @@
 """Link to the other hosts of the fleet: who lives, what changed, who runs what.
 
-News travels in datagrams that may be lost. Each engine has one host that keeps
-count of its runs: the others tell it theirs, and it tells them the sum.
+News travels in datagrams that may be lost; the next round makes them good.
 """
 
 from collections.abc import Callable
@@ -16,55 +15,44 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.decisions.fleet_roles import counting_host
-from gypsumfield.decisions.fleet_roles import is_large_fleet
-from gypsumfield.decisions.fleet_roles import is_near
-from gypsumfield.decisions.fleet_roles import is_store_watcher
+from gypsumfield.decisions.fleet_shares import cold_share_per_s
+from gypsumfield.decisions.ownership import rank_hosts
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import StoreItem
-from gypsumfield.gateway.engine_reports import EngineReport
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.events import PeerSeen
 from gypsumfield.gateway.events import PeerSilent
+from gypsumfield.gateway.large_fleet import ColdServers
+from gypsumfield.gateway.large_fleet import LargeFleet
 from gypsumfield.gateway.ledger import Ledger
-from gypsumfield.gateway.ledger import ServerLoad
+from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.news import decode_news
-from gypsumfield.gateway.news import encode
-from gypsumfield.gateway.news import ItemNews
-from gypsumfield.gateway.news import LoadNews
+from gypsumfield.gateway.news import HostCard
 from gypsumfield.gateway.news import News
-from gypsumfield.gateway.news import ReportNews
+from gypsumfield.gateway.news import NewsKind
+from gypsumfield.gateway.news_desk import DeskPorts
+from gypsumfield.gateway.news_desk import NewsDesk
+from gypsumfield.gateway.roster import Roster
 from gypsumfield.gateway.settings import EdgeSettings
+from gypsumfield.gateway.small_fleet import SmallFleet
 from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.ports import EmitEvent
 
-# Near hosts hear of changes at once, and of life in this interval. Far ones hear in
-# the same interval from a host that keeps count of engines, else in every so many.
+Send = Callable[[str, bytes], None]
+
+# Hosts hear of changes at once, and of life in this interval.
 INTERVAL_MS = 400.0
-FAR_INTERVALS = 4
 SHORTEST_INTERVAL_MS = 20.0
-# Growth of a few runs is no news; a prompt more or less is.
-TOLD_STEP_TOKENS = 1_024
 # A host of a large fleet has little processor time for news.
 SHORTEST_LARGE_FLEET_MS = 120.0
-# Three missed rounds, and a little for their way.
-NEAR_SILENCE_MS = 1_400.0
-FAR_SILENCE_MS = 6_000.0
-# Hosts heard within this time count for the fixed shares of common bounds.
-PEER_MEMORY_MS = 60_000.0
-# A change that fits into one datagram is sent along; others are pulled.
-CHANGES_BYTES = 900
+# Hosts that were lost, and seeds that are not heard, are greeted in every so many
+# rounds.
+GREETING_ROUNDS = 4
 DATAGRAM_BYTES = 65_536
-PEERS_NAMED = 8
-
-
-class _Peer(NamedTuple):
-    host_id: str
-    boot_id: str
-    availability_zone: str
-    heard_ms: float
-    is_reaching: bool
-    is_silent: bool
+# A host that starts hears of its fleet within this time, and need not list the store
+# when a peer can hand out its view.
+DISCOVERY_MS = 300.0
+LISTING_PATIENCE_MS = 1_500.0
 
 
 class PeerPorts(NamedTuple):
@@ -77,9 +65,12 @@
         ledger: Runs in flight.
         board: Reports of engines.
         pull: Takes what peers have and this host lacks.
-        is_reaching: Whether the store answers this host.
+        is_answered: Whether the store answered the last call.
+        cold_servers: Cold servers of a zone and what they bear.
+        cold_bound_per_s: Requests a second that a cold server bears from all hosts.
         clock: Time.
         emit: Log.
+        send: Sends a datagram to an IP; None for the link's own socket.
     """
 
     settings: EdgeSettings
@@ -88,29 +79,47 @@
     ledger: Ledger
     board: ReportBoard
     pull: ViewPull
-    is_reaching: Callable[[], bool]
+    is_answered: Callable[[], bool]
+    cold_servers: ColdServers
+    cold_bound_per_s: Callable[[BackendServer], int]
     clock: Clock
     emit: EmitEvent
+    send: Send | None = None
 
 
 class PeerLink:
     """Sends this host's news and takes the peers'."""
 
     def __init__(self, ports: PeerPorts) -> None:
+        settings = ports.settings
         self._ports = ports
-        self._own_id = ports.settings.host_id
-        self._peers: dict[str, _Peer] = {}
-        self._zones = {self._own_id: ports.settings.availability_zone}
-        # Both follow from the zones, and are asked for at every piece of news.
-        self._counting: dict[str, str] = {}
-        self._is_watcher = True
+        own = HostCard(
+            settings.host_id,
+            ports.boot_id,
+            settings.ip,
+            settings.availability_zone,
+            settings.capacity,
+        )
         self._seeds: list[str] = []
-        self.set_seeds(ports.settings.seed_ips)
+        self.set_seeds(settings.seed_ips)
+        self._roster = Roster(own, not self._seeds, ports.clock)
+        self._desk = NewsDesk(
+            DeskPorts(
+                roster=self._roster,
+                catalogue=ports.catalogue,
+                ledger=ports.ledger,
+                board=ports.board,
+                is_reaching=self._is_reaching,
+                is_fed=lambda: self._large.is_fed,
+                send=ports.send or self._send_to,
+                clock=ports.clock,
+            )
+        )
+        self._small = SmallFleet(self._desk)
+        self._large = LargeFleet(self._desk, ports.cold_servers)
         self._news_due = Signal()
         self._round = 0
         self._round_ms = 0.0
-        self._told_revision = 0
-        self._told_loads: dict[str, list[tuple[str, int, int]]] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._socket: Any = None
         ports.ledger.on_change(self._news_due.set)
@@ -136,260 +145,175 @@
         self._seeds = [ip for ip in ips if ip != self._ports.settings.ip]
 
     @property
-    def host_count(self) -> int:
-        """Hosts that have been heard lately, this one included."""
-        since_ms = self._ports.clock.monotonic_ms() - PEER_MEMORY_MS
-        return 1 + sum(peer.heard_ms >= since_ms for peer in self._peers.values())
+    def is_large_fleet(self) -> bool:
+        """Whether the fleet is too large for everybody to hear everybody."""
+        return self._roster.is_large
 
-    def live_hosts(self) -> list[str]:
-        """Return the ids of the hosts heard just now, this one included."""
-        return sorted(self._zones)
+    @property
+    def roster(self) -> Roster:
+        """Hosts that are heard, and the roles that follow."""
+        return self._roster
 
-    def keeps_count_of(self, server_id: str, availability_zone: str) -> bool:
-        """Return whether this host keeps count of an engine's runs."""
-        return self._counting_host(server_id, availability_zone) == self._own_id
+    @property
+    def live_count(self) -> int:
+        """Hosts that are heard now, this one included."""
+        return 1 + len(self._roster.live())
+
+    def host_count(self) -> int | None:
+        """Return how many hosts may exist; None while too little is known."""
+        return self._roster.host_count if self._roster.is_settled else None
+
+    def cold_allowed(self, server: BackendServer) -> int:
+        """Return how many requests a second this host may send to a cold server."""
+        roster = self._roster
+        if not roster.is_settled:
+            return 0
+        if roster.is_large:
+            return self._large.cold_allowed(server)
+        ranked = rank_hosts(server.server_id, roster.zones())
+        return cold_share_per_s(
+            self._ports.cold_bound_per_s(server),
+            roster.host_count,
+            ranked.index(roster.own.host_id),
+        )
 
-    def _counting_host(self, server_id: str, availability_zone: str) -> str:
-        if server_id not in self._counting:
-            self._counting[server_id] = counting_host(
-                server_id, availability_zone, self._zones
-            )
-        return self._counting[server_id]
+    def keeps_count_of(self, server_id: str, availability_zone: str) -> bool:
+        """Return whether an engine's reports fall to this host."""
+        fleet = self._large if self._roster.is_large else self._small
+        return fleet.keeps_count_of(server_id, availability_zone)
 
     def must_watch_store(self) -> bool:
-        """Return whether this host watches the store itself.
+        """Return whether this host watches the store itself."""
+        fleet = self._large if self._roster.is_large else self._small
+        return fleet.must_watch_store()
 
-        It does as a watcher of its zone, and whenever no watcher of its zone
-        says that it reaches the store.
+    def may_list_store(self) -> bool:
+        """Return whether a host without a view reads it from the store.
+
+        Where a peer can hand out its view, that costs no call.
         """
-        if self._is_watcher:
+        if self._roster.is_alone:
             return True
-        zone = self._ports.settings.availability_zone
-        return not any(
-            peer.is_reaching
-            and not peer.is_silent
-            and peer.availability_zone == zone
-            and is_store_watcher(peer.host_id, self._zones)
-            for peer in self._peers.values()
-        )
+        if self._roster.age_ms < DISCOVERY_MS:
+            return False
+        return self.must_watch_store() or self._roster.age_ms > LISTING_PATIENCE_MS
+
+    def _is_reaching(self) -> bool:
+        return self._ports.is_answered() and self.must_watch_store()
 
     def _send(self) -> None:
         while True:
             self._news_due.wait(INTERVAL_MS / MS_PER_S)
-            self._news_due.clear()
-            self._mark_silent()
-            now_ms = self._ports.clock.monotonic_ms()
-            is_round = now_ms - self._round_ms >= INTERVAL_MS
-            if is_round:
-                self._round += 1
-                self._round_ms = now_ms
-            self._tell_all(is_round)
-            is_large = is_large_fleet(len(self._zones))
-            self._ports.clock.sleep_ms(
-                SHORTEST_LARGE_FLEET_MS if is_large else SHORTEST_INTERVAL_MS
-            )
+            self._ports.clock.sleep_ms(self.tell())
+
+    def tell(self) -> float:
+        """Tell the others what is due.
 
-    def _tell_all(self, is_round: bool) -> None:
-        changes, after = self._changes()
-        counted = self._counted_servers()
-        # Other zones know of an engine only what its counting host tells them.
-        is_far_round = is_round and (bool(counted) or self._round % FAR_INTERVALS == 0)
-        own_loads = self._own_loads()
-        for ip, peer in self._peers.items():
-            if peer.is_silent:
-                continue
-            is_near_peer = is_near(self._own_id, peer.host_id, self._zones)
-            own = own_loads.get(peer.host_id, [])
-            is_due = is_far_round or (is_round and is_near_peer)
-            shared = self._shared_loads(peer.host_id, counted)
-            is_new = self._is_new(peer.host_id, own, shared if is_near_peer else [])
-            if not (is_due or is_new or (changes and is_near_peer)):
-                continue
-            self._send_to(ip, self._news(own, shared, changes, after))
+        Returns:
+            The time before which nothing more is told, in ms.
+        """
+        self._news_due.clear()
+        now_ms = self._ports.clock.monotonic_ms()
+        is_round = now_ms - self._round_ms >= INTERVAL_MS
         if is_round:
-            heard = {ip for ip, peer in self._peers.items() if not peer.is_silent}
-            for ip in self._seeds:
-                if ip not in heard:
-                    self._send_to(ip, self._news([], [], [], 0))
-
-    def _is_new(
-        self, host_id: str, own: list[LoadNews], shared: list[LoadNews]
-    ) -> bool:
-        """Return whether loads differ from those told last by more than a little."""
-        told = [
-            (load.server_id, load.run_count, load.committed_tokens // TOLD_STEP_TOKENS)
-            for load in (*own, *shared)
-        ]
-        is_new = self._told_loads.get(host_id, []) != told
-        self._told_loads[host_id] = told
-        return is_new
-
-    def _send_to(self, ip: str, news: News) -> None:
+            self._round += 1
+            self._round_ms = now_ms
+            self._mark_silent()
+            self._greet_missing()
+        is_large = self._roster.is_large
+        fleet = self._large if is_large else self._small
+        fleet.tell(is_round, self._round)
+        return SHORTEST_LARGE_FLEET_MS if is_large else SHORTEST_INTERVAL_MS
+
+    @property
+    def has_news(self) -> bool:
+        """Whether something has changed since the last time that others were told."""
+        return bool(self._news_due.is_set())
+
+    def _greet_missing(self) -> None:
+        """Greet those that may answer although they are not heard."""
+        roster = self._roster
+        ips = {card.ip for card in roster.ask_due()}
+        is_lonely = not roster.live()
+        if is_lonely or self._round % GREETING_ROUNDS == 0:
+            ips |= {known.card.ip for known in roster.lost()}
+            if is_lonely or not roster.is_large or roster.is_delegate:
+                heard = {known.card.ip for known in roster.live()}
+                ips |= set(self._seeds) - heard
+        for ip in ips:
+            self._desk.greet(ip)
+
+    def _send_to(self, ip: str, datagram: bytes) -> None:
         try:
-            self._socket.sendto(encode(news), (ip, self._ports.settings.news_port))
+            self._socket.sendto(datagram, (ip, self._ports.settings.news_port))
         except OSError:
             # A datagram may be lost anywhere; the next one follows shortly.
             return
 
-    def _news(
-        self,
-        own: list[LoadNews],
-        shared: list[LoadNews],
-        changes: list[ItemNews],
-        after: int,
-    ) -> News:
-        ports = self._ports
-        live = [ip for ip, peer in self._peers.items() if not peer.is_silent]
-        start = self._round % max(1, len(live))
-        named = (live[start:] + live[:start])[:PEERS_NAMED]
-        return News(
-            self._own_id,
-            ports.boot_id,
-            ports.settings.ip,
-            ports.settings.availability_zone,
-            ports.catalogue.revision,
-            ports.is_reaching(),
-            named,
-            own,
-            shared,
-            self._reports(),
-            changes,
-            after,
-        )
-
-    def _changes(self) -> tuple[list[ItemNews], int]:
-        """Return what changed since the last news, if it fits into a datagram."""
-        catalogue = self._ports.catalogue
-        after, self._told_revision = self._told_revision, catalogue.revision
-        if not after or after == catalogue.revision:
-            return [], 0
-        changes = [ItemNews(*item) for item in catalogue.items_after(after)]
-        size = sum(len(item.key) + len(item.value or b"") for item in changes)
-        return (changes, after) if size <= CHANGES_BYTES else ([], 0)
-
-    def _own_loads(self) -> dict[str, list[LoadNews]]:
-        """Return this host's runs by the host that keeps count of their engine."""
-        loads: dict[str, list[LoadNews]] = {}
-        for server_id, load in self._ports.ledger.own_loads().items():
-            belief = self._ports.catalogue.find_server(server_id)
-            if belief is None:
-                continue
-            zone = belief.server.availability_zone
-            host_id = self._counting_host(server_id, zone)
-            loads.setdefault(host_id, []).append(LoadNews(server_id, *load))
-        return loads
-
-    def _counted_servers(self) -> list[str]:
-        counted = []
-        for server_id in self._ports.ledger.known_servers():
-            belief = self._ports.catalogue.find_server(server_id)
-            if belief is not None and self.keeps_count_of(
-                server_id, belief.server.availability_zone
-            ):
-                counted.append(server_id)
-        return counted
-
-    def _shared_loads(self, receiver: str, counted: list[str]) -> list[LoadNews]:
-        now_ms = self._ports.clock.monotonic_ms()
-        return [
-            LoadNews(
-                server_id, *self._ports.ledger.load_without(server_id, receiver, now_ms)
-            )
-            for server_id in counted
-        ]
-
-    def _reports(self) -> list[ReportNews]:
-        now_ms = self._ports.clock.monotonic_ms()
-        return [
-            ReportNews(
-                server_id,
-                report.waiting_count,
-                report.used_tokens,
-                report.is_leaving,
-                int(now_ms - report.heard_ms),
-            )
-            for server_id, report in self._ports.board.own_reports().items()
-        ]
-
     def _receive(self) -> None:
         while True:
-            datagram, _ = self._socket.recvfrom(DATAGRAM_BYTES)
-            try:
-                news = decode_news(datagram)
-            except msgspec.MsgspecError:
-                # Other programs may reach the port; news has no other effect.
-                continue
-            if news.host_id != self._own_id:
-                self._take(news)
-
-    def _take(self, news: News) -> None:
-        now_ms = self._ports.clock.monotonic_ms()
-        self._note_heard(news, now_ms)
-        ledger = self._ports.ledger
-        loads = {load.server_id: _server_load(load) for load in news.own_loads}
-        ledger.take_news(news.host_id, loads, now_ms)
-        for load in news.shared_loads:
-            ledger.take_shared(load.server_id, _server_load(load), now_ms)
-        for each in news.reports:
-            heard_ms = now_ms - each.age_ms
-            report = EngineReport(
-                each.waiting_count, each.used_tokens, each.is_leaving, heard_ms
-            )
-            self._ports.board.take(each.server_id, report, f"peer {news.host_id}")
-        self._take_changes(news)
-
-    def _note_heard(self, news: News, now_ms: float) -> None:
-        known = self._peers.get(news.ip)
-        is_new = known is None or known.is_silent or known.boot_id != news.boot_id
-        self._peers[news.ip] = _Peer(
-            news.host_id,
-            news.boot_id,
-            news.availability_zone,
-            now_ms,
-            news.is_reaching,
-            False,
+            self.take(self._socket.recvfrom(DATAGRAM_BYTES)[0])
+
+    def take(self, datagram: bytes) -> None:
+        """Take news from the network."""
+        try:
+            news = decode_news(datagram)
+        except msgspec.MsgspecError:
+            # Other programs may reach the port; news has no other effect.
+            return
+        if news.sender.host_id != self._roster.own.host_id:
+            self._take_news(news)
+
+    def _take_news(self, news: News) -> None:
+        roster = self._roster
+        sender = news.sender
+        is_new = roster.hear(
+            sender, news.is_reaching, news.is_fed, news.zone_host_count
         )
+        is_near = sender.availability_zone == roster.own.availability_zone
+        if news.kind is NewsKind.DIGEST and is_near:
+            roster.note_digest(news.fleet_host_count)
+        elif news.fleet_host_count:
+            roster.note_told_count(news.fleet_host_count)
         if is_new:
-            self._update_zones()
-            self._ports.emit(PeerSeen(peer=news.host_id, boot_id=news.boot_id))
-            self._send_to(news.ip, self._news([], [], [], 0))
-        for ip in news.peer_ips:
-            if ip not in self._peers and ip != self._ports.settings.ip:
-                self._send_to(ip, self._news([], [], [], 0))
-
-    def _take_changes(self, news: News) -> None:
+            self._small.note_hosts()
+            self._ports.emit(PeerSeen(peer=sender.host_id, boot_id=sender.boot_id))
+            self._desk.greet(sender.ip)
+        roster.hear_of(news.named)
+        for card in roster.ask_due():
+            self._desk.greet(card.ip)
+        source = f"peer {sender.host_id}"
+        for each in news.leaving:
+            self._ports.catalogue.note_leaving(
+                each.server_id, source, each.started_wall_ms
+            )
+        if news.kind is NewsKind.PEER:
+            self._small.take(news)
+        else:
+            self._large.take(news)
+        self._take_changes(news, source)
+
+    def _take_changes(self, news: News, source: str) -> None:
         catalogue = self._ports.catalogue
         if news.changes and catalogue.revision >= news.changes_after:
             items = [
                 StoreItem(item.key, item.revision, item.value) for item in news.changes
             ]
-            catalogue.apply(items, news.revision, f"peer {news.host_id}")
+            catalogue.apply(items, news.revision, source)
         self._ports.pull.compare(
-            news.host_id, news.ip, news.revision, not self.must_watch_store()
+            news.sender.host_id,
+            news.sender.ip,
+            news.revision,
+            not self.must_watch_store(),
         )
 
-    def _update_zones(self) -> None:
-        zones = {self._own_id: self._ports.settings.availability_zone}
-        for peer in self._peers.values():
-            if not peer.is_silent:
-                zones[peer.host_id] = peer.availability_zone
-        self._zones = zones
-        self._counting.clear()
-        self._is_watcher = is_store_watcher(self._own_id, zones)
-
     def _mark_silent(self) -> None:
         now_ms = self._ports.clock.monotonic_ms()
-        for ip, peer in list(self._peers.items()):
-            silent_ms = now_ms - peer.heard_ms
-            is_near_peer = is_near(self._own_id, peer.host_id, self._zones)
-            limit_ms = NEAR_SILENCE_MS if is_near_peer else FAR_SILENCE_MS
-            if peer.is_silent or silent_ms <= limit_ms:
-                continue
-            self._peers[ip] = peer._replace(is_silent=True)
-            self._update_zones()
-            self._ports.ledger.forget_peer(peer.host_id)
-            self._ports.emit(PeerSilent(peer=peer.host_id, silent_ms=silent_ms))
-
-
-def _server_load(load: LoadNews) -> ServerLoad:
-    return ServerLoad(load.run_count, load.committed_tokens, load.waiting_prompt_tokens)
+        silent = self._roster.mark_silent()
+        if silent:
+            self._small.note_hosts()
+        for known in silent:
+            self._ports.ledger.forget_peer(known.card.host_id)
+            self._ports.emit(
+                PeerSilent(peer=known.card.host_id, silent_ms=now_ms - known.heard_ms)
+            )
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -11,10 +11,7 @@
 from gypsumfield.decisions.ejection import BackendHealth
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
-from gypsumfield.decisions.fleet_roles import is_large_fleet
-from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.fleet_shares import ColdShare
-from gypsumfield.decisions.ownership import rank_hosts
 from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
 from gypsumfield.decisions.placement import choose_plain
@@ -55,8 +52,8 @@
         ledger: Runs in flight.
         board: Reports of engines.
         notices: What servers say of themselves.
-        live_hosts: Hosts heard lately, this one included.
-        host_count: Hosts that may exist.
+        cold_allowed: Requests a second that this host may send to a cold server.
+        is_large_fleet: Whether news of loads is too old to place by it alone.
         clock: Time.
         rng: Breaks ties.
         emit: Log.
@@ -69,8 +66,8 @@
     ledger: Ledger
     board: ReportBoard
     notices: ServerNotices
-    live_hosts: Callable[[], list[str]]
-    host_count: Callable[[], int]
+    cold_allowed: Callable[[BackendServer], int]
+    is_large_fleet: Callable[[], bool]
     clock: Clock
     rng: random.Random
     emit: EmitEvent
@@ -337,8 +334,7 @@
 
     def _sample_size(self) -> SampleSize | None:
         """Return how many engines to compare; a small fleet's news is fresh."""
-        is_large = is_large_fleet(self._ports.host_count())
-        return LARGE_FLEET_SAMPLE if is_large else None
+        return LARGE_FLEET_SAMPLE if self._ports.is_large_fleet() else None
 
     def _is_fresh(self, belief: ServerBelief) -> bool:
         """Return whether a server has just started, by both clocks.
@@ -360,14 +356,7 @@
         rate_per_s = spec.cold_requests_per_s if spec else 0.0
         if rate_per_s <= 0.0:
             return True
-        hosts = self._ports.live_hosts()
-        allowed = cold_share_per_s(
-            rate_per_s,
-            self.bounds.cold_factor,
-            self.bounds.cold_extra,
-            self._ports.host_count(),
-            rank_hosts(server.server_id, hosts).index(self._ports.host_id),
-        )
+        allowed = self._ports.cold_allowed(server)
         share = self._cold_shares.setdefault(server.server_id, ColdShare())
         return share.is_open(self._ports.clock.monotonic_ms(), allowed)
 
--- a/src/gypsumfield/gateway/plain.py
+++ b/src/gypsumfield/gateway/plain.py
@@ -44,13 +44,13 @@
         attempts: Sending.
         ledger: Runs in flight.
         retry_share: This host's part of the repeats of a service.
-        host_count: Hosts that may exist.
+        host_count: Hosts that may exist; None while too little is known of them.
     """
 
     attempts: AttemptPorts
     ledger: Ledger
     retry_share: Callable[[str], RetryShare]
-    host_count: Callable[[], int]
+    host_count: Callable[[], int | None]
 
 
 class _Tries:
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -40,6 +40,8 @@
         seed_ips: Hosts to find the others through; may be stale or down.
         store_address: ``IP:PORT`` of the published store.
         bounds: Bounds that bind this host.
+        capacity: What the host can carry beside its calls: the smaller of its
+            processor in hundredths of a core and its link in Mbit/s.
     """
 
     host_id: str
@@ -53,6 +55,7 @@
     seed_ips: tuple[str, ...]
     store_address: str
     bounds: EdgeBounds
+    capacity: int = 0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -49,7 +49,7 @@
         queue: Places on engines.
         ledger: Runs in flight.
         retry_share: This host's part of the repeats of a service.
-        host_count: Hosts that may exist.
+        host_count: Hosts that may exist; None while too little is known of them.
         tokens_per_event: Tokens in one event of a service's streams.
         copies: Copies of runs.
         registry: Streams that run now, for moves.
@@ -59,7 +59,7 @@
     queue: StreamQueue
     ledger: Ledger
     retry_share: Callable[[str], RetryShare]
-    host_count: Callable[[], int]
+    host_count: Callable[[], int | None]
     tokens_per_event: Callable[[str], int]
     copies: CopyPorts
     registry: StreamRegistry
--- a/src/gypsumfield/gateway/view_pull.py
+++ b/src/gypsumfield/gateway/view_pull.py
@@ -1,5 +1,6 @@
 """Pulls published items from a peer that is ahead of this host."""
 
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,16 +18,19 @@
 from gypsumfield.gateway.events import PullFailed
 from gypsumfield.gateway.events import ViewPulled
 from gypsumfield.gateway.news import decode_view
-from gypsumfield.gateway.news import encode
+from gypsumfield.gateway.news import encode_view
 from gypsumfield.gateway.news import ItemNews
 from gypsumfield.gateway.news import View
+from gypsumfield.gateway.news import VIEW_LIMIT_BYTES
 from gypsumfield.ports import EmitEvent
 
 # A watch delivers within a few ms; a peer that is ahead for longer shows that
 # this host's own watch is late or cut.
 LAG_TOLERANCE_MS = 250.0
 TIMEOUTS = ExchangeTimeouts(connect_ms=300, answer_ms=1_000, silence_ms=1_000)
-VIEW_LIMIT_BYTES = 16 * 1_048_576
+# Hosts of a large fleet's zone pull from the same delegate: spread over this time
+# they don't fill its link at once.
+LARGE_FLEET_SPREAD_MS = 150.0
 VIEW_PATH = "/view"
 _ID_HEADER = "X-Call-Id"
 
@@ -38,6 +42,8 @@
         catalogue: The published view.
         peer_port: Port on which hosts hand out their view.
         on_pulled: Called when a peer was ahead of this host's own watch.
+        is_large_fleet: Whether many hosts pull from the same one.
+        rng: Spreads the pulls of a large fleet.
         clock: Time.
         emit: Log.
     """
@@ -45,6 +51,8 @@
     catalogue: Catalogue
     peer_port: int
     on_pulled: Callable[[], None]
+    is_large_fleet: Callable[[], bool]
+    rng: random.Random
     clock: Clock
     emit: EmitEvent
 
@@ -86,9 +94,12 @@
         """Return what has changed since a revision, for a peer."""
         catalogue = self._ports.catalogue
         items = [ItemNews(*item) for item in catalogue.items_after(after_revision)]
-        return encode(View(catalogue.revision, items))
+        return encode_view(View(catalogue.revision, items))
 
     def _pull(self, host_id: str, ip: str) -> None:
+        if self._ports.is_large_fleet():
+            spread_ms = self._ports.rng.uniform(0.0, LARGE_FLEET_SPREAD_MS)
+            self._ports.clock.sleep_ms(spread_ms)
         try:
             view = self._fetch(ip)
         except (BackendError, msgspec.MsgspecError) as error:
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -70,8 +70,16 @@
             ),
             store_address=self._text("platform.address"),
             bounds=self._bounds(),
+            capacity=self._capacity(),
         )
 
+    def _capacity(self) -> int:
+        # The share is of a core that is so many times as fast as a usual one.
+        core_ratio = self._number("limits.cpu_share", 0.0) * self._number(
+            "limits.cpu_cores", 1.0
+        )
+        return int(min(100.0 * core_ratio, self._number("limits.link_mbps", 0.0)))
+
     def _bounds(self) -> EdgeBounds:
         default = EdgeBounds()
         return EdgeBounds(
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -5,6 +5,8 @@
 
 from fake_platform import publication
 from gypsumfield.clock import ManualClock
+from gypsumfield.decisions.fleet_shares import cold_bound_per_s
+from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import Decoders
 from gypsumfield.gateway.catalogue import StoreItem
@@ -54,17 +56,20 @@
             items.append(StoreItem(f"servers/e{number}", number + 1, data))
         self.catalogue.apply(items, len(items), "test")
         self.notices = ServerNotices(NoticePorts(self.catalogue, clock, events))
+        bounds = EdgeBounds()
         self.placer = Placer(
             PlacingPorts(
                 availability_zone="z1",
                 host_id="edge-1",
-                bounds=EdgeBounds(),
+                bounds=bounds,
                 catalogue=self.catalogue,
                 ledger=Ledger(),
                 board=ReportBoard(self.catalogue, clock),
                 notices=self.notices,
-                live_hosts=lambda: ["edge-1"],
-                host_count=lambda: 1,
+                cold_allowed=lambda server: cold_share_per_s(
+                    cold_bound_per_s(20.0, bounds.cold_factor, bounds.cold_extra), 1, 0
+                ),
+                is_large_fleet=lambda: False,
                 clock=clock,
                 rng=random.Random(1),
                 emit=discard_event,
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -1,6 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gypsumfield.decisions.fleet_shares import cold_bound_per_s
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.fleet_shares import ColdShare
 from gypsumfield.decisions.fleet_shares import FEWEST_PARTS
@@ -42,7 +43,8 @@
 )
 def test_cold_shares_of_all_hosts_stay_inside_the_bound(rate, host_count, known_count):
     hosts = max(host_count, known_count)
-    total = sum(cold_share_per_s(rate, 1.5, 5.0, hosts, rank) for rank in range(hosts))
+    bound = cold_bound_per_s(rate, 1.5, 5.0)
+    total = sum(cold_share_per_s(bound, hosts, rank) for rank in range(hosts))
     assert total <= rate * 1.5 + 5.0
 
 
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,204 @@
+"""The link between the hosts of a large fleet, in virtual time."""
+
+import pytest
+
+from gypsumfield.gateway.ledger import Run
+from gypsumfield.gateway.roster import HOST_MEMORY_MS
+from virtual_fleet import VirtualFleet
+
+# What the operators promise for a configuration and for an evacuation.
+CONFIGURATION_MS = 4_000.0
+EVACUATION_MS = 5_000.0
+START_MS = 4_000.0
+
+
+def started(host_count, seed=1):
+    fleet = VirtualFleet(host_count, seed=seed)
+    fleet.run(START_MS)
+    return fleet
+
+
+@pytest.mark.parametrize("host_count", [30, 195])
+def test_a_fleet_that_starts_at_once_finds_its_speakers(host_count):
+    fleet = VirtualFleet(host_count)
+    fleet.until(lambda: fleet.is_calm() and fleet.know(fleet.revision), START_MS)
+    fleet.run(2_000.0)
+    assert fleet.is_calm()
+    for host in fleet.hosts:
+        assert host.link.roster.host_count == host_count
+        assert host.link.host_count() is not None
+
+
+def test_what_an_ordinary_host_sends_does_not_grow_with_the_fleet():
+    rates = {}
+    for host_count in (30, 195, 500):
+        messages, sizes = started(host_count).count_sent(1_600.0)
+        rates[host_count] = (messages[len(messages) // 2], sizes[len(sizes) // 2])
+    assert rates[500][0] <= rates[30][0] * 1.1
+    assert rates[500][1] <= rates[30][1] * 1.1
+
+
+def test_few_hosts_call_the_store_when_all_start_at_once():
+    fleet = started(195)
+    callers = [host for host in fleet.hosts if host.store_calls]
+    assert len(callers) <= 12
+    watching = [host for host in fleet.hosts if host.link.must_watch_store()]
+    assert 1 <= len(watching) <= 3
+
+
+@pytest.mark.parametrize("loss_ratio", [0.0, 0.1])
+def test_a_configuration_reaches_every_host_in_time(loss_ratio):
+    fleet = started(195)
+    fleet.loss_ratio = loss_ratio
+    for version in range(2, 6):
+        revision = fleet.publish(version)
+        fleet.until(lambda wanted=revision: fleet.know(wanted), CONFIGURATION_MS)
+
+
+@pytest.mark.parametrize("how", ["kill", "cut"])
+def test_the_loss_of_both_delegates_of_a_zone_delays_no_change_for_long(how):
+    fleet = started(195)
+    first = fleet.firsts("z2")[0]
+    both = [
+        host
+        for host in fleet.hosts
+        if host.name in first.link.roster.near_delegates() and host.zone == "z2"
+    ]
+    assert len(both) == 2
+    for host in both:
+        if how == "kill":
+            host.is_up = False
+        else:
+            fleet.parted.add(host)
+    revision = fleet.put("op/evacuate/z4", {})
+    others = [host for host in fleet.hosts if host not in both]
+    fleet.until(lambda: fleet.know(revision, others), EVACUATION_MS)
+    for host in both:
+        if how == "kill":
+            host.start()
+        else:
+            fleet.parted.discard(host)
+    fleet.until(fleet.is_calm, 10_000.0)
+    fleet.until(lambda: fleet.know(fleet.revision), CONFIGURATION_MS)
+
+
+def test_a_zone_that_is_parted_goes_on_by_itself_and_comes_back():
+    fleet = started(195)
+    for number in range(1, 6):
+        fleet.parted.add(frozenset({"z0", f"z{number}"}))
+    revision = fleet.publish(2)
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS + 5_000.0)
+    fleet.parted.clear()
+    fleet.run(8_000.0)
+    assert fleet.is_calm()
+    watching = [host for host in fleet.hosts if host.link.must_watch_store()]
+    assert 1 <= len(watching) <= 3
+    revision = fleet.publish(3)
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
+
+
+def test_hosts_that_the_store_turns_away_hear_from_the_others():
+    fleet = started(195)
+    fleet.turned_away.update(
+        host
+        for host in fleet.hosts
+        if host.link.roster.is_delegate and host.zone < "z4"
+    )
+    revision = fleet.publish(2)
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
+
+
+def test_a_servers_word_that_it_leaves_reaches_every_host():
+    fleet = started(195)
+    fleet.put(
+        "servers/e1",
+        {
+            "service": "engine",
+            "address": "10.9.0.1:80",
+            "zone": "z1",
+            "state": "ready",
+            "born": 7,
+        },
+    )
+    fleet.until(lambda: fleet.know(fleet.revision), CONFIGURATION_MS)
+    teller = next(h for h in fleet.hosts if not h.link.roster.is_delegate)
+    teller.catalogue.note_leaving("e1", "answer", 7)
+
+    def all_know():
+        return all(
+            host.catalogue.is_leaving(host.catalogue.find_server("e1"))
+            for host in fleet.hosts
+        )
+
+    fleet.until(all_know, 2_000.0)
+
+
+def test_every_host_hears_of_all_runs_without_counting_its_own_twice():
+    fleet = started(60)
+    for host in fleet.hosts:
+        host.ledger.begin(Run("e1", 100, 50))
+    fleet.run(2_000.0)
+    for host in fleet.hosts:
+        assert host.ledger.load("e1", fleet.now_ms).run_count == 60
+
+
+def put_cold_server(fleet):
+    fleet.put(
+        "servers/e1",
+        {
+            "service": "engine",
+            "address": "10.9.0.1:80",
+            "zone": "z1",
+            "state": "ready",
+            "cold_remaining_ms": 60_000,
+            "born": 7,
+        },
+    )
+
+
+def cold_total(fleet):
+    total = 0
+    for host in fleet.up():
+        belief = host.catalogue.find_server("e1")
+        if belief is not None:
+            total += host.link.cold_allowed(belief.server)
+    return total
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_cold_server_gets_no_more_than_it_bears_whatever_hosts_know(seed):
+    fleet = VirtualFleet(195, seed=seed)
+    put_cold_server(fleet)
+    most = 0
+    for second in range(24):
+        if second == 8:
+            for host in fleet.rng.sample(fleet.hosts, 30):
+                host.is_up = False
+        if second == 12:
+            for host in fleet.hosts:
+                if not host.is_up:
+                    host.start()
+            fleet.parted.update(fleet.rng.sample(fleet.hosts, 30))
+        if second == 18:
+            fleet.parted.clear()
+        fleet.run(1_000.0)
+        most = max(most, cold_total(fleet))
+        assert cold_total(fleet) <= fleet.cold_bound
+    assert most > 0
+
+
+def test_a_host_that_has_just_started_takes_no_part_in_common_bounds():
+    fleet = started(195)
+    host = fleet.hosts[-1]
+    host.start()
+    assert host.link.host_count() is None
+    fleet.until(lambda: host.link.host_count() is not None, 3_000.0)
+    assert host.link.host_count() == 195
+
+
+def test_a_host_that_is_cut_off_remembers_how_many_there_were():
+    fleet = started(60)
+    host = fleet.hosts[-1]
+    fleet.parted.add(host)
+    fleet.run(HOST_MEMORY_MS / 4)
+    assert host.link.host_count() == 60
--- /dev/null
+++ b/tests/virtual_fleet.py
@@ -0,0 +1,288 @@
+"""Hosts of a large fleet in virtual time: their links to each other and the store."""
+
+import heapq
+import itertools
+import json
+import random
+from collections import Counter
+
+from fake_platform import publication
+from gypsumfield.clock import ManualClock
+from gypsumfield.gateway.catalogue import StoreItem
+from gypsumfield.gateway.engine_reports import ReportBoard
+from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.news import decode_view
+from gypsumfield.gateway.news import encode_view
+from gypsumfield.gateway.news import ItemNews
+from gypsumfield.gateway.news import View
+from gypsumfield.gateway.peers import INTERVAL_MS
+from gypsumfield.gateway.peers import PeerLink
+from gypsumfield.gateway.peers import PeerPorts
+from gypsumfield.gateway.settings import EdgeBounds
+from gypsumfield.gateway.settings import EdgeSettings
+from placing_fleet import make_catalogue
+
+NEAR_MS = 0.1
+FAR_MS = 0.5
+# A pull is a connection and one answer.
+PULL_MS = 5.0
+WATCH_MS = 4.0
+STORE_CHECK_MS = 100.0
+NEWS_CHECK_MS = 40.0
+# How often a test looks whether something has come true.
+LOOK_MS = 50.0
+
+
+class VirtualHost:
+    """One host: its link, its view and how it watches the store."""
+
+    def __init__(self, fleet, number, zone, capacity, seeds):
+        self.fleet = fleet
+        self.ip = f"10.0.{number // 250}.{number % 250 + 1}"
+        self.name = f"host-{number}"
+        self.zone = zone
+        self.capacity = capacity
+        self.seeds = seeds
+        self.boot = 0
+        self.is_up = False
+        self.sent = Counter()
+        self.start()
+
+    def start(self):
+        """Start the process anew, knowing nothing."""
+        self.boot += 1
+        self.is_up = True
+        self.is_answered = False
+        self.store_calls = 0
+        clock = self.fleet.clock.as_clock()
+        self.events = []
+        self.catalogue = make_catalogue(clock)
+        self.ledger = Ledger()
+        self.link = PeerLink(
+            PeerPorts(
+                settings=EdgeSettings(
+                    self.name,
+                    self.zone,
+                    "",
+                    "",
+                    "",
+                    "",
+                    self.ip,
+                    7200,
+                    tuple(self.seeds),
+                    "",
+                    EdgeBounds(),
+                    self.capacity,
+                ),
+                boot_id=f"b{self.boot}",
+                catalogue=self.catalogue,
+                ledger=self.ledger,
+                board=ReportBoard(self.catalogue, clock),
+                pull=self,
+                is_answered=lambda: self.is_answered,
+                cold_servers=lambda zone: [
+                    (server, self.fleet.cold_bound)
+                    for server in self.catalogue.cold_servers(zone)
+                ],
+                cold_bound_per_s=lambda server: self.fleet.cold_bound,
+                clock=clock,
+                emit=self.events.append,
+                send=self.send,
+            )
+        )
+        boot = self.boot
+        self.fleet.later(self.fleet.rng.uniform(0.0, 300.0), self.tell, boot)
+        self.fleet.later(self.fleet.rng.uniform(0.0, 100.0), self.look_at_store, boot)
+
+    def send(self, ip, datagram):
+        self.sent["messages"] += 1
+        self.sent["bytes"] += len(datagram)
+        self.fleet.carry(self, ip, datagram)
+
+    def tell(self, boot):
+        if self.is_up and boot == self.boot:
+            pause_ms = self.link.tell()
+            self.fleet.later(pause_ms, self.wait_for_news, boot, self.fleet.now_ms)
+
+    def wait_for_news(self, boot, told_ms):
+        if not self.is_up or boot != self.boot:
+            return
+        if self.link.has_news or self.fleet.now_ms - told_ms >= INTERVAL_MS:
+            self.tell(boot)
+        else:
+            self.fleet.later(NEWS_CHECK_MS, self.wait_for_news, boot, told_ms)
+
+    def compare(self, _host_id, ip, revision, is_pushed):
+        """Stand in for the pull of a view."""
+        if revision > self.catalogue.revision and (
+            is_pushed or not self.catalogue.publication
+        ):
+            self.fleet.later(PULL_MS, self.pull, ip, self.boot)
+
+    def pull(self, ip, boot):
+        source = self.fleet.by_ip[ip]
+        if boot != self.boot or not self.fleet.reaches(self, source):
+            return
+        items = source.catalogue.items_after(self.catalogue.revision)
+        data = encode_view(
+            View(source.catalogue.revision, [ItemNews(*item) for item in items])
+        )
+        view = decode_view(data)
+        self.catalogue.apply(
+            [StoreItem(*each) for each in view_items(view)], view.revision, "pull"
+        )
+
+    def look_at_store(self, boot):
+        if not self.is_up or boot != self.boot:
+            return
+        link, catalogue = self.link, self.catalogue
+        may_call = (
+            link.must_watch_store() if catalogue.publication else link.may_list_store()
+        )
+        pause_ms = STORE_CHECK_MS
+        if may_call:
+            pause_ms = WATCH_MS
+            is_due = catalogue.revision < self.fleet.revision
+            self.is_answered = self not in self.fleet.turned_away
+            if is_due or not self.is_answered:
+                self.store_calls += 1
+            if self.is_answered and is_due:
+                items = [
+                    item
+                    for item in self.fleet.items.values()
+                    if item.revision > catalogue.revision
+                ]
+                catalogue.apply(items, self.fleet.revision, "store")
+        self.fleet.later(pause_ms, self.look_at_store, boot)
+
+
+def view_items(view):
+    return [(item.key, item.revision, item.value) for item in view.items]
+
+
+class VirtualFleet:
+    """Hosts in zones, a store and a network that a test may harm.
+
+    Attributes:
+        loss_ratio: Share of the datagrams that are lost.
+        parted: Pairs of zones that don't reach each other.
+        turned_away: Hosts that the store does not answer.
+    """
+
+    def __init__(self, host_count, zone_count=6, seed=1):
+        self.clock = ManualClock(1_000.0)
+        self.rng = random.Random(seed)
+        self.loss_ratio = 0.0
+        self.parted = set()
+        self.turned_away = set()
+        self.cold_bound = 27
+        self.items = {}
+        self.revision = 0
+        self._queue = []
+        self._numbers = itertools.count()
+        self.hosts = []
+        self.by_ip = {}
+        self.publish(1)
+        zones = [f"z{number % zone_count}" for number in range(host_count)]
+        seeds = [f"10.0.0.{number + 1}" for number in range(3)]
+        for number, zone in enumerate(zones):
+            capacity = 100 if number // zone_count % 10 == 1 else 10
+            host = VirtualHost(self, number, zone, capacity, seeds)
+            self.hosts.append(host)
+            self.by_ip[host.ip] = host
+
+    @property
+    def now_ms(self):
+        return self.clock.now_ms
+
+    def put(self, key, value):
+        self.revision += 1
+        data = None if value is None else json.dumps(value).encode()
+        self.items[key] = StoreItem(key, self.revision, data)
+        return self.revision
+
+    def publish(self, version):
+        wire = publication({"engine": "streaming"}, version=version)
+        return self.put("op/config", wire)
+
+    def later(self, delay_ms, action, *arguments):
+        entry = (self.now_ms + delay_ms, next(self._numbers), action, arguments)
+        heapq.heappush(self._queue, entry)
+
+    def reaches(self, sender, receiver):
+        pair = frozenset({sender.zone, receiver.zone})
+        return (
+            receiver is not None
+            and sender.is_up
+            and receiver.is_up
+            and pair not in self.parted
+            and sender not in self.parted
+            and receiver not in self.parted
+        )
+
+    def carry(self, sender, ip, datagram):
+        receiver = self.by_ip.get(ip)
+        if receiver is None or not self.reaches(sender, receiver):
+            return
+        if self.rng.random() < self.loss_ratio:
+            return
+        delay_ms = NEAR_MS if sender.zone == receiver.zone else FAR_MS
+        self.later(delay_ms, self.deliver, receiver, receiver.boot, datagram)
+
+    @staticmethod
+    def deliver(receiver, boot, datagram):
+        if receiver.is_up and boot == receiver.boot:
+            receiver.link.take(datagram)
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            due_ms, _, action, arguments = heapq.heappop(self._queue)
+            self.clock.advance(max(0.0, due_ms - self.now_ms))
+            action(*arguments)
+        self.clock.advance(max(0.0, end_ms - self.now_ms))
+
+    def until(self, condition, limit_ms):
+        """Let time pass until ``condition``; return how long that took."""
+        started_ms = self.now_ms
+        while not condition():
+            assert self.now_ms < started_ms + limit_ms, "it did not come true in time"
+            self.run(LOOK_MS)
+        return self.now_ms - started_ms
+
+    def up(self):
+        return [host for host in self.hosts if host.is_up]
+
+    def firsts(self, zone):
+        """Return the hosts of a zone that speak for it."""
+        return [h for h in self.up() if h.zone == zone and h.link.roster.is_first]
+
+    def know(self, revision, hosts=None):
+        hosts = self.up() if hosts is None else hosts
+        return all(host.catalogue.revision >= revision for host in hosts)
+
+    def is_calm(self):
+        """Return whether each zone has one speaker whom all its hosts hear."""
+        zones = {host.zone for host in self.hosts}
+        for zone in zones:
+            firsts = self.firsts(zone)
+            hosts = [host for host in self.up() if host.zone == zone]
+            if not hosts:
+                continue
+            if len(firsts) != 1 or not all(
+                host.link.roster.near_delegates()[0] == firsts[0].name for host in hosts
+            ):
+                return False
+        return True
+
+    def count_sent(self, duration_ms):
+        """Return the hosts' messages and bytes a second, each sorted."""
+        for host in self.hosts:
+            host.sent.clear()
+        self.run(duration_ms)
+        seconds = duration_ms / 1_000.0
+        return (
+            sorted(host.sent["messages"] / seconds for host in self.up()),
+            sorted(host.sent["bytes"] / seconds for host in self.up()),
+        )
