Bound answers without end in bytes and in time at every place

Cause: an answer's head, interim answers, chunk sizes, extensions and trailers had no bound in bytes, an event of a stream none either, and a call of our own (report, copy, reservation, listing, watch, view) ended only when its server was silent, so that one byte every few hundred ms held a greenlet and a connection for good. A report that failed left no log line.

Change: an exchange counts the bytes that bring no body and ends above 128 KB; calls of our own have a total time; an event above 1 MB ends its connection; answers that are read whole are bounded at 8 MB instead of 32 on hosts of 128 MB. Each ends by our closing with the verdict of its stage and a log line.

Ruled out: a bound on the time of callers' exchanges beside their deadline, which ends them already.

Tests: one for each place, for exchanges, for each call of our own and for callers, memory measured; the eight places of an exchange, the trickle and the event without end have no bound in the code before.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -5,11 +5,13 @@
 every failure carries the stage it reached, and repeating is decided elsewhere.
 """
 
+import math
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
+import gevent
 import gevent.select
 import gevent.socket
 from geventhttpclient import HTTPClient
@@ -30,6 +32,9 @@
 READ_SIZE_BYTES = 65_536
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# Bytes of heads, interim answers, chunk sizes and trailers that may come without a
+# byte of the body; servers commonly bound their heads by an eighth of it.
+FRAMING_LIMIT_BYTES = 131_072
 
 
 class OutgoingRequest(NamedTuple):
@@ -60,13 +65,15 @@
     """Bounds of one exchange, in ms: connect, first byte, between bytes.
 
     ``unreachable_ms`` is how long a peer may be out of reach before the connection
-    counts as dead, however long its answer may take.
+    counts as dead, however long its answer may take. ``total_ms`` ends the exchange
+    whatever still comes, counted from the connection on.
     """
 
     connect_ms: float
     answer_ms: float
     silence_ms: float
     unreachable_ms: float = UNREACHABLE_LIMIT_MS
+    total_ms: float = math.inf
 
 
 class _TrailingBytesError(Exception):
@@ -80,9 +87,15 @@
     idle_sock: Any = None
     has_trailing_bytes = False
     final_status = 0
+    _framing_bytes = 0
 
     def feed(self, data: str | bytes) -> None:
-        """Parse data; whatever follows a whole answer only spoils the connection."""
+        """Parse data; whatever follows a whole answer only spoils the connection.
+
+        Raises:
+            HTTPParseError: It is no answer, or none comes of it without end.
+        """
+        body_bytes = len(self._body_buffer)
         try:
             super().feed(data)
         except HTTPParseError:
@@ -91,6 +104,12 @@
             self.has_trailing_bytes = True
         except _TrailingBytesError:
             self.has_trailing_bytes = True
+        if len(self._body_buffer) > body_bytes:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > FRAMING_LIMIT_BYTES and not self.is_answered:
+            raise HTTPParseError(f"{self._framing_bytes} bytes without an answer")
 
     @property
     def is_answered(self) -> bool:
@@ -149,6 +168,7 @@
         self._response: _Response | None = None
         self._sock: Any = None
         self._is_sent_whole = False
+        self._timer: gevent.Greenlet | None = None
 
     def open(self, check_before_send: Callable[[], str]) -> int:
         """Connect, send and read the answer's headers.
@@ -166,6 +186,10 @@
         try:
             self._sock = self._connect()
             self.stage = Stage.CONNECTED
+            if self._timeouts.total_ms < math.inf:
+                self._timer = gevent.spawn_later(
+                    self._timeouts.total_ms / MS_PER_S, self.abandon
+                )
             self._abort.attach(self._shut_down)
             hindrance = check_before_send()
             if hindrance:
@@ -232,7 +256,7 @@
 
     def finish(self) -> None:
         """Keep the connection if its answer was read to the end, else close it."""
-        self._abort.attach(None)
+        self._release()
         response = self._response
         is_reusable = (
             response is not None
@@ -250,11 +274,18 @@
 
     def close(self) -> None:
         """Close the connection, whatever was read."""
-        self._abort.attach(None)
+        self._release()
         if self._sock is not None:
             self._sock.close()
             self._sock = None
 
+    def _release(self) -> None:
+        """End what could still end the exchange from outside."""
+        self._abort.attach(None)
+        if self._timer is not None:
+            self._timer.kill(block=False)
+            self._timer = None
+
     def abandon(self) -> None:
         """End the wait for a server that is thought dead; the wait then fails."""
         self._shut_down()
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -289,6 +289,7 @@
             board=fleet.board,
             notices=fleet.notices,
             clock=base.clock,
+            emit=base.emit,
         )
     )
 
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -10,9 +10,11 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.events import ReportFailed
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.server_notices import ServerNotices
+from gypsumfield.ports import EmitEvent
 
 # Engines renew their report about twice a second.
 INTERVAL_MS = 500.0
@@ -105,6 +107,7 @@
     board: ReportBoard
     notices: ServerNotices
     clock: Clock
+    emit: EmitEvent
 
 
 class EngineReporter:
@@ -149,8 +152,14 @@
     def _ask(self, server: BackendServer) -> None:
         try:
             state = self._ports.read_state(server)
-        except BackendError:
-            # Requests to the engine fail as well and are logged with their reason.
+        except BackendError as error:
+            self._ports.emit(
+                ReportFailed(
+                    service=server.service,
+                    backend_server=server.server_id,
+                    reason=str(error),
+                )
+            )
             return
         finally:
             self._asking.discard(server.server_id)
--- a/src/gypsumfield/gateway/event_stream.py
+++ b/src/gypsumfield/gateway/event_stream.py
@@ -2,6 +2,11 @@
 
 from typing import NamedTuple
 
+from gypsumfield.exceptions import BackendError
+from gypsumfield.verdicts import RunVerdict
+
+# Events are some hundred bytes; whatever grows above this never becomes one.
+EVENT_LIMIT_BYTES = 1_048_576
 _ENDS = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD = b"id:"
 
@@ -29,13 +34,24 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Take bytes and return the events that they complete."""
+        """Take bytes and return the events that they complete.
+
+        Raises:
+            BackendError: What is left is too long for an event.
+        """
         self._buffer += data
         events = []
         while (end := self._find_end()) >= 0:
             event = bytes(self._buffer[:end])
             del self._buffer[:end]
             events.append(StreamEvent(event, _event_id(event)))
+        if len(self._buffer) > EVENT_LIMIT_BYTES:
+            self._buffer.clear()
+            raise BackendError(
+                f"an event is above {EVENT_LIMIT_BYTES} bytes",
+                RunVerdict.MAY_HAVE_RUN,
+                "event_too_large",
+            )
         return events
 
     def rest(self) -> bytes:
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -143,3 +143,9 @@
     """An answer says something of its server that makes no sense; not obeyed."""
 
     text: str
+
+
+class ReportFailed(Event, frozen=True, kw_only=True, tag="report_failed"):
+    """An engine was asked for its report and gave none."""
+
+    reason: str
--- a/src/gypsumfield/gateway/plain.py
+++ b/src/gypsumfield/gateway/plain.py
@@ -19,7 +19,8 @@
 from gypsumfield.gateway.model import CallKind
 from gypsumfield.verdicts import RunVerdict
 
-ANSWER_LIMIT_BYTES = 32 * 1_048_576
+# An answer is read whole; the smallest hosts have 128 MB for all their calls.
+ANSWER_LIMIT_BYTES = 8 * 1_048_576
 SERVER_ERROR_STATUS = 500
 # Tries that were refused before they ran do not count as runs, but each costs
 # time and a part of the shared budget.
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -28,6 +28,7 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Place
+from gypsumfield.gateway.plain import ANSWER_LIMIT_BYTES
 from gypsumfield.gateway.plain import WholeAnswer
 from gypsumfield.gateway.run_copies import CopyPorts
 from gypsumfield.gateway.run_copies import RunCopies
@@ -35,7 +36,6 @@
 from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.verdicts import RunVerdict
 
-ANSWER_LIMIT_BYTES = 32 * 1_048_576
 # Engines that refuse a stream are full or leaving; one more is tried than the
 # balancer would.
 REFUSED_TRIES = 3
--- a/src/gypsumfield/gateway/view_pull.py
+++ b/src/gypsumfield/gateway/view_pull.py
@@ -27,7 +27,10 @@
 # A watch delivers within a few ms; a peer that is ahead for longer shows that
 # this host's own watch is late or cut.
 LAG_TOLERANCE_MS = 250.0
-TIMEOUTS = ExchangeTimeouts(connect_ms=300, answer_ms=1_000, silence_ms=1_000)
+# A large configuration takes a second or two on the smallest links.
+TIMEOUTS = ExchangeTimeouts(
+    connect_ms=300, answer_ms=1_000, silence_ms=1_000, total_ms=4_000
+)
 # Hosts of a large fleet's zone pull from the same delegate: spread over this time
 # they don't fill its link at once.
 LARGE_FLEET_SPREAD_MS = 150.0
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -22,6 +22,8 @@
 
 CONNECT_TIMEOUT_MS = 300.0
 ANSWER_MS = 500.0
+# An answer of a few hundred bytes is over by then, or never.
+TOTAL_MS = 1_000.0
 ANSWER_LIMIT_BYTES = 1_048_576
 OK_STATUS = 200
 UNAVAILABLE_STATUS = 503
@@ -72,7 +74,7 @@
         Raises:
             BackendError: It did not answer, or not in its proper form.
         """
-        timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, ANSWER_MS, ANSWER_MS)
+        timeouts = _bounded(ANSWER_MS, TOTAL_MS)
         answer = self._call(server, "GET", "/-/report", b"", timeouts)
         try:
             report = msgspec.json.decode(answer.body, type=_WireReport)
@@ -101,7 +103,7 @@
             BackendError: The engine did not answer.
         """
         body = msgspec.json.encode({"id": request_id, "to": target, "final": False})
-        timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, timeout_ms, timeout_ms)
+        timeouts = _bounded(timeout_ms, timeout_ms)
         answer = self._call(server, "POST", "/-/kv-move", body, timeouts)
         try:
             move = msgspec.json.decode(answer.body, type=_WireMove)
@@ -124,7 +126,7 @@
             BackendError: It did not answer, or not in its proper form.
         """
         body = msgspec.json.encode({"tokens": tokens, "ttl_ms": int(lifetime_ms)})
-        timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, ANSWER_MS, ANSWER_MS)
+        timeouts = _bounded(ANSWER_MS, TOTAL_MS)
         answer = self._call(server, "POST", "/-/hold-take", body, timeouts)
         if answer.status == UNAVAILABLE_STATUS:
             return None
@@ -165,6 +167,12 @@
             exchange.close()
 
 
+def _bounded(silence_ms: float, total_ms: float) -> ExchangeTimeouts:
+    return ExchangeTimeouts(
+        CONNECT_TIMEOUT_MS, silence_ms, silence_ms, total_ms=total_ms
+    )
+
+
 def can_connect(address: str) -> bool:
     """Return whether a server accepts a connection within a few round trips."""
     ip, _, port = address.rpartition(":")
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -21,6 +21,8 @@
 # A listing is a few round trips; above this the store counts as silent.
 CALL_TIMEOUT_MS = 1_500.0
 CONNECT_TIMEOUT_MS = 1_000.0
+# A page of 1 MB takes so long on the smallest links, at most.
+TRANSFER_MS = 4_000.0
 ANSWER_LIMIT_BYTES = 16 * 1_048_576
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
@@ -128,7 +130,12 @@
         request = OutgoingRequest(
             self._address, "GET", target, {}, b"", "", _ID_HEADER, must_echo_id=False
         )
-        timeouts = ExchangeTimeouts(CONNECT_TIMEOUT_MS, timeout_ms, timeout_ms)
+        timeouts = ExchangeTimeouts(
+            CONNECT_TIMEOUT_MS,
+            timeout_ms,
+            timeout_ms,
+            total_ms=timeout_ms + TRANSFER_MS,
+        )
         exchange = Exchange(request, timeouts, AbortHandle(), self._pool)
         try:
             status = exchange.open(lambda: "")
