Sort lost requests by cause from the hosts' logs

Change: `gypsumfield-timeline losses` reads logs one after the other in bounded memory and sorts every request that was not served in full by its cause, with count, worth by route and an example, as text, JSON or a plot. The log says the route of a placed request and the status of a completed one.

Ruled out: reading worth from the users' report; their classes are not in the logs, and an operator knows the worth of his routes. What the report alone knows is not read yet.

--- a/src/gypsumfield/commands/timeline.py
+++ b/src/gypsumfield/commands/timeline.py
@@ -8,6 +8,7 @@
 from cleo.helpers import argument
 from cleo.helpers import option
 
+from gypsumfield.commands.losses import LossesCommand
 from gypsumfield.commands.program import run_program
 from gypsumfield.exceptions import SettingsError
 from gypsumfield.timeline.filter import parse_time_ms
@@ -103,5 +104,8 @@
 
 
 def main() -> int:
-    """Run the program."""
+    """Run the program; its one verb has options of its own."""
+    if sys.argv[1:2] == [LossesCommand.name]:
+        del sys.argv[1]
+        return run_program(LossesCommand())
     return run_program(TimelineCommand())
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -92,11 +92,12 @@
 
 
 class RequestCompleted(Event, frozen=True, kw_only=True, tag="request_completed"):
-    """A caller got its whole answer."""
+    """A caller got its whole answer, with the server's status."""
 
     elapsed_ms: float
     token_count: int = 0
     longest_gap_ms: float = 0.0
+    status: int = 200
 
 
 class RequestFailed(Event, frozen=True, kw_only=True, tag="request_failed"):
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -203,6 +203,7 @@
                 account=job.account_name,
                 service=job.service,
                 elapsed_ms=self._ports.clock.monotonic_ms() - job.started_ms,
+                status=answer.status,
             )
         )
         return [answer.body]
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -87,6 +87,7 @@
     committed_tokens: int = 0
     stream_count: int = 0
     is_resumed: bool = False
+    route: str = ""
 
 
 class RunCopied(Event, frozen=True, kw_only=True, tag="run_copied"):
--- a/src/gypsumfield/gateway/plain.py
+++ b/src/gypsumfield/gateway/plain.py
@@ -185,6 +185,7 @@
         RequestPlaced(
             request_id=job.request_id,
             account=job.account_name,
+            route=job.route.name,
             service=job.service,
             backend_server=server.server_id,
             attempt=len(tries.server_ids) + 1,
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -386,6 +386,7 @@
             RequestPlaced(
                 request_id=self.job.request_id,
                 account=self.job.account_name,
+                route=self.job.route.name,
                 service=self.job.service,
                 backend_server=place.server.server_id,
                 attempt=len(self._tried) + 1,
