Let only some hosts try a store that is away

Change: such hosts try in slots of 0.4 s in turn, one in 16 at a time, beside the delegates. Together they still find a store that serves only some hosts, and what one of them learns its delegates pull.

Ruled out: leaving it to the delegates alone; where all of them are turned away while other hosts are served, no change came through (test).

Tests: a store that is away is not asked by everybody, delegates that are all turned away; the first failed before.

--- a/src/gypsumfield/decisions/fleet_roles.py
+++ b/src/gypsumfield/decisions/fleet_roles.py
@@ -118,3 +118,19 @@
     return sorted((score_of(server_id, host) for host in hosts), reverse=True)[
         taker_count - 1
     ]
+
+
+# While nobody tells a large fleet of changes, each host tries the store itself in one
+# of so many slots in turn: together they find a host that is served, and a store that
+# is away is not asked by everybody.
+STORE_SLOTS = 16
+STORE_SLOT_MS = 400.0
+
+
+def is_store_slot(host_id: str, now_ms: float) -> bool:
+    """Return whether a host without word of changes tries the store now.
+
+    Clocks of hosts differ, which spreads them as well as equal ones would.
+    """
+    own_slot = score_of("store slot", host_id)[0] % STORE_SLOTS
+    return int(now_ms / STORE_SLOT_MS) % STORE_SLOTS == own_slot
--- a/src/gypsumfield/gateway/large_fleet.py
+++ b/src/gypsumfield/gateway/large_fleet.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from gypsumfield.decisions.fleet_roles import is_store_slot
 from gypsumfield.decisions.fleet_roles import lowest_cold_score
 from gypsumfield.decisions.fleet_roles import watching_zones
 from gypsumfield.decisions.ownership import score_of
@@ -80,7 +81,10 @@
         if any(known.is_fed for known in roster.delegates_told()):
             self._fed_ms = now_ms
             return False
-        return roster.is_delegate or now_ms - self._fed_ms > UNFED_MS
+        if roster.is_delegate:
+            return True
+        is_slot = is_store_slot(roster.own.host_id, now_ms)
+        return is_slot and now_ms - self._fed_ms > UNFED_MS
 
     def cold_allowed(self, server: BackendServer) -> int:
         """Return how many requests a second this host may send to a cold server."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -108,6 +108,28 @@
     fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
 
 
+def test_a_store_that_is_away_is_not_asked_by_every_host():
+    fleet = started(195)
+    fleet.turned_away.update(fleet.hosts)
+    before = sum(host.store_calls for host in fleet.hosts)
+    fleet.run(6_000.0)
+    # Twelve delegates and a few others, four times a second each.
+    assert sum(host.store_calls for host in fleet.hosts) - before <= 6 * 4 * 40
+    revision = fleet.publish(2)
+    fleet.turned_away.clear()
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
+
+
+def test_hosts_whose_delegates_are_all_turned_away_find_a_way_to_the_store():
+    fleet = started(195)
+    fleet.turned_away.update(
+        host for host in fleet.hosts if host.link.roster.is_delegate
+    )
+    fleet.run(2_000.0)
+    revision = fleet.publish(2)
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
+
+
 def test_a_servers_word_that_it_leaves_reaches_every_host():
     fleet = started(195)
     fleet.put(
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -20,6 +20,7 @@
 from gypsumfield.gateway.peers import PeerPorts
 from gypsumfield.gateway.settings import EdgeBounds
 from gypsumfield.gateway.settings import EdgeSettings
+from gypsumfield.gateway.view_pull import LAG_TOLERANCE_MS
 from placing_fleet import make_catalogue
 
 NEAR_MS = 0.1
@@ -28,6 +29,8 @@
 PULL_MS = 5.0
 WATCH_MS = 4.0
 STORE_CHECK_MS = 100.0
+# A host that the store does not answer comes back after this, in the mean.
+REFUSED_MS = 250.0
 NEWS_CHECK_MS = 40.0
 # How often a test looks whether something has come true.
 LOOK_MS = 50.0
@@ -54,6 +57,8 @@
         self.is_up = True
         self.is_answered = False
         self.store_calls = 0
+        self.behind_revision = 0
+        self.behind_ms = 0.0
         clock = self.fleet.clock.as_clock()
         self.events = []
         self.catalogue = make_catalogue(clock)
@@ -114,9 +119,13 @@
 
     def compare(self, _host_id, ip, revision, is_pushed):
         """Stand in for the pull of a view."""
-        if revision > self.catalogue.revision and (
-            is_pushed or not self.catalogue.publication
-        ):
+        if revision <= self.catalogue.revision:
+            return
+        if self.behind_revision < self.catalogue.revision + 1:
+            self.behind_revision = self.catalogue.revision + 1
+            self.behind_ms = self.fleet.now_ms
+        is_late = self.fleet.now_ms - self.behind_ms >= LAG_TOLERANCE_MS
+        if is_pushed or is_late or not self.catalogue.publication:
             self.fleet.later(PULL_MS, self.pull, ip, self.boot)
 
     def pull(self, ip, boot):
@@ -146,6 +155,8 @@
             self.is_answered = self not in self.fleet.turned_away
             if is_due or not self.is_answered:
                 self.store_calls += 1
+            if not self.is_answered:
+                pause_ms = REFUSED_MS
             if self.is_answered and is_due:
                 items = [
                     item
