Digest loads of a large fleet every 0.2 s, and miss a silent zone sooner

Beside it, `bench/large_fleet.py` showed a change reaching a parted zone after 6 s: delegates of other zones counted as heard for that long.

Change: hosts of a large fleet tell in rounds of 0.2 s; what was each fourth round is each 1.6 s.

--- /dev/null
+++ b/bench/large_fleet.py
@@ -0,0 +1,141 @@
+"""Measures what the link between the hosts of a large fleet costs and how fast it is.
+
+Production code of the link runs in virtual time: 6 zones, 0.1 ms within a zone and
+0.5 ms between zones. An evacuation and a withdrawn key are changes of a value, like a
+configuration.
+
+Run: ``python bench/large_fleet.py [--hosts N ...] [--seed S]``; prints a JSON line for
+each size: messages and bytes a second of the median and of the busiest host, and the
+time in ms until the last host knows.
+"""
+
+import argparse
+import json
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
+
+from virtual_fleet import VirtualFleet  # noqa: E402
+
+START_MS = 7_000.0
+WINDOW_MS = 3_200.0
+LIMIT_MS = 20_000.0
+LOSS_RATIO = 0.1
+SIZES = (30, 195, 500)
+
+Measure = Callable[[VirtualFleet], float]
+
+
+def change(fleet: VirtualFleet) -> float:
+    """Return the time until the last host has a change of the store."""
+    fleet.version += 1
+    revision = fleet.publish(fleet.version)
+    return fleet.until(lambda: fleet.know(revision), LIMIT_MS)
+
+
+def leaving(fleet: VirtualFleet) -> float:
+    """Return the time until all know a server's word that one host has heard."""
+    fleet.version += 1
+    server_id = f"e{fleet.version}"
+    server = {
+        "service": "engine",
+        "address": f"10.9.0.{fleet.version}:80",
+        "zone": "z1",
+        "state": "ready",
+        "born": 7,
+    }
+    fleet.put(f"servers/{server_id}", server)
+    fleet.until(lambda: fleet.know(fleet.revision), LIMIT_MS)
+    fleet.up()[-1].catalogue.note_leaving(server_id, "answer", 7)
+
+    def is_known() -> bool:
+        return all(
+            host.catalogue.is_leaving(host.catalogue.find_server(server_id))
+            for host in fleet.up()
+        )
+
+    return fleet.until(is_known, LIMIT_MS)
+
+
+def without_delegates(fleet: VirtualFleet) -> float:
+    """Return the time of a change that comes as a zone loses both delegates."""
+    first = fleet.firsts("z2")[0]
+    names = first.link.roster.near_delegates()
+    lost = [host for host in fleet.hosts if host.name in names]
+    for host in lost:
+        host.is_up = False
+    elapsed_ms = change(fleet)
+    for host in lost:
+        host.start()
+    fleet.until(lambda: fleet.is_calm() and fleet.know(fleet.revision), LIMIT_MS)
+    return elapsed_ms
+
+
+def parted_zone(fleet: VirtualFleet) -> float:
+    """Return the time of a change as a zone that does not watch is parted."""
+    zones = {host.zone for host in fleet.hosts}
+    watching = {host.zone for host in fleet.hosts if host.link.must_watch_store()}
+    parted = min(zones - watching)
+    fleet.parted.update(frozenset({parted, zone}) for zone in zones - {parted})
+    elapsed_ms = change(fleet)
+    fleet.parted.clear()
+    fleet.until(fleet.is_calm, LIMIT_MS)
+    return elapsed_ms
+
+
+def bridge(fleet: VirtualFleet) -> float:
+    """Return the time of a change while two zones reach only the others."""
+    fleet.parted.add(frozenset({"z0", "z1"}))
+    fleet.run(LIMIT_MS / 4)
+    elapsed_ms = change(fleet)
+    fleet.parted.clear()
+    return elapsed_ms
+
+
+def measure(host_count: int, seed: int) -> dict[str, float]:
+    """Return the figures of one size."""
+    fleet = VirtualFleet(host_count, seed=seed)
+    calm_ms = fleet.until(
+        lambda: fleet.is_calm() and fleet.know(fleet.revision), LIMIT_MS
+    )
+    fleet.run(START_MS)
+    messages, sizes = fleet.count_sent(WINDOW_MS)
+    figures: dict[str, float] = {
+        "hosts": host_count,
+        "start_ms": calm_ms,
+        "messages_median": messages[len(messages) // 2],
+        "messages_busiest": messages[-1],
+        "bytes_median": sizes[len(sizes) // 2],
+        "bytes_busiest": sizes[-1],
+    }
+    measures: dict[str, Measure] = {
+        "change_ms": change,
+        "leaving_ms": leaving,
+        "change_without_delegates_ms": without_delegates,
+        "change_parted_zone_ms": parted_zone,
+        "change_bridge_ms": bridge,
+    }
+    for name, run in measures.items():
+        figures[name] = run(fleet)
+        fleet.run(START_MS)
+    fleet.loss_ratio = LOSS_RATIO
+    figures["change_lossy_ms"] = max(change(fleet) for _ in range(4))
+    figures["leaving_lossy_ms"] = leaving(fleet)
+    return figures
+
+
+def main() -> None:
+    """Print the figures of each size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, nargs="+", default=list(SIZES))
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    for host_count in arguments.hosts:
+        figures = measure(host_count, arguments.seed)
+        print(json.dumps({name: round(value, 1) for name, value in figures.items()}))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/gypsumfield/gateway/large_fleet.py
+++ b/src/gypsumfield/gateway/large_fleet.py
@@ -15,13 +15,12 @@
 from gypsumfield.gateway.news import ColdLimitNews
 from gypsumfield.gateway.news import News
 from gypsumfield.gateway.news import NewsKind
+from gypsumfield.gateway.news_desk import Due
 from gypsumfield.gateway.news_desk import load_news
 from gypsumfield.gateway.news_desk import NewsDesk
 from gypsumfield.gateway.news_desk import read_loads
 from gypsumfield.gateway.news_desk import rough_loads
 
-# Delegates that stand by tell, and are told, in every so many rounds.
-STANDBY_ROUNDS = 4
 # Hosts of the zone that a digest names in turn, so that the zone finds together
 # again when both delegates are lost at once.
 HOSTS_NAMED = 4
@@ -95,21 +94,15 @@
             return 0
         return int(score_of(server.server_id, roster.own.host_id) >= limit)
 
-    def tell(self, is_round: bool, round_number: int) -> None:
-        """Tell the others what is due.
-
-        Args:
-            is_round: Whether signs of life are due.
-            round_number: Number of the round.
-        """
+    def tell(self, due: Due) -> None:
+        """Tell the others what is due."""
         roster = self._desk.ports.roster
         if roster.is_first:
-            self._speak(is_round, round_number)
+            self._speak(due)
             return
-        is_standby_round = is_round and round_number % STANDBY_ROUNDS == 0
-        self._tell_delegates(is_round, is_standby_round)
-        if roster.is_delegate and is_standby_round:
-            self._stand_by(round_number)
+        self._tell_delegates(due)
+        if roster.is_delegate and due.is_slow_round:
+            self._stand_by(due)
 
     def take(self, news: News) -> None:
         """Take what another host tells of loads and of cold servers."""
@@ -147,7 +140,7 @@
             limit.server_id: ((limit.score, limit.host_id), now_ms) for limit in limits
         }
 
-    def _tell_delegates(self, is_round: bool, is_standby_round: bool) -> None:
+    def _tell_delegates(self, due: Due) -> None:
         """Tell the delegates of this host's runs."""
         desk = self._desk
         loads = desk.ports.ledger.own_loads()
@@ -156,23 +149,23 @@
         fresh = {each.server_id for each in leaving} - self._told_leaving
         is_new = rough_loads(own) != rough_loads(load_news(self._told_loads))
         desk.take_changes()
-        if not (is_round or is_new or fresh):
+        if not (due.is_round or is_new or fresh):
             return
         self._told_leaving = {each.server_id for each in leaving}
         datagram = desk.write(NewsKind.MEMBER, own_loads=own, leaving=leaving)
         for number, known in enumerate(desk.ports.roster.delegates_told()):
-            if number == 0 or is_standby_round or fresh:
+            if number == 0 or due.is_slow_round or fresh:
                 desk.ports.send(known.card.ip, datagram)
                 self._told_loads = loads
 
-    def _speak(self, is_round: bool, round_number: int) -> None:
+    def _speak(self, due: Due) -> None:
         """Tell the hosts of the zone and the other zones' delegates, as the first."""
         desk = self._desk
         ports = desk.ports
         changes, after = desk.take_changes()
         leaving = desk.leaving()
         fresh = {each.server_id for each in leaving} - self._told_leaving
-        if not (is_round or after or fresh):
+        if not (due.is_round or after or fresh):
             return
         self._told_leaving = {each.server_id for each in leaving}
         now_ms = ports.clock.monotonic_ms()
@@ -187,7 +180,9 @@
         totals = ports.ledger.loads_of(lambda host_id: True, now_ms)
         digest = desk.write(
             NewsKind.DIGEST,
-            named=ports.roster.cards_to_name(round_number * HOSTS_NAMED, HOSTS_NAMED),
+            named=ports.roster.cards_to_name(
+                due.round_number * HOSTS_NAMED, HOSTS_NAMED
+            ),
             shared_loads=load_news(totals),
             reports=desk.report_news(ports.board.fresh_reports()),
             cold_limits=cold_limits,
@@ -195,7 +190,7 @@
         )
         for known in near:
             ports.send(known.card.ip, digest)
-        if not (is_round or fresh or ports.is_reaching()):
+        if not (due.is_round or fresh or ports.is_reaching()):
             # The changes came from another zone, which tells the others as well.
             return
         zone_loads = ports.ledger.loads_of(
@@ -211,11 +206,11 @@
         for known in ports.roster.far_delegates():
             ports.send(known.card.ip, zone_news)
 
-    def _stand_by(self, round_number: int) -> None:
+    def _stand_by(self, due: Due) -> None:
         """Show the zone and the other zones' delegates that this host is there."""
         desk = self._desk
         roster = desk.ports.roster
-        named = roster.cards_to_name(round_number, HOSTS_NAMED)
+        named = roster.cards_to_name(due.round_number, HOSTS_NAMED)
         digest = desk.write(NewsKind.DIGEST, named=named)
         for known in roster.near():
             desk.ports.send(known.card.ip, digest)
--- a/src/gypsumfield/gateway/news_desk.py
+++ b/src/gypsumfield/gateway/news_desk.py
@@ -30,6 +30,20 @@
 TOLD_STEP_TOKENS = 1_024
 
 
+class Due(NamedTuple):
+    """What is due when others are told.
+
+    Attributes:
+        is_round: Whether signs of life are due.
+        is_slow_round: Whether those are due that are given more seldom.
+        round_number: Number of the round.
+    """
+
+    is_round: bool
+    is_slow_round: bool
+    round_number: int
+
+
 class DeskPorts(NamedTuple):
     """What news is made of.
 
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -31,6 +31,7 @@
 from gypsumfield.gateway.news import News
 from gypsumfield.gateway.news import NewsKind
 from gypsumfield.gateway.news_desk import DeskPorts
+from gypsumfield.gateway.news_desk import Due
 from gypsumfield.gateway.news_desk import NewsDesk
 from gypsumfield.gateway.roster import Roster
 from gypsumfield.gateway.settings import EdgeSettings
@@ -43,11 +44,14 @@
 # Hosts hear of changes at once, and of life in this interval.
 INTERVAL_MS = 400.0
 SHORTEST_INTERVAL_MS = 20.0
+# Loads that are told in a digest are placed by until the next one: prompts that many
+# hosts send to the same engine meanwhile wait for each other.
+LARGE_FLEET_INTERVAL_MS = 200.0
 # A host of a large fleet has little processor time for news.
 SHORTEST_LARGE_FLEET_MS = 120.0
-# Hosts that were lost, and seeds that are not heard, are greeted in every so many
-# rounds.
-GREETING_ROUNDS = 4
+# Delegates that stand by tell and are told, and hosts that were lost and seeds that are
+# not heard are greeted, in this interval.
+SLOW_INTERVAL_MS = 1_600.0
 DATAGRAM_BYTES = 65_536
 # A host that starts hears of its fleet within this time, and need not list the store
 # when a peer can hand out its view.
@@ -120,6 +124,7 @@
         self._news_due = Signal()
         self._round = 0
         self._round_ms = 0.0
+        self._slow_round_ms = 0.0
         self._greenlets: list[gevent.Greenlet] = []
         self._socket: Any = None
         ports.ledger.on_change(self._news_due.set)
@@ -203,7 +208,7 @@
 
     def _send(self) -> None:
         while True:
-            self._news_due.wait(INTERVAL_MS / MS_PER_S)
+            self._news_due.wait(self.interval_ms / MS_PER_S)
             self._ports.clock.sleep_ms(self.tell())
 
     def tell(self) -> float:
@@ -214,15 +219,18 @@
         """
         self._news_due.clear()
         now_ms = self._ports.clock.monotonic_ms()
-        is_round = now_ms - self._round_ms >= INTERVAL_MS
+        is_round = now_ms - self._round_ms >= self.interval_ms
+        is_slow_round = is_round and now_ms - self._slow_round_ms >= SLOW_INTERVAL_MS
+        if is_slow_round:
+            self._slow_round_ms = now_ms
         if is_round:
             self._round += 1
             self._round_ms = now_ms
             self._mark_silent()
-            self._greet_missing()
+            self._greet_missing(is_slow_round)
         is_large = self._roster.is_large
         fleet = self._large if is_large else self._small
-        fleet.tell(is_round, self._round)
+        fleet.tell(Due(is_round, is_slow_round, self._round))
         return SHORTEST_LARGE_FLEET_MS if is_large else SHORTEST_INTERVAL_MS
 
     @property
@@ -230,12 +238,17 @@
         """Whether something has changed since the last time that others were told."""
         return bool(self._news_due.is_set())
 
-    def _greet_missing(self) -> None:
+    @property
+    def interval_ms(self) -> float:
+        """Time between two signs of life."""
+        return LARGE_FLEET_INTERVAL_MS if self._roster.is_large else INTERVAL_MS
+
+    def _greet_missing(self, is_slow_round: bool) -> None:
         """Greet those that may answer although they are not heard."""
         roster = self._roster
         ips = {card.ip for card in roster.ask_due()}
         is_lonely = not roster.live()
-        if is_lonely or self._round % GREETING_ROUNDS == 0:
+        if is_lonely or is_slow_round:
             ips |= {known.card.ip for known in roster.lost()}
             if is_lonely or not roster.is_large or roster.is_delegate:
                 heard = {known.card.ip for known in roster.live()}
@@ -268,7 +281,11 @@
         roster = self._roster
         sender = news.sender
         is_new = roster.hear(
-            sender, news.is_reaching, news.is_fed, news.zone_host_count
+            sender,
+            news.is_reaching,
+            news.is_fed,
+            news.zone_host_count,
+            is_speaker=news.kind is NewsKind.ZONE,
         )
         is_near = sender.availability_zone == roster.own.availability_zone
         if news.kind is NewsKind.DIGEST and is_near:
--- a/src/gypsumfield/gateway/roster.py
+++ b/src/gypsumfield/gateway/roster.py
@@ -42,6 +42,7 @@
         is_reaching: Whether it watches the store and is answered.
         is_fed: Whether it learns of changes, from the store or from another zone.
         zone_host_count: Hosts of its zone that it speaks for; 0 for no delegate.
+        is_speaker: Whether it speaks for its zone and tells in each round.
         is_silent: Whether it has not been heard for too long.
     """
 
@@ -52,6 +53,7 @@
         "is_fed",
         "is_reaching",
         "is_silent",
+        "is_speaker",
         "zone_host_count",
     )
 
@@ -62,6 +64,7 @@
         self.is_reaching = False
         self.is_fed = False
         self.zone_host_count = 0
+        self.is_speaker = False
         self.is_silent = False
 
 
@@ -101,8 +104,9 @@
         is_reaching: bool = False,
         is_fed: bool = False,
         zone_host_count: int = 0,
+        is_speaker: bool = False,
     ) -> bool:
-        """Note that a host was heard.
+        """Note that a host was heard; see `KnownHost` for what it tells of itself.
 
         Returns:
             Whether it is new, has restarted or was silent.
@@ -118,6 +122,7 @@
         known.is_reaching = is_reaching
         known.is_fed = is_fed
         known.zone_host_count = zone_host_count
+        known.is_speaker = is_speaker
         if self._is_near(card):
             self._zone_count.note(zone_host_count)
         return is_new
@@ -195,7 +200,7 @@
         return silent
 
     def _silence_limit_ms(self, known: KnownHost) -> float:
-        if not self.is_large:
+        if not self.is_large or known.is_speaker:
             return NEAR_SILENCE_MS
         first = self.near_delegates()[0]
         if self._is_near(known.card) and first in (
--- a/src/gypsumfield/gateway/small_fleet.py
+++ b/src/gypsumfield/gateway/small_fleet.py
@@ -9,6 +9,7 @@
 from gypsumfield.gateway.news import LoadNews
 from gypsumfield.gateway.news import News
 from gypsumfield.gateway.news import NewsKind
+from gypsumfield.gateway.news_desk import Due
 from gypsumfield.gateway.news_desk import NewsDesk
 from gypsumfield.gateway.news_desk import read_loads
 from gypsumfield.gateway.news_desk import rough_loads
@@ -57,13 +58,8 @@
             if known.card.host_id in self._zones
         )
 
-    def tell(self, is_round: bool, round_number: int) -> None:
-        """Tell the others what is due.
-
-        Args:
-            is_round: Whether signs of life are due.
-            round_number: Number of the round.
-        """
+    def tell(self, due: Due) -> None:
+        """Tell the others what is due."""
         desk = self._desk
         changes, after = desk.take_changes()
         counted = self._counted_servers()
@@ -73,11 +69,11 @@
             own = own_loads.get(host_id, [])
             shared = self._shared_loads(host_id, counted)
             is_new = self._is_new(host_id, own, shared)
-            if not (is_round or is_new or after):
+            if not (due.is_round or is_new or after):
                 continue
             datagram = desk.write(
                 NewsKind.PEER,
-                named=desk.ports.roster.cards_to_name(round_number, HOSTS_NAMED),
+                named=desk.ports.roster.cards_to_name(due.round_number, HOSTS_NAMED),
                 own_loads=own,
                 shared_loads=shared,
                 reports=desk.report_news(desk.ports.board.own_reports()),
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -82,12 +82,15 @@
     fleet.until(lambda: fleet.know(fleet.revision), CONFIGURATION_MS)
 
 
-def test_a_zone_that_is_parted_goes_on_by_itself_and_comes_back():
+@pytest.mark.parametrize("is_watching", [True, False])
+def test_a_zone_that_is_parted_goes_on_by_itself_and_comes_back(is_watching):
     fleet = started(195)
-    for number in range(1, 6):
-        fleet.parted.add(frozenset({"z0", f"z{number}"}))
+    zones = {host.zone for host in fleet.hosts}
+    watching = {host.zone for host in fleet.hosts if host.link.must_watch_store()}
+    parted = min(watching if is_watching else zones - watching)
+    fleet.parted.update(frozenset({parted, zone}) for zone in zones - {parted})
     revision = fleet.publish(2)
-    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS + 5_000.0)
+    fleet.until(lambda: fleet.know(revision), CONFIGURATION_MS)
     fleet.parted.clear()
     fleet.run(8_000.0)
     assert fleet.is_calm()
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -15,7 +15,6 @@
 from gypsumfield.gateway.news import encode_view
 from gypsumfield.gateway.news import ItemNews
 from gypsumfield.gateway.news import View
-from gypsumfield.gateway.peers import INTERVAL_MS
 from gypsumfield.gateway.peers import PeerLink
 from gypsumfield.gateway.peers import PeerPorts
 from gypsumfield.gateway.settings import EdgeBounds
@@ -112,7 +111,7 @@
     def wait_for_news(self, boot, told_ms):
         if not self.is_up or boot != self.boot:
             return
-        if self.link.has_news or self.fleet.now_ms - told_ms >= INTERVAL_MS:
+        if self.link.has_news or self.fleet.now_ms - told_ms >= self.link.interval_ms:
             self.tell(boot)
         else:
             self.fleet.later(NEWS_CHECK_MS, self.wait_for_news, boot, told_ms)
@@ -189,6 +188,7 @@
         self.cold_bound = 27
         self.items = {}
         self.revision = 0
+        self.version = 1
         self._queue = []
         self._numbers = itertools.count()
         self.hosts = []
