Copy runs of a large fleet at a notice only, not from their start

Every run's copy held as much memory as the run (3,693 moves of memory), so that streams waited for memory that served nobody.

In a small fleet, where few engines are left and all are full, the copy from the start stays: there it was the better of the two (design/platform.md).

Ruled out: losing more runs by it. A run at a notice finds one of many engines.

--- a/src/gypsumfield/decisions/protection.py
+++ b/src/gypsumfield/decisions/protection.py
@@ -40,6 +40,16 @@
     refused_ms_ago: float | None = None
 
 
+def has_copy_from_start(is_large_fleet: bool) -> bool:
+    """Return whether a run's memory is copied as it grows, from its start.
+
+    Such a copy holds as much memory as the run. Where few engines are left and all
+    are full, it is the only one that finds room; a large fleet has many engines to
+    copy to within the notice, and the memory serves first events in time.
+    """
+    return not is_large_fleet
+
+
 def order_copies(
     runs: Sequence[ExposedRun], leaves_in_ms: float = ASSUMED_NOTICE_MS
 ) -> list[str]:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -21,6 +21,7 @@
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import StreamNeed
+from gypsumfield.decisions.protection import has_copy_from_start
 from gypsumfield.events import BackendHealthChanged
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import ServerBelief
@@ -173,7 +174,9 @@
     def place_backup(
         self, service: str, peak_tokens: int, runs_on: str
     ) -> BackendServer | None:
-        """Return an engine that can keep a copy of a run, or None."""
+        """Return an engine that keeps a copy of a run from its start, or None."""
+        if not has_copy_from_start(self._ports.is_large_fleet()):
+            return None
         loads = self._engine_loads(service, [runs_on])
         need = StreamNeed(
             peak_tokens,
