--- a/src/gypsumfield/gateway/roster.py
+++ b/src/gypsumfield/gateway/roster.py
@@ -15,11 +15,12 @@
 from gypsumfield.decisions.fleet_roles import rank_delegates
 from gypsumfield.gateway.host_counts import HOST_MEMORY_MS
 from gypsumfield.gateway.host_counts import RecentMost
+from gypsumfield.gateway.known_host import KnownHost
 from gypsumfield.gateway.news import HostCard
 
-# Three missed rounds, and a little for their way.
+# Three missed rounds of a small fleet, and a little for their way.
 NEAR_SILENCE_MS = 1_400.0
-# The same for hosts that tell only in each fourth round.
+# The same for hosts that tell only in the slow rounds of a large fleet.
 FAR_SILENCE_MS = 6_000.0
 # A host that others name is asked for a sign of life; one round is enough for it.
 ASKED_MS = 800.0
@@ -32,42 +33,6 @@
 SETTLING_MS = 2_000.0
 
 
-class KnownHost:
-    """Another host that was heard.
-
-    Attributes:
-        card: Who it is.
-        heard_ms: When it was heard last.
-        expected_ms: Since when it is expected to tell at its present rate.
-        is_reaching: Whether it watches the store and is answered.
-        is_fed: Whether it learns of changes, from the store or from another zone.
-        zone_host_count: Hosts of its zone that it speaks for; 0 for no delegate.
-        is_speaker: Whether it speaks for its zone and tells in each round.
-        is_silent: Whether it has not been heard for too long.
-    """
-
-    __slots__ = (
-        "card",
-        "expected_ms",
-        "heard_ms",
-        "is_fed",
-        "is_reaching",
-        "is_silent",
-        "is_speaker",
-        "zone_host_count",
-    )
-
-    def __init__(self, card: HostCard, now_ms: float) -> None:
-        self.card = card
-        self.heard_ms = now_ms
-        self.expected_ms = now_ms
-        self.is_reaching = False
-        self.is_fed = False
-        self.zone_host_count = 0
-        self.is_speaker = False
-        self.is_silent = False
-
-
 class Roster:
     """Hosts that are heard, and the roles that follow.
 
--- a/src/gypsumfield/timeline/losses.py
+++ b/src/gypsumfield/timeline/losses.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gypsumfield.timeline.records import ReadLine
+from gypsumfield.timeline.svg import new_svg
 
 # Requests of one log that are followed at once; of more, the oldest count as open.
 OPEN_LIMIT = 20_000
@@ -215,15 +216,7 @@
 def draw_losses(losses: list[Loss]) -> str:
     """Return an SVG with a bar for the worth of each cause."""
     height_px = BAR_PX * (len(losses) + 1)
-    root = ElementTree.Element(
-        "svg",
-        xmlns="http://www.w3.org/2000/svg",
-        viewBox=f"0 0 {WIDTH_PX} {height_px}",
-        width=str(WIDTH_PX),
-        height=str(height_px),
-    )
-    root.set("font-family", "sans-serif")
-    root.set("font-size", "11")
+    root = new_svg(WIDTH_PX, height_px)
     most = max((loss.worth for loss in losses), default=1.0)
     for row, loss in enumerate(losses):
         top_px = BAR_PX * row + 4
--- a/src/gypsumfield/timeline/svg.py
+++ b/src/gypsumfield/timeline/svg.py
@@ -69,6 +69,20 @@
     return ElementTree.tostring(drawing.root, encoding="unicode")
 
 
+def new_svg(width_px: int, height_px: int) -> ElementTree.Element:
+    """Return an empty picture with the font of all our pictures."""
+    root = ElementTree.Element(
+        "svg",
+        xmlns="http://www.w3.org/2000/svg",
+        viewBox=f"0 0 {width_px} {height_px}",
+        width=str(width_px),
+        height=str(height_px),
+    )
+    root.set("font-family", "sans-serif")
+    root.set("font-size", "11")
+    return root
+
+
 def _start_drawing(shown: list[TimedLine]) -> _Drawing:
     names = list(
         dict.fromkeys(
@@ -81,15 +95,7 @@
     lanes_px = {name: LEFT_PX + LANE_GAP_PX * at for at, name in enumerate(names)}
     width_px = LEFT_PX + LANE_GAP_PX * max(1, len(names)) + 2 * LANE_GAP_PX
     height_px = TOP_PX + ROW_HEIGHT_PX * (len(shown) + 2)
-    root = ElementTree.Element(
-        "svg",
-        xmlns="http://www.w3.org/2000/svg",
-        viewBox=f"0 0 {width_px} {height_px}",
-        width=str(width_px),
-        height=str(height_px),
-    )
-    root.set("font-family", "sans-serif")
-    root.set("font-size", "11")
+    root = new_svg(width_px, height_px)
     for name, x_px in lanes_px.items():
         _add_text(root, _Point(x_px - 40, TOP_PX - 20), name)
         _add_line(root, _Point(x_px, TOP_PX - 10), _Point(x_px, height_px), "#bbbbbb")
