Let a reload of the settings change the bound on cold servers again

Found by reading the change.

Change: the link to the peers holds the bounds and a reload replaces them; the placer has none. Ruled out: keeping both copies in step.

Test: bounds that change bind at once in a large fleet, which the code before had no way to pass.

--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -14,7 +14,6 @@
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.clock import Clock
-from gypsumfield.decisions.fleet_shares import cold_bound_per_s
 from gypsumfield.decisions.fleet_shares import RetryShare
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayPorts
@@ -184,8 +183,6 @@
             board=board,
             pull=pull,
             is_answered=lambda: follower.is_reaching,
-            cold_servers=lambda zone: _cold_servers(catalogue, settings, zone),
-            cold_bound_per_s=lambda server: _cold_bound(catalogue, settings, server),
             clock=clock,
             emit=emit,
         )
@@ -208,8 +205,6 @@
     placer = Placer(
         PlacingPorts(
             availability_zone=settings.availability_zone,
-            host_id=settings.host_id,
-            bounds=settings.bounds,
             catalogue=catalogue,
             ledger=ledger,
             board=fleet.board,
@@ -314,24 +309,6 @@
     )
 
 
-def _cold_bound(
-    catalogue: Catalogue, settings: EdgeSettings, server: BackendServer
-) -> int:
-    spec = catalogue.service_spec(server.service)
-    rate_per_s = spec.cold_requests_per_s if spec else 0.0
-    bounds = settings.bounds
-    return cold_bound_per_s(rate_per_s, bounds.cold_factor, bounds.cold_extra)
-
-
-def _cold_servers(
-    catalogue: Catalogue, settings: EdgeSettings, zone: str
-) -> list[tuple[BackendServer, int]]:
-    return [
-        (server, _cold_bound(catalogue, settings, server))
-        for server in catalogue.cold_servers(zone)
-    ]
-
-
 def _tokens_per_event(catalogue: Catalogue, service: str) -> int:
     spec = catalogue.engine_spec(service)
     return spec.tokens_per_event if spec else 1
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -120,7 +120,7 @@
         is_changed = settings != self._settings
         self._settings = settings
         self.parts.peers.set_seeds(settings.seed_ips)
-        self.parts.placer.bounds = settings.bounds
+        self.parts.peers.bounds = settings.bounds
         self._emit(SettingsReloaded(is_changed=is_changed))
 
     def _keep_house(self) -> None:
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -15,6 +15,7 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
+from gypsumfield.decisions.fleet_shares import cold_bound_per_s
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.ownership import rank_hosts
 from gypsumfield.gateway.catalogue import Catalogue
@@ -22,7 +23,6 @@
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.events import PeerSeen
 from gypsumfield.gateway.events import PeerSilent
-from gypsumfield.gateway.large_fleet import ColdServers
 from gypsumfield.gateway.large_fleet import LargeFleet
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import BackendServer
@@ -70,8 +70,6 @@
         board: Reports of engines.
         pull: Takes what peers have and this host lacks.
         is_answered: Whether the store answered the last call.
-        cold_servers: Cold servers of a zone and what they bear.
-        cold_bound_per_s: Requests a second that a cold server bears from all hosts.
         clock: Time.
         emit: Log.
         send: Sends a datagram to an IP; None for the link's own socket.
@@ -84,18 +82,21 @@
     board: ReportBoard
     pull: ViewPull
     is_answered: Callable[[], bool]
-    cold_servers: ColdServers
-    cold_bound_per_s: Callable[[BackendServer], int]
     clock: Clock
     emit: EmitEvent
     send: Send | None = None
 
 
 class PeerLink:
-    """Sends this host's news and takes the peers'."""
+    """Sends this host's news and takes the peers'.
+
+    Attributes:
+        bounds: Bounds that bind the host.
+    """
 
     def __init__(self, ports: PeerPorts) -> None:
         settings = ports.settings
+        self.bounds = settings.bounds
         self._ports = ports
         own = HostCard(
             settings.host_id,
@@ -120,7 +121,7 @@
             )
         )
         self._small = SmallFleet(self._desk)
-        self._large = LargeFleet(self._desk, ports.cold_servers)
+        self._large = LargeFleet(self._desk, self._cold_servers)
         self._news_due = Signal()
         self._round = 0
         self._round_ms = 0.0
@@ -177,11 +178,25 @@
             return self._large.cold_allowed(server)
         ranked = rank_hosts(server.server_id, roster.zones())
         return cold_share_per_s(
-            self._ports.cold_bound_per_s(server),
+            self._cold_bound_per_s(server),
             roster.host_count,
             ranked.index(roster.own.host_id),
         )
 
+    def _cold_bound_per_s(self, server: BackendServer) -> int:
+        """Return the requests a second that a cold server bears from all hosts."""
+        spec = self._ports.catalogue.service_spec(server.service)
+        rate_per_s = spec.cold_requests_per_s if spec else 0.0
+        bounds = self.bounds
+        return cold_bound_per_s(rate_per_s, bounds.cold_factor, bounds.cold_extra)
+
+    def _cold_servers(self, availability_zone: str) -> list[tuple[BackendServer, int]]:
+        """Return the cold servers of a zone and what they bear."""
+        return [
+            (server, self._cold_bound_per_s(server))
+            for server in self._ports.catalogue.cold_servers(availability_zone)
+        ]
+
     def keeps_count_of(self, server_id: str, availability_zone: str) -> bool:
         """Return whether an engine's reports fall to this host."""
         fleet = self._large if self._roster.is_large else self._small
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -30,7 +30,6 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.server_notices import ServerNotices
-from gypsumfield.gateway.settings import EdgeBounds
 from gypsumfield.ports import EmitEvent
 
 # Time for which an engine that has just started is slow.
@@ -47,8 +46,6 @@
 
     Attributes:
         availability_zone: Zone of this host.
-        host_id: This host.
-        bounds: Bounds that bind it.
         catalogue: Servers and zones.
         ledger: Runs in flight.
         board: Reports of engines.
@@ -61,8 +58,6 @@
     """
 
     availability_zone: str
-    host_id: str
-    bounds: EdgeBounds
     catalogue: Catalogue
     ledger: Ledger
     board: ReportBoard
@@ -93,14 +88,9 @@
 
 
 class Placer:
-    """Chooses servers; every choice is checked again right before it is sent.
-
-    Attributes:
-        bounds: Bounds that bind the host.
-    """
+    """Chooses servers; every choice is checked again right before it is sent."""
 
     def __init__(self, ports: PlacingPorts) -> None:
-        self.bounds = ports.bounds
         self._ports = ports
         self._ejectors: dict[str, Ejector] = {}
         self._avoidance = Avoidance(ports.availability_zone)
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -60,8 +60,6 @@
         self.placer = Placer(
             PlacingPorts(
                 availability_zone="z1",
-                host_id="edge-1",
-                bounds=bounds,
                 catalogue=self.catalogue,
                 ledger=Ledger(),
                 board=ReportBoard(self.catalogue, clock),
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -4,12 +4,16 @@
 
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.roster import HOST_MEMORY_MS
+from gypsumfield.gateway.settings import EdgeBounds
+from virtual_fleet import COLD_PER_S
 from virtual_fleet import VirtualFleet
 
 # What the operators promise for a configuration and for an evacuation.
 CONFIGURATION_MS = 4_000.0
 EVACUATION_MS = 5_000.0
 START_MS = 4_000.0
+BOUNDS = EdgeBounds()
+COLD_BOUND = int(COLD_PER_S * BOUNDS.cold_factor + BOUNDS.cold_extra)
 
 
 def started(host_count, seed=1):
@@ -208,10 +212,21 @@
             fleet.parted.clear()
         fleet.run(1_000.0)
         most = max(most, cold_total(fleet))
-        assert cold_total(fleet) <= fleet.cold_bound
+        assert cold_total(fleet) <= COLD_BOUND
     assert most > 0
 
 
+def test_bounds_that_change_with_the_settings_bind_at_once():
+    fleet = started(30)
+    put_cold_server(fleet)
+    fleet.run(1_000.0)
+    assert cold_total(fleet) > 0
+    for host in fleet.hosts:
+        host.link.bounds = EdgeBounds(cold_factor=0.0, cold_extra=0.0)
+    fleet.run(1_000.0)
+    assert cold_total(fleet) == 0
+
+
 def test_a_host_that_has_just_started_takes_no_part_in_common_bounds():
     fleet = started(195)
     host = fleet.hosts[-1]
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -28,6 +28,7 @@
 PULL_MS = 5.0
 WATCH_MS = 4.0
 STORE_CHECK_MS = 100.0
+COLD_PER_S = 15
 # A host that the store does not answer comes back after this, in the mean.
 REFUSED_MS = 250.0
 NEWS_CHECK_MS = 40.0
@@ -84,11 +85,6 @@
                 board=ReportBoard(self.catalogue, clock),
                 pull=self,
                 is_answered=lambda: self.is_answered,
-                cold_servers=lambda zone: [
-                    (server, self.fleet.cold_bound)
-                    for server in self.catalogue.cold_servers(zone)
-                ],
-                cold_bound_per_s=lambda server: self.fleet.cold_bound,
                 clock=clock,
                 emit=self.events.append,
                 send=self.send,
@@ -185,7 +181,6 @@
         self.loss_ratio = 0.0
         self.parted = set()
         self.turned_away = set()
-        self.cold_bound = 27
         self.items = {}
         self.revision = 0
         self.version = 1
@@ -214,6 +209,7 @@
 
     def publish(self, version):
         wire = publication({"engine": "streaming"}, version=version)
+        wire["services"][0]["cold_per_s"] = COLD_PER_S
         return self.put("op/config", wire)
 
     def later(self, delay_ms, action, *arguments):
