Place streams in the own zone unless its engines are full

A stream went to another zone as soon as that saved a fifth of a memory.

Change: another zone is taken only when it saves a whole memory. A test plays three zones and a cut: 35 of 231 streams crossed it before, none now, and none goes unplaced.

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -29,9 +29,9 @@
 # A backup may fill an engine up to this share; beyond it the memory is worth more
 # to runs than to copies.
 BACKUP_MEMORY_RATIO = 0.6
-# A choice in another zone costs bytes between zones and a longer way; it is
-# taken when it saves this much of a full engine, or this much waiting.
-OTHER_ZONE_COST = 0.2
+# A stream in another zone is lost when the zones lose each other; another zone is
+# taken when the own one's engines are fuller by this share of a memory.
+OTHER_ZONE_COST = 1.0
 # Time to the first event that weighs as much as a full engine.
 START_SCALE_MS = 1_200.0
 # A request that waits on an engine shows that its memory is short.
