Refuse a long stream at once when its host is told to stop

Change: a stream that cannot go on at another host is taken only when it is expected to end before this one does, by its predicted tokens; else it is refused as not run and its caller finds another host.

--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -21,9 +21,11 @@
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.decisions.draining import CallLength
+from gypsumfield.decisions.draining import expected_stream_ms
 from gypsumfield.decisions.draining import RETURN_AFTER_MS
 from gypsumfield.decisions.draining import takes_call
+from gypsumfield.decisions.draining import takes_stream
+from gypsumfield.decisions.protection import STEP_MS
 from gypsumfield.events import CallerGone
 from gypsumfield.events import InternalFault
 from gypsumfield.events import RequestCompleted
@@ -35,6 +37,7 @@
 from gypsumfield.gateway.calls import CallerAsk
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.job import predict_tokens
 from gypsumfield.gateway.model import CallKind
 from gypsumfield.gateway.model import Route
 from gypsumfield.gateway.plain import call_plain
@@ -124,7 +127,7 @@
         publication = self._ports.catalogue.publication
         body_limit = publication.body_limit_bytes if publication else 0
         permit: Permit = permit_call(publication, ask, target.partition("?")[0])
-        self._check_draining(permit.route)
+        self._check_draining(permit.route, ask)
         body = _read_body(environ, body_limit)
         time_limit_ms = min(
             permit.route.timeout_ms,
@@ -144,16 +147,20 @@
             abort=AbortHandle(),
         )
 
-    def _check_draining(self, route: Route) -> None:
+    def _check_draining(self, route: Route, ask: CallerAsk) -> None:
         """Refuse a call that would be cut when the host stops.
 
         Raises:
             RefusedError: 503; another host takes the call at once.
         """
-        is_long = route.kind is CallKind.STREAM and not route.is_resumable
-        length = CallLength.UNKNOWN if is_long else CallLength.SHORT
         draining_ms = self._ports.draining_ms()
-        if not takes_call(draining_ms, self._ports.stop_limit_ms, length):
+        limit_ms = self._ports.stop_limit_ms
+        if route.kind is CallKind.STREAM and not route.is_resumable:
+            stream_ms = expected_stream_ms(predict_tokens(ask), STEP_MS)
+            is_taken = takes_stream(draining_ms, limit_ms, stream_ms)
+        else:
+            is_taken = takes_call(draining_ms, limit_ms)
+        if not is_taken:
             raise RefusedError(
                 Refusal(
                     503,
--- a/src/gypsumfield/gateway/job.py
+++ b/src/gypsumfield/gateway/job.py
@@ -13,6 +13,14 @@
 LENGTH_MARGIN = 1.1
 
 
+def predict_tokens(ask: CallerAsk) -> int:
+    """Return the predicted tokens of the whole output of a stream."""
+    if not ask.expected_tokens:
+        return ask.max_tokens
+    guess = int(ask.expected_tokens * LENGTH_MARGIN)
+    return min(guess, ask.max_tokens) if ask.max_tokens else guess
+
+
 class Job(NamedTuple):
     """One permitted call.
 
@@ -55,11 +63,7 @@
     @property
     def expected_tokens(self) -> int:
         """Predicted tokens of the whole output of a stream."""
-        ask = self.ask
-        if not ask.expected_tokens:
-            return ask.max_tokens
-        guess = int(ask.expected_tokens * LENGTH_MARGIN)
-        return min(guess, ask.max_tokens) if ask.max_tokens else guess
+        return predict_tokens(self.ask)
 
     @property
     def priority(self) -> int:
