Learn the paces of engines from the streams that a host carries

Cause: how fast engines read and write, and how long a run lasts, stood in the code as figures of the engines met first; on other engines streams would be held until they can't be in time, stopping hosts would take what they must cut, callers would return too early.

Change: decisions/pace.py keeps time of a token, reading rate and length of a run by service, starts with the old figures, learns from streams that ran on one engine and from first events of engines with nothing else to read, within a factor of eight. Used by the expected first event, the hold, the time to come back, copies at a notice and the refusal at a stop; logged with the placing and the notice, and two gauges.

With it, without change of behaviour: the load of an engine has a module of its own, the log of a placing one function for streams and plain calls, a question for a place is one value for own choice and advice; the class PlaceQuestion replaces the argument lists.

Ruled out: asking engines, which report neither.

--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -91,6 +91,8 @@
         shares_held_tokens: Rate tokens in these shares.
         slots_held_count: Slots this host holds at backend servers.
         slots_granted_count: Slots this host has granted as owner.
+        engine_step_ms: Time of one token, as this host has observed it.
+        engine_prompt_tokens_per_ms: Rate at which engines read, as observed.
     """
 
     configuration_revision: int = 0
@@ -104,6 +106,8 @@
     shares_held_tokens: float = 0.0
     slots_held_count: int = 0
     slots_granted_count: int = 0
+    engine_step_ms: float = 0.0
+    engine_prompt_tokens_per_ms: float = 0.0
 
 
 METRIC_PREFIX = "gypsumfield_"
@@ -120,6 +124,8 @@
     "shares_held_tokens": "Rate tokens in these shares now",
     "slots_held_count": "Slots held by this host at backend servers",
     "slots_granted_count": "Slots granted by this host as owner",
+    "engine_step_ms": "Time of one token that this host plans with, learned",
+    "engine_prompt_tokens_per_ms": "Reading rate that this host plans with, learned",
 }
 
 
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -11,18 +11,17 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from gypsumfield.decisions.pace import Pace
+from gypsumfield.decisions.pace import START_MS
+from gypsumfield.decisions.pace import START_PACE
+
 # Share of an engine's memory that is planned with; the rest takes the error of
 # the predicted lengths.
 PLANNED_MEMORY_RATIO = 0.95
-# Rate at which prompts are read; the published 14 tokens a ms hold for an engine
-# that makes no tokens meanwhile.
-PROMPT_TOKENS_PER_MS = 10.0
 # An engine that has just started reads slower for some seconds.
 FRESH_READING_FACTOR = 3.0
 # What an engine that has just started counts fuller than it is.
 FRESH_COST = 0.2
-# From the place to the first event, beside the prompts: connection and two steps.
-START_MS = 60.0
 # A copy that saves a run may be tried beyond that: its engine refuses what it has
 # no room for.
 RESCUE_MEMORY_RATIO = 1.15
@@ -119,6 +118,7 @@
         prompt_tokens: Tokens to read before the first event.
         time_left_ms: Time in which the first event earns full credit.
         sample_size: How many engines to compare; None compares all.
+        pace: Pace of the engines, as observed.
     """
 
     peak_tokens: int
@@ -126,6 +126,7 @@
     prompt_tokens: int = 0
     time_left_ms: float = math.inf
     sample_size: SampleSize | None = None
+    pace: Pace = START_PACE
 
 
 def choose_engine(
@@ -197,7 +198,7 @@
     """Return the expected time from sending a stream to its first event."""
     tokens = engine.waiting_prompt_tokens + need.prompt_tokens
     factor = FRESH_READING_FACTOR if engine.is_fresh else 1.0
-    return START_MS + tokens / PROMPT_TOKENS_PER_MS * factor
+    return START_MS + tokens / need.pace.prompt_tokens_per_ms * factor
 
 
 def has_room(engine: EngineLoad, need: StreamNeed) -> bool:
--- a/src/gypsumfield/decisions/protection.py
+++ b/src/gypsumfield/decisions/protection.py
@@ -8,8 +8,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-# Time of one step of a batch with a few runs; engines report no figure.
-STEP_MS = 8.5
+from gypsumfield.decisions.pace import START_PACE
+
 # A run is left alone when it ends this long before the engine is gone.
 FINISH_MARGIN_MS = 300.0
 # Notice of an engine that does not say when it will be gone; the shortest one
@@ -51,7 +51,9 @@
 
 
 def order_copies(
-    runs: Sequence[ExposedRun], leaves_in_ms: float = ASSUMED_NOTICE_MS
+    runs: Sequence[ExposedRun],
+    leaves_in_ms: float = ASSUMED_NOTICE_MS,
+    step_ms: float = START_PACE.step_ms,
 ) -> list[str]:
     """Return the requests whose memory is copied now, in order.
 
@@ -60,13 +62,14 @@
     Args:
         runs: Exposed runs of one engine.
         leaves_in_ms: When the engine is gone.
+        step_ms: Time of one token, as observed.
     """
-    due = [run for run in runs if _is_due(run, leaves_in_ms)]
+    due = [run for run in runs if _is_due(run, leaves_in_ms, step_ms)]
     due.sort(key=lambda run: -run.generated_tokens)
     return [run.request_id for run in due]
 
 
-def _is_due(run: ExposedRun, leaves_in_ms: float) -> bool:
+def _is_due(run: ExposedRun, leaves_in_ms: float, step_ms: float) -> bool:
     if run.copied_ms_ago is not None and run.copied_ms_ago < RENEWAL_MS:
         return False
     if run.refused_ms_ago is not None and run.refused_ms_ago < REFUSED_PAUSE_MS:
@@ -75,4 +78,4 @@
     if left_tokens <= 0:
         # It has outlived its prediction: nothing is known of its end.
         return True
-    return left_tokens * STEP_MS >= leaves_in_ms - FINISH_MARGIN_MS
+    return left_tokens * step_ms >= leaves_in_ms - FINISH_MARGIN_MS
--- a/src/gypsumfield/gateway/advice.py
+++ b/src/gypsumfield/gateway/advice.py
@@ -18,7 +18,7 @@
 from gypsumfield.gateway.events import AdviserSilent
 from gypsumfield.gateway.news import Advice
 from gypsumfield.gateway.news import NewsKind
-from gypsumfield.gateway.news import Question
+from gypsumfield.gateway.news import PlaceQuestion
 from gypsumfield.gateway.news_desk import NewsDesk
 from gypsumfield.ports import EmitEvent
 
@@ -28,7 +28,7 @@
 PAUSE_MS = 500.0
 
 # Answers a question as the first delegate: the engine, or empty for none.
-Choose = Callable[[Question], str]
+Choose = Callable[[PlaceQuestion], str]
 
 
 class Adviser:
@@ -52,7 +52,7 @@
         self._waiting: dict[int, AsyncResult] = {}
         self._silent_until_ms: dict[str, float] = {}
 
-    def ask(self, question: Question) -> str | None:
+    def ask(self, question: PlaceQuestion) -> str | None:
         """Return the engine to take, empty for none, or None without advice.
 
         Args:
@@ -84,7 +84,7 @@
         finally:
             del self._waiting[number]
 
-    def answer(self, ip: str, question: Question) -> None:
+    def answer(self, ip: str, question: PlaceQuestion) -> None:
         """Answer a host of the zone."""
         if self._desk.ports.roster.is_first:
             advice = Advice(question.number, self.choose(question))
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -25,7 +25,6 @@
 from gypsumfield.decisions.draining import RETURN_AFTER_MS
 from gypsumfield.decisions.draining import takes_call
 from gypsumfield.decisions.draining import takes_stream
-from gypsumfield.decisions.protection import STEP_MS
 from gypsumfield.events import CallerGone
 from gypsumfield.events import InternalFault
 from gypsumfield.events import RequestCompleted
@@ -156,7 +155,9 @@
         draining_ms = self._ports.draining_ms()
         limit_ms = self._ports.stop_limit_ms
         if route.kind is CallKind.STREAM and not route.is_resumable:
-            stream_ms = expected_stream_ms(predict_tokens(ask), STEP_MS)
+            placer = self._ports.streams.attempts.placer
+            step_ms = placer.pace(route.shares[0].service).step_ms
+            stream_ms = expected_stream_ms(predict_tokens(ask), step_ms)
             is_taken = takes_stream(draining_ms, limit_ms, stream_ms)
         else:
             is_taken = takes_call(draining_ms, limit_ms)
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -21,9 +21,11 @@
 from gypsumfield.gateway.calls import CallerAsk
 from gypsumfield.gateway.calls import SendOrder
 from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.placing import Place
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.routes import permit_call
 from gypsumfield.gateway.server_notices import ServerNotices
@@ -166,6 +168,32 @@
     return Outcome.ANSWERED
 
 
+def log_placed(
+    ports: AttemptPorts, job: Job, place: Place, attempt: int, is_resumed: bool = False
+) -> None:
+    """Log the choice of a server and what it rested on."""
+    is_stream = job.route.kind is CallKind.STREAM
+    rate = ports.placer.pace(job.service).prompt_tokens_per_ms if is_stream else 0.0
+    ports.emit(
+        RequestPlaced(
+            request_id=job.request_id,
+            account=job.account_name,
+            route=job.route.name,
+            service=job.service,
+            backend_server=place.server.server_id,
+            attempt=attempt,
+            waited_ms=ports.clock.monotonic_ms() - job.started_ms,
+            catalogue_revision=ports.catalogue.revision,
+            candidate_count=place.candidate_count,
+            committed_tokens=place.committed_tokens,
+            stream_count=place.stream_count,
+            is_resumed=is_resumed,
+            is_advised=place.is_advised,
+            prompt_tokens_per_ms=rate,
+        )
+    )
+
+
 def note_failure(
     ports: AttemptPorts,
     job: Job,
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -114,12 +114,7 @@
     fleet.ledger.on_change(serving.queue.wake)
     fleet.catalogue.on_change(serving.queue.wake)
     fleet.catalogue.on_change(protector.look)
-    metrics.read_state = lambda: HostState(
-        configuration_revision=fleet.catalogue.revision,
-        member_count=fleet.peers.live_count,
-        in_flight_count=serving.gate.in_flight_count,
-        queue_length=serving.queue.waiting_count,
-    )
+    metrics.read_state = lambda: _read_state(fleet, serving)
     servers = _build_servers(base, fleet, serving)
     parts = EdgeParts(
         gate=serving.gate,
@@ -134,6 +129,18 @@
     return EdgeHost(settings, parts, clock, emit)
 
 
+def _read_state(fleet: _Fleet, serving: _Serving) -> HostState:
+    pace = serving.placer.mean_pace
+    return HostState(
+        configuration_revision=fleet.catalogue.revision,
+        member_count=fleet.peers.live_count,
+        in_flight_count=serving.gate.in_flight_count,
+        queue_length=serving.queue.waiting_count,
+        engine_step_ms=pace.step_ms,
+        engine_prompt_tokens_per_ms=pace.prompt_tokens_per_ms,
+    )
+
+
 def _build_fleet(base: _Base) -> _Fleet:
     settings, clock, emit = base.settings, base.clock, base.emit
     catalogue = Catalogue(
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -88,6 +88,7 @@
     stream_count: int = 0
     is_resumed: bool = False
     is_advised: bool = False
+    prompt_tokens_per_ms: float = 0.0
     route: str = ""
 
 
@@ -133,6 +134,7 @@
     leaves_in_ms: float
     run_count: int
     source: str
+    step_ms: float = 0.0
 
 
 class SettingsReloaded(Event, frozen=True, kw_only=True, tag="settings_reloaded"):
--- a/src/gypsumfield/gateway/news.py
+++ b/src/gypsumfield/gateway/news.py
@@ -70,7 +70,7 @@
     host_id: str
 
 
-class Question(msgspec.Struct, frozen=True, array_like=True):
+class PlaceQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Which engine a stream should take; see `gypsumfield.gateway.placing.Placer`.
 
     Attributes:
@@ -91,7 +91,7 @@
     excluded: list[str] = []
     full: list[str] = []
 
-    def numbered(self, number: int) -> "Question":
+    def numbered(self, number: int) -> "PlaceQuestion":
         """Return the question with another number."""
         return msgspec.structs.replace(self, number=number)
 
@@ -164,7 +164,7 @@
     cold_limits: list[ColdLimitNews] = []
     changes: list[ItemNews] = []
     changes_after: int = 0
-    question: Question | None = None
+    question: PlaceQuestion | None = None
     advice: Advice | None = None
 
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -1,7 +1,7 @@
 """Chooses backend servers from what the host believes."""
 
-import math
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Collection
 from typing import NamedTuple
@@ -12,6 +12,9 @@
 from gypsumfield.decisions.ejection import EjectionSettings
 from gypsumfield.decisions.ejection import Ejector
 from gypsumfield.decisions.fleet_shares import ColdShare
+from gypsumfield.decisions.pace import mean_pace
+from gypsumfield.decisions.pace import Pace
+from gypsumfield.decisions.pace import PaceLearner
 from gypsumfield.decisions.placement import choose_backup
 from gypsumfield.decisions.placement import choose_engine
 from gypsumfield.decisions.placement import choose_plain
@@ -25,21 +28,19 @@
 from gypsumfield.events import BackendHealthChanged
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import ServerBelief
+from gypsumfield.gateway.engine_loads import EngineLoads
+from gypsumfield.gateway.engine_loads import shows_pace
 from gypsumfield.gateway.engine_reports import ReportBoard
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
-from gypsumfield.gateway.news import Question
+from gypsumfield.gateway.news import PlaceQuestion
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.ports import EmitEvent
 
-# Time for which an engine that has just started is slow.
-FRESH_MS = 3_000.0
 # A host that was advised tells of the run within this time.
 PROMISE_MS = 200.0
-# Clocks of two machines differ by less, unless one was stepped.
-CLOCK_ERROR_MS = 3_000.0
 # Failures in a row: grey servers fail every second request or so, sound ones
 # one in seven on the services with the most errors.
 EJECTION = EjectionSettings(failure_limit=4, ejection_ms=2_000.0)
@@ -83,6 +84,8 @@
         committed_tokens: Memory planned on it, as this host knew it.
         reservation: Name of the memory that it has reserved, or empty.
         is_advised: Whether the zone's first delegate named the server.
+        shows_pace: Whether the first event of a stream there tells how fast its
+            engine reads.
     """
 
     server: BackendServer
@@ -91,6 +94,7 @@
     committed_tokens: int
     reservation: str = ""
     is_advised: bool = False
+    shows_pace: bool = False
 
 
 class Placer:
@@ -101,6 +105,10 @@
         self._ejectors: dict[str, Ejector] = {}
         self._avoidance = Avoidance(ports.availability_zone)
         self._cold_shares: dict[str, ColdShare] = {}
+        self._loads = EngineLoads(
+            ports.catalogue, ports.ledger, ports.board, ports.clock
+        )
+        self._paces: defaultdict[str, PaceLearner] = defaultdict(PaceLearner)
 
     def place_plain(self, service: str, tried: Collection[str]) -> Place | None:
         """Return a server for a plain call, or None when there is none."""
@@ -115,7 +123,7 @@
                     server.availability_zone,
                     server.slot_count,
                     active,
-                    self._is_cold(belief),
+                    self._loads.is_cold(belief),
                 )
             )
         chosen = choose_plain(loads, self._ports.availability_zone, self._ports.rng)
@@ -123,25 +131,11 @@
             return None
         return self._place(chosen.server_id, len(beliefs), chosen.active_count, 0)
 
-    def place_stream(
-        self,
-        service: str,
-        peak_tokens: int,
-        tried: Collection[str],
-        prompt_tokens: int = 0,
-        time_left_ms: float = math.inf,
-    ) -> Place | None:
+    def place_stream(self, question: PlaceQuestion) -> Place | None:
         """Return an engine that has room for a stream and is in time, or None."""
-        return self._place_best(
-            service,
-            peak_tokens,
-            tried,
-            prompt_tokens,
-            time_left_ms,
-            self._sample_size(),
-        )
+        return self._place_best(question, self._sample_size())
 
-    def advise(self, question: Question) -> str:
+    def advise(self, question: PlaceQuestion) -> str:
         """Return the engine for a stream of another host of the zone, or empty.
 
         The host's next news counts the stream; until then it is counted here.
@@ -149,14 +143,7 @@
         now_ms = self._ports.clock.monotonic_ms()
         for server_id in question.full:
             self._avoidance.note_full(server_id, now_ms)
-        place = self._place_best(
-            question.service,
-            question.peak_tokens,
-            question.excluded,
-            question.prompt_tokens,
-            question.time_left_ms,
-            None,
-        )
+        place = self._place_best(question, None)
         if place is None:
             return ""
         server_id = place.server.server_id
@@ -172,7 +159,7 @@
         now_ms = self._ports.clock.monotonic_ms()
         if self._avoidance.is_unreachable(server_id, now_ms):
             return None
-        load = self._engine_load(belief, belief.server.service)
+        load = self._loads.load(belief)
         count = len(self._ports.catalogue.servers_of(belief.server.service))
         return Place(
             belief.server,
@@ -180,34 +167,31 @@
             load.stream_count,
             load.committed_tokens,
             is_advised=True,
+            shows_pace=shows_pace(load),
         )
 
     def _place_best(
-        self,
-        service: str,
-        peak_tokens: int,
-        tried: Collection[str],
-        prompt_tokens: int,
-        time_left_ms: float,
-        sample_size: SampleSize | None,
+        self, question: PlaceQuestion, sample_size: SampleSize | None
     ) -> Place | None:
         need = StreamNeed(
-            peak_tokens,
+            question.peak_tokens,
             self._ports.availability_zone,
-            prompt_tokens,
-            time_left_ms,
+            question.prompt_tokens,
+            question.time_left_ms,
             sample_size,
+            self.pace(question.service),
         )
-        loads = self._engine_loads(service, tried)
+        loads = self._engine_loads(question.service, question.excluded)
         chosen = choose_engine(loads, need, self._ports.rng)
         if chosen is None:
             return None
-        return self._place(
+        place = self._place(
             chosen.server_id,
             len(loads),
             chosen.stream_count,
             chosen.committed_tokens,
         )
+        return place and place._replace(shows_pace=shows_pace(chosen))
 
     def place_copy(
         self, run: Run, source: BackendServer, tried: Collection[str]
@@ -286,7 +270,7 @@
         notices = self._ports.notices
         if notices.quiet_ms(server) and not (is_rescue and notices.may_rescue(server)):
             return "the server wants no requests for a while"
-        if self._is_cold(belief) and not self._has_cold_share(belief):
+        if self._loads.is_cold(belief) and not self._has_cold_share(belief):
             return "the server is cold"
         return ""
 
@@ -311,7 +295,7 @@
         self._ejector(server.service).note_sent(server.server_id, now_ms)
         self._ports.notices.note_sent(server)
         belief = self._ports.catalogue.find_server(server.server_id)
-        if belief is not None and self._is_cold(belief):
+        if belief is not None and self._loads.is_cold(belief):
             share = self._cold_shares.setdefault(server.server_id, ColdShare())
             share.note_sent(now_ms)
 
@@ -322,6 +306,19 @@
             server.server_id, first_byte_ms, self._ports.clock.monotonic_ms()
         )
 
+    def pace(self, service: str) -> Pace:
+        """Return the pace of a service's engines, as this host has observed it."""
+        return self._paces[service].pace
+
+    @property
+    def mean_pace(self) -> Pace:
+        """Mean of the paces over the services that this host has streams of."""
+        return mean_pace([learner.pace for learner in self._paces.values()])
+
+    def learner(self, service: str) -> PaceLearner:
+        """Return what learns the pace of a service's engines."""
+        return self._paces[service]
+
     def note_full(self, server: BackendServer) -> None:
         """Note that an engine has just refused to reserve memory."""
         self._avoidance.note_full(server.server_id, self._ports.clock.monotonic_ms())
@@ -359,55 +356,15 @@
         """Return the engines that may get a run and have not just been full."""
         now_ms = self._ports.clock.monotonic_ms()
         return [
-            self._engine_load(belief, service)
+            self._loads.load(belief)
             for belief in self.candidates(service, tried)
             if not self._avoidance.is_full(belief.server.server_id, now_ms)
         ]
 
-    def _engine_load(self, belief: ServerBelief, service: str) -> EngineLoad:
-        server = belief.server
-        spec = self._ports.catalogue.engine_spec(service)
-        load = self._ports.ledger.load(
-            server.server_id, self._ports.clock.monotonic_ms()
-        )
-        report = self._ports.board.find(server.server_id)
-        # A report knows what this host's peers left out, but not the prompts that
-        # have come since.
-        reported_tokens = report.used_tokens if report else 0
-        committed_tokens = max(
-            load.committed_tokens, reported_tokens + load.waiting_prompt_tokens
-        )
-        return EngineLoad(
-            server_id=server.server_id,
-            availability_zone=server.availability_zone,
-            slot_count=server.slot_count,
-            memory_tokens=spec.memory_tokens if spec else 0,
-            stream_count=load.run_count,
-            committed_tokens=committed_tokens,
-            waiting_count=report.waiting_count if report else 0,
-            waiting_prompt_tokens=load.waiting_prompt_tokens,
-            is_cold=self._is_cold(belief),
-            is_fresh=self._is_fresh(belief),
-        )
-
     def _sample_size(self) -> SampleSize | None:
         """Return how many engines to compare; a small fleet's news is fresh."""
         return LARGE_FLEET_SAMPLE if self._ports.is_large_fleet() else None
 
-    def _is_fresh(self, belief: ServerBelief) -> bool:
-        """Return whether a server has just started, by both clocks.
-
-        A host that has just started itself sees all servers for the first time,
-        and the time of day may be off by seconds.
-        """
-        clock = self._ports.clock
-        seen_for_ms = clock.monotonic_ms() - belief.first_seen_ms
-        age_ms = abs(clock.wall_ms() - belief.server.started_wall_ms)
-        return seen_for_ms < FRESH_MS and age_ms < FRESH_MS + CLOCK_ERROR_MS
-
-    def _is_cold(self, belief: ServerBelief) -> bool:
-        return belief.cold_until_ms > self._ports.clock.monotonic_ms()
-
     def _has_cold_share(self, belief: ServerBelief) -> bool:
         server = belief.server
         spec = self._ports.catalogue.service_spec(server.service)
--- a/src/gypsumfield/gateway/plain.py
+++ b/src/gypsumfield/gateway/plain.py
@@ -7,16 +7,17 @@
 from gypsumfield.events import RequestRetried
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.attempt import AttemptPorts
+from gypsumfield.gateway.attempt import log_placed
 from gypsumfield.gateway.attempt import note_failure
 from gypsumfield.gateway.attempt import open_answer
 from gypsumfield.gateway.attempt import refuse_failed
 from gypsumfield.gateway.calls import SendOrder
-from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.placing import Place
 from gypsumfield.verdicts import RunVerdict
 
 # An answer is read whole; the smallest hosts have 128 MB for all their calls.
@@ -89,7 +90,7 @@
             clock.monotonic_ms(), ports.host_count()
         ):
             break
-        _log_placed(ports, job, tries, place.server, place.candidate_count)
+        _log_placed(ports, job, tries, place)
         tries.server_ids.append(place.server.server_id)
         try:
             answer = _call_one(ports, job, place.server, tries)
@@ -177,30 +178,16 @@
     return new
 
 
-def _log_placed(
-    ports: PlainPorts, job: Job, tries: _Tries, server: BackendServer, candidates: int
-) -> None:
+def _log_placed(ports: PlainPorts, job: Job, tries: _Tries, place: Place) -> None:
     attempts = ports.attempts
-    attempts.emit(
-        RequestPlaced(
-            request_id=job.request_id,
-            account=job.account_name,
-            route=job.route.name,
-            service=job.service,
-            backend_server=server.server_id,
-            attempt=len(tries.server_ids) + 1,
-            waited_ms=attempts.clock.monotonic_ms() - job.started_ms,
-            catalogue_revision=attempts.catalogue.revision,
-            candidate_count=candidates,
-        )
-    )
+    log_placed(attempts, job, place, len(tries.server_ids) + 1)
     if tries.server_ids:
         attempts.emit(
             RequestRetried(
                 request_id=job.request_id,
                 account=job.account_name,
                 service=job.service,
-                backend_server=server.server_id,
+                backend_server=place.server.server_id,
                 attempt=len(tries.server_ids) + 1,
             )
         )
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -96,7 +96,8 @@
                 self._note_leaving(belief.server)
             if self._ports.notices.quiet_ms(belief.server):
                 continue
-            order = order_copies(self._exposed(server_id))
+            step_ms = self._ports.placer.pace(belief.server.service).step_ms
+            order = order_copies(self._exposed(server_id), step_ms=step_ms)
             if order:
                 self._copying.add(server_id)
                 gevent.spawn(self._copy_all, belief.server, order)
@@ -241,6 +242,7 @@
                 leaves_in_ms=ASSUMED_NOTICE_MS,
                 run_count=len(self._ports.registry.on_server(server.server_id)),
                 source="store",
+                step_ms=self._ports.placer.pace(server.service).step_ms,
             )
         )
 
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -20,7 +20,7 @@
 from gypsumfield.gateway.events import ReservationRefused
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
-from gypsumfield.gateway.news import Question
+from gypsumfield.gateway.news import PlaceQuestion
 from gypsumfield.gateway.placing import Place
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.ports import EmitEvent
@@ -29,7 +29,7 @@
 # it waits for a place to come free.
 RESERVE_TRIES = 3
 
-Advise = Callable[[Question], str | None]
+Advise = Callable[[PlaceQuestion], str | None]
 Reserve = Callable[[BackendServer, int], str | None]
 
 
@@ -99,12 +99,13 @@
         if place is None:
             self._check_quiet(job)
             runs = self._placer.run_count(job.service)
+            run_ms = self._placer.pace(job.service).run_ms
             raise RefusedError(
                 Refusal(
                     503,
                     "engines_full",
                     "no engine has room in time",
-                    retry_after_ms=return_after_ms(runs, self.waiting_count),
+                    retry_after_ms=return_after_ms(runs, self.waiting_count, run_ms),
                 )
             )
         return place
@@ -167,21 +168,19 @@
     ) -> Place | None:
         """Return a place whose memory the engine has reserved, or None."""
         full: list[str] = []
+        question = PlaceQuestion(
+            0,
+            job.service,
+            peak_tokens,
+            job.ask.prompt_tokens,
+            left_ms,
+            list(tried),
+            full,
+        )
         for _ in range(RESERVE_TRIES):
-            place = self._placer.place_stream(
-                job.service, peak_tokens, tried, job.ask.prompt_tokens, left_ms
-            )
+            place = self._placer.place_stream(question)
             if place is None:
                 return None
-            question = Question(
-                0,
-                job.service,
-                peak_tokens,
-                job.ask.prompt_tokens,
-                left_ms,
-                list(tried),
-                full,
-            )
             advice = self._advise(question)
             if advice == "":
                 return None
@@ -231,4 +230,5 @@
             target_latency_ms=job.route.target_latency_ms,
             remaining_ms=job.remaining_ms(self._clock),
             prompt_tokens=job.ask.prompt_tokens,
+            pace=self._placer.pace(job.service),
         )
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -13,6 +13,7 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.attempt import AttemptPorts
+from gypsumfield.gateway.attempt import log_placed
 from gypsumfield.gateway.attempt import note_failure
 from gypsumfield.gateway.attempt import open_answer
 from gypsumfield.gateway.attempt import OpenAnswer
@@ -22,7 +23,6 @@
 from gypsumfield.gateway.calls import SendOrder
 from gypsumfield.gateway.event_stream import EventCutter
 from gypsumfield.gateway.event_stream import StreamEvent
-from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
@@ -93,6 +93,9 @@
         self._tried: list[str] = []
         self._run_count = 0
         self._is_over = False
+        self._sent_ms = 0.0
+        self._shows_pace = False
+        self._first_event_ms = 0.0
         self._delivered_ms = 0.0
         self._longest_gap_ms = 0.0
 
@@ -158,8 +161,7 @@
         peak_tokens = self._planned_tokens()
         resume = ResumePoint(self.last_event_id) if self.last_event_id else None
         while True:
-            place = self._ports.queue.acquire(self.job, peak_tokens, self._tried)
-            self._log_placed(place)
+            place = self._acquire(peak_tokens)
             try:
                 answer = self._open_at(place.server, resume, place.reservation)
                 if answer.status not in SUCCESS_STATUSES:
@@ -176,6 +178,15 @@
                 continue
             return headers
 
+    def _acquire(self, peak_tokens: int) -> Place:
+        """Return a place at an engine, waiting for one while that is of use."""
+        place = self._ports.queue.acquire(self.job, peak_tokens, self._tried)
+        is_resumed = bool(self.last_event_id)
+        attempt = len(self._tried) + 1
+        log_placed(self._ports.attempts, self.job, place, attempt, is_resumed)
+        self._shows_pace = place.shows_pace
+        return place
+
     def _open_at(
         self, server: BackendServer, resume: ResumePoint | None, reservation: str = ""
     ) -> OpenAnswer:
@@ -188,7 +199,7 @@
         self._tried.append(server.server_id)
         self._run_count += 1
         self._ports.ledger.begin(self.run)
-        self.heard_ms = self._ports.attempts.clock.monotonic_ms()
+        self.heard_ms = self._sent_ms = self._ports.attempts.clock.monotonic_ms()
         self._ports.registry.add(self)
         if not self.job.route.is_resumable:
             self.copies.choose_backup(
@@ -250,8 +261,7 @@
             return
         if not self.job.route.is_resumable or not self._may_retry(error):
             raise error
-        place = self._ports.queue.acquire(self.job, self._planned_tokens(), self._tried)
-        self._log_placed(place)
+        place = self._acquire(self._planned_tokens())
         resume = ResumePoint(self.last_event_id)
         self._open_again(place.server, resume, place.reservation)
 
@@ -330,6 +340,11 @@
 
     def _note_delivered(self, batch: list[StreamEvent]) -> None:
         if not self.event_count:
+            self._first_event_ms = self.heard_ms
+            if self._shows_pace:
+                learner = self._ports.attempts.placer.learner(self.job.service)
+                reading_ms = self.heard_ms - self._sent_ms
+                learner.note_first_event(self.job.ask.prompt_tokens, reading_ms)
             now_ms = self._ports.attempts.clock.monotonic_ms()
             elapsed_ms = now_ms - self.job.started_ms
             self._ports.attempts.placer.note_success(self.server, elapsed_ms)
@@ -352,6 +367,12 @@
         self.copies.note_generated(self.generated_tokens)
 
     def _note_complete(self) -> None:
+        if self._run_count == 1:
+            first_tokens = self._ports.tokens_per_event(self.job.service)
+            self._ports.attempts.placer.learner(self.job.service).note_end(
+                self.generated_tokens - first_tokens,
+                self._delivered_ms - self._first_event_ms,
+            )
         now_ms = self._ports.attempts.clock.monotonic_ms()
         self._ports.attempts.emit(
             RequestCompleted(
@@ -379,23 +400,3 @@
                 reason=str(error),
             )
         )
-
-    def _log_placed(self, place: Place) -> None:
-        attempts = self._ports.attempts
-        attempts.emit(
-            RequestPlaced(
-                request_id=self.job.request_id,
-                account=self.job.account_name,
-                route=self.job.route.name,
-                service=self.job.service,
-                backend_server=place.server.server_id,
-                attempt=len(self._tried) + 1,
-                waited_ms=attempts.clock.monotonic_ms() - self.job.started_ms,
-                catalogue_revision=attempts.catalogue.revision,
-                candidate_count=place.candidate_count,
-                committed_tokens=place.committed_tokens,
-                stream_count=place.stream_count,
-                is_resumed=bool(self.last_event_id),
-                is_advised=place.is_advised,
-            )
-        )
--- a/tests/test_protection.py
+++ b/tests/test_protection.py
@@ -1,10 +1,10 @@
 """Copies of runs on leaving engines, played in virtual time."""
 
+from gypsumfield.decisions.pace import STEP_MS
 from gypsumfield.decisions.protection import ExposedRun
 from gypsumfield.decisions.protection import order_copies
 from gypsumfield.decisions.protection import REFUSED_PAUSE_MS
 from gypsumfield.decisions.protection import RENEWAL_MS
-from gypsumfield.decisions.protection import STEP_MS
 
 NOTICE_MS = 1_500.0
 COPY_MS = 220.0
