Plan a large fleet's memory up to what its engines reserve by themselves

Cause: engines of a large fleet reserve memory before each stream and refuse what does not fit, yet hosts planned with 0.95 of it and 350 tokens of growth a run: on the grown site streams waited at their hosts (90 of 100: 0.4 to 0.6 s) for memory that no run used.

Change: where engines reserve, hosts plan with 1.05 of a memory and the engine decides. Whether they reserve is asked of the placer, no longer decided in the composition root.

Conclusion: kept for fleets whose engines reserve.

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -18,6 +18,9 @@
 # Share of an engine's memory that is planned with; the rest takes the error of
 # the predicted lengths.
 PLANNED_MEMORY_RATIO = 0.95
+# Where an engine reserves memory before each stream it refuses by itself what does not
+# fit; a plan that errs to the safe side would only leave memory unused.
+RESERVED_MEMORY_RATIO = 1.05
 # An engine that has just started reads slower for some seconds.
 FRESH_READING_FACTOR = 3.0
 # What an engine that has just started counts fuller than it is.
@@ -119,6 +122,7 @@
         time_left_ms: Time in which the first event earns full credit.
         sample_size: How many engines to compare; None compares all.
         pace: Pace of the engines, as observed.
+        is_reserved: Whether the engine reserves the memory before it is used.
     """
 
     peak_tokens: int
@@ -127,6 +131,7 @@
     time_left_ms: float = math.inf
     sample_size: SampleSize | None = None
     pace: Pace = START_PACE
+    is_reserved: bool = False
 
 
 def choose_engine(
@@ -207,7 +212,8 @@
         return False
     if engine.stream_count == 0:
         return True
-    planned_tokens = engine.memory_tokens * PLANNED_MEMORY_RATIO
+    ratio = RESERVED_MEMORY_RATIO if need.is_reserved else PLANNED_MEMORY_RATIO
+    planned_tokens = engine.memory_tokens * ratio
     return engine.committed_tokens + need.peak_tokens <= planned_tokens
 
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -224,7 +224,8 @@
         )
     )
     peers.adviser.choose = placer.advise
-    queue = StreamQueue(placer, _reserver(fleet), peers.adviser.ask, clock, emit)
+    reserve = _reserver(fleet, placer)
+    queue = StreamQueue(placer, reserve, peers.adviser.ask, clock, emit)
     registry = StreamRegistry()
     attempts = AttemptPorts(
         _wire(), catalogue, placer, fleet.notices, BackendPool(), clock, emit
@@ -332,12 +333,10 @@
     return bool(spec and spec.can_back_up)
 
 
-def _reserver(fleet: _Fleet) -> Reserve:
+def _reserver(fleet: _Fleet, placer: Placer) -> Reserve:
     def reserve(server: BackendServer, tokens: int) -> str | None:
         spec = fleet.catalogue.engine_spec(server.service)
-        if spec is None or spec.reservation_ms <= 0.0:
-            return ""
-        if not fleet.peers.is_large_fleet:
+        if spec is None or not placer.has_reservations(server.service):
             return ""
         return fleet.engines.reserve(server, tokens, spec.reservation_ms)
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -180,6 +180,7 @@
             question.time_left_ms,
             sample_size,
             self.pace(question.service),
+            self.has_reservations(question.service),
         )
         loads = self._engine_loads(question.service, question.excluded)
         chosen = choose_engine(loads, need, self._ports.rng)
@@ -201,14 +202,11 @@
         A copy takes twice as long between zones, so the source's zone comes first.
         """
         loads = self._engine_loads(source.service, tried)
+        size = self._sample_size()
         need = StreamNeed(
-            run.planned_tokens,
-            source.availability_zone,
-            sample_size=self._sample_size(),
+            run.planned_tokens, source.availability_zone, sample_size=size
         )
-        chosen = choose_rescue(loads, need, self._ports.rng)
-        belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
-        return belief.server if belief else None
+        return self._find(choose_rescue(loads, need, self._ports.rng))
 
     def place_backup(
         self, service: str, peak_tokens: int, runs_on: str
@@ -217,14 +215,9 @@
         if not has_copy_from_start(self._ports.is_large_fleet()):
             return None
         loads = self._engine_loads(service, [runs_on])
-        need = StreamNeed(
-            peak_tokens,
-            self._ports.availability_zone,
-            sample_size=self._sample_size(),
-        )
-        chosen = choose_backup(loads, need, self._ports.rng)
-        belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
-        return belief.server if belief else None
+        zone = self._ports.availability_zone
+        need = StreamNeed(peak_tokens, zone, sample_size=self._sample_size())
+        return self._find(choose_backup(loads, need, self._ports.rng))
 
     def candidates(self, service: str, tried: Collection[str]) -> list[ServerBelief]:
         """Return the servers that may get a request of a service now."""
@@ -310,6 +303,15 @@
         """Return the pace of a service's engines, as this host has observed it."""
         return self._paces[service].pace
 
+    def has_reservations(self, service: str) -> bool:
+        """Return whether engines reserve memory before each stream of a service.
+
+        They do for a large fleet, whose news of their memory is old.
+        """
+        spec = self._ports.catalogue.engine_spec(service)
+        is_offered = spec is not None and spec.reservation_ms > 0.0
+        return is_offered and self._ports.is_large_fleet()
+
     @property
     def mean_pace(self) -> Pace:
         """Mean of the paces over the services that this host has streams of."""
@@ -344,6 +346,10 @@
             for belief in self._ports.catalogue.servers_of(service)
         )
 
+    def _find(self, chosen: EngineLoad | None) -> BackendServer | None:
+        belief = chosen and self._ports.catalogue.find_server(chosen.server_id)
+        return belief.server if belief else None
+
     def _place(
         self, server_id: str, candidates: int, streams: int, tokens: int
     ) -> Place | None:
--- a/tests/test_copies_load.py
+++ b/tests/test_copies_load.py
@@ -52,6 +52,8 @@
     def __init__(self, is_large, seed):
         self.is_large = is_large
         self.rng = random.Random(seed)
+        self.arrivals = random.Random(seed)
+        self.most_arrivals = 2 * PER_TICK
         self.runs = []
         self.waiting = []
         self.leaves_ms = {}
@@ -78,7 +80,7 @@
         now_ms = 0.0
         next_notice_ms = NOTICE_PERIOD_MS
         while now_ms < LENGTH_MS:
-            for _ in range(self.rng.randint(0, 2 * PER_TICK)):
+            for _ in range(self.arrivals.randint(0, self.most_arrivals)):
                 self.waiting.append(Run(now_ms, self.rng.randint(190, 1_300)))
             if now_ms >= next_notice_ms:
                 next_notice_ms += NOTICE_PERIOD_MS
@@ -164,3 +166,35 @@
     assert at_notice.in_time / owed > 0.9
     assert at_notice.in_time > from_start.in_time
     assert at_notice.lost <= 0.05 * owed
+
+
+class ReservedDay(Day):
+    """A day on engines that grant a reservation by what they hold, not by plans."""
+
+    def __init__(self, is_reserved, seed):
+        super().__init__(True, seed)
+        self.is_reserved = is_reserved
+        # Half as many again as engines bear: memory decides who is in time.
+        self.most_arrivals = 3 * PER_TICK
+
+    def need(self, tokens):
+        return super().need(tokens)._replace(is_reserved=self.is_reserved)
+
+    def reserve(self, chosen, run, now_ms):
+        engine = int(chosen.server_id)
+        here = [each for each in self.runs if engine in (each.engine, each.copy)]
+        held = sum(PROMPT_TOKENS + int(each.made) for each in here)
+        is_there = self.away_until_ms.get(engine, 0.0) <= now_ms
+        is_there = is_there and engine not in self.leaves_ms
+        return is_there and held + run.planned(False) <= MEMORY_TOKENS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_memory_that_engines_reserve_themselves_is_used_up(seed):
+    by_plan = ReservedDay(False, seed).play()
+    by_engine = ReservedDay(True, seed).play()
+    assert by_engine.in_time > 1.1 * by_plan.in_time
+    assert len(by_engine.waiting) < len(by_plan.waiting)
+    # Fuller engines have less room for copies at a notice; still more callers are served.
+    gained = by_engine.in_time - by_plan.in_time
+    assert gained > by_engine.lost - by_plan.lost
