Take changed bounds at once, and say which settings wait for the next start

Cause: a reload replaced the bounds of the host and of its cold servers, but repeats and the time to stop kept those of the start; an address that moved was ignored without a word, and a broken file went to standard error only. Change: repeats and refusals at a stop read the bounds in force; settings_reloaded names what is deferred, settings_kept why a file is not used. Ruled out: sockets bound anew while callers use the old ones; a host that starts again takes a second.

--- a/src/gypsumfield/commands/edge.py
+++ b/src/gypsumfield/commands/edge.py
@@ -76,7 +76,7 @@
             self._data = data
             settings = read_edge_settings(self._path)
         except (OSError, SettingsError) as error:
-            sys.stderr.write(f"gypsumfield-edge: kept the settings: {error}\n")
+            self._host.keep_settings(str(error))
             return
         self._host.reload(settings)
 
--- a/src/gypsumfield/decisions/fleet_shares.py
+++ b/src/gypsumfield/decisions/fleet_shares.py
@@ -30,6 +30,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def set_bounds(self, ratio: float, extra: float, window_ms: float) -> None:
+        """Take over bounds that were changed; what was counted stays."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_ms = window_ms
+
     def note_request(self, now_ms: float) -> None:
         """Note a first try."""
         self._requests.append(now_ms)
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -63,7 +63,7 @@
 
     Attributes:
         draining_ms: Time since the signal to stop; None without one.
-        stop_limit_ms: Time between the signal and the kill.
+        stop_limit_ms: Reads the time between the signal and the kill.
     """
 
     wire: WireFormat
@@ -71,7 +71,7 @@
     plain: PlainPorts
     streams: StreamPorts
     draining_ms: Callable[[], float | None]
-    stop_limit_ms: float
+    stop_limit_ms: Callable[[], float]
     clock: Clock
     rng: random.Random
     emit: EmitEvent
@@ -153,7 +153,7 @@
             RefusedError: 503; another host takes the call at once.
         """
         draining_ms = self._ports.draining_ms()
-        limit_ms = self._ports.stop_limit_ms
+        limit_ms = self._ports.stop_limit_ms()
         if route.kind is CallKind.STREAM and not route.is_resumable:
             placer = self._ports.streams.attempts.placer
             step_ms = placer.pace(route.shares[0].service).step_ms
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -2,7 +2,7 @@
 
 import random
 import uuid
-from collections import defaultdict
+from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 
@@ -129,6 +129,20 @@
     return EdgeHost(settings, parts, clock, emit)
 
 
+def _retry_shares(peers: PeerLink) -> Callable[[str], RetryShare]:
+    shares: dict[str, RetryShare] = {}
+
+    def share_of(service: str) -> RetryShare:
+        bounds = peers.bounds
+        now = (bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms)
+        share = shares.setdefault(service, RetryShare(*now))
+        # The settings may have been reloaded since the last call.
+        share.set_bounds(*now)
+        return share
+
+    return share_of
+
+
 def _read_state(fleet: _Fleet, serving: _Serving) -> HostState:
     pace = serving.placer.mean_pace
     return HostState(
@@ -230,18 +244,12 @@
     attempts = AttemptPorts(
         _wire(), catalogue, placer, fleet.notices, BackendPool(), clock, emit
     )
-    shares: defaultdict[str, RetryShare] = defaultdict(
-        lambda: RetryShare(
-            settings.bounds.retry_ratio,
-            settings.bounds.retry_extra,
-            settings.bounds.retry_window_ms,
-        )
-    )
+    retry_share = _retry_shares(peers)
     streams = StreamPorts(
         attempts=attempts,
         queue=queue,
         ledger=ledger,
-        retry_share=shares.__getitem__,
+        retry_share=retry_share,
         host_count=peers.host_count,
         tokens_per_event=lambda service: _tokens_per_event(catalogue, service),
         copies=CopyPorts(
@@ -253,10 +261,10 @@
         GatewayPorts(
             wire=attempts.wire,
             catalogue=catalogue,
-            plain=PlainPorts(attempts, ledger, shares.__getitem__, peers.host_count),
+            plain=PlainPorts(attempts, ledger, retry_share, peers.host_count),
             streams=streams,
             draining_ms=lambda: gate.draining_ms(clock.monotonic_ms()),
-            stop_limit_ms=settings.bounds.stop_limit_ms,
+            stop_limit_ms=lambda: peers.bounds.stop_limit_ms,
             clock=clock,
             rng=base.rng,
             emit=emit,
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -14,6 +14,7 @@
 from gypsumfield.events import HostStarted
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReporter
+from gypsumfield.gateway.events import SettingsKept
 from gypsumfield.gateway.events import SettingsReloaded
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.peers import PeerLink
@@ -116,12 +117,25 @@
             server.stop(timeout=0)
 
     def reload(self, settings: EdgeSettings) -> None:
-        """Take over what may change while the host runs: seeds and bounds."""
-        is_changed = settings != self._settings
-        self._settings = settings
+        """Take over what may change while the host runs: seeds and bounds.
+
+        Names and addresses are bound at the start. Changes of these are logged as
+        deferred; the host goes on with those that it has.
+        """
+        running = self._settings
+        taken = running._replace(seed_ips=settings.seed_ips, bounds=settings.bounds)
+        pairs = zip(settings._fields, settings, taken, strict=True)
+        deferred = [name for name, wanted, kept in pairs if wanted != kept]
+        self._settings = taken
         self.parts.peers.set_seeds(settings.seed_ips)
         self.parts.peers.bounds = settings.bounds
-        self._emit(SettingsReloaded(is_changed=is_changed))
+        self._emit(
+            SettingsReloaded(is_changed=taken != running, deferred=",".join(deferred))
+        )
+
+    def keep_settings(self, reason: str) -> None:
+        """Go on with the settings that the host has; the file holds none that fit."""
+        self._emit(SettingsKept(reason=reason))
 
     def _keep_house(self) -> None:
         last_ms = self._clock.monotonic_ms()
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -138,9 +138,16 @@
 
 
 class SettingsReloaded(Event, frozen=True, kw_only=True, tag="settings_reloaded"):
-    """The settings file was read again."""
+    """The settings file was read again; what is deferred waits for the next start."""
 
     is_changed: bool
+    deferred: str = ""
+
+
+class SettingsKept(Event, frozen=True, kw_only=True, tag="settings_kept"):
+    """The settings file changed to something that cannot be used."""
+
+    reason: str
 
 
 class ServerQuiet(Event, frozen=True, kw_only=True, tag="server_quiet"):
--- /dev/null
+++ b/tests/test_settings_reload.py
@@ -0,0 +1,112 @@
+"""Settings that change while a host serves."""
+
+import contextlib
+
+import gevent
+import pytest
+
+from edge_fleet import EdgeFleet
+from edge_fleet import read_answer
+from fake_platform import event
+from fake_platform import STREAM_END
+from fake_platform import stream_head
+from fake_platform import wait_until
+from fake_platform import whole
+from gypsumfield.commands.edge import SettingsWatch
+from gypsumfield.gateway.settings import EdgeBounds
+from test_platform import SETTINGS
+
+PROMPT = "X-Token-Counts: 1000,80\r\nX-Length-Hint: 80\r\nX-Model: m\r\n"
+
+
+@pytest.fixture
+def fleet():
+    made = EdgeFleet({"plain": "idempotent", "engine": "streaming"})
+    made.publish()
+    yield made
+    made.stop()
+
+
+def reload(fleet, **changes):
+    fleet.host.reload(fleet.settings._replace(**changes))
+    return fleet.named("settings_reloaded")[-1]
+
+
+def test_a_reload_cuts_no_stream_and_no_connection(fleet):
+    is_reloaded = gevent.event.Event()
+
+    def respond(request, sock):
+        sock.sendall(stream_head(request) + event(1))
+        is_reloaded.wait(10)
+        sock.sendall(event(2) + STREAM_END)
+
+    fleet.add_runner("engine", "e1", respond)
+    fleet.start()
+    with contextlib.closing(fleet.ask("/engine/", headers=PROMPT)) as sock:
+        wait_until(lambda: fleet.named("first_token"))
+        for ratio in (0.1, 0.3):
+            reload(fleet, bounds=EdgeBounds(retry_ratio=ratio))
+        is_reloaded.set()
+        status, _, body = read_answer(sock)
+    whole_stream = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+    assert (status, body) == (200, whole_stream)
+
+
+def test_new_bounds_hold_at_once(fleet):
+    for server_id in ("p1", "p2"):
+        fleet.add_runner("plain", server_id, lambda request, sock: sock.close())
+    fleet.start()
+    bounds = EdgeBounds(retry_ratio=0.0, retry_extra=0.0)
+    reload(fleet, bounds=bounds)
+    assert fleet.call("/plain/a", attempt="a1")[0] == 502
+    assert not fleet.named("request_retried")
+    reload(fleet, bounds=EdgeBounds(retry_ratio=2.0))
+    fleet.call("/plain/a", attempt="a2")
+    assert fleet.named("request_retried")
+
+
+def test_the_time_to_stop_is_the_one_in_force(fleet):
+    fleet.add_runner("plain", "p1", lambda request, sock: sock.sendall(whole(request)))
+    fleet.start()
+    gate = fleet.host.parts.gate
+    gate.begin_drain(fleet.host._clock.monotonic_ms() - 7_000.0)
+    assert fleet.call("/plain/a", attempt="a1")[0] == 503
+    reload(fleet, bounds=EdgeBounds(stop_limit_ms=60_000.0))
+    assert fleet.call("/plain/a", attempt="a2")[0] == 200
+
+
+def test_an_address_that_moves_is_said_to_wait_for_the_next_start(fleet):
+    fleet.start()
+    told = reload(fleet, caller_address="127.0.0.1:1", news_port=9)
+    assert (told.is_changed, told.deferred) == (False, "caller_address,news_port")
+    told = reload(fleet, seed_ips=("127.0.0.9",))
+    assert (told.is_changed, told.deferred) == (True, "")
+
+
+class HostSeen:
+    def __init__(self):
+        self.taken = []
+        self.kept = []
+
+    def reload(self, settings):
+        self.taken.append(settings)
+
+    def keep_settings(self, reason):
+        self.kept.append(reason)
+
+
+def test_a_broken_file_changes_nothing_and_a_mended_one_is_taken(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    host = HostSeen()
+    watch = SettingsWatch(path, host, path.read_bytes())
+    watch.look()
+    assert (host.taken, host.kept) == ([], [])
+    path.write_text(SETTINGS.replace("grace_s = 8", "grace_s = soon"))
+    watch.look()
+    watch.look()
+    assert host.taken == [] and len(host.kept) == 1
+    assert "settings.toml" in host.kept[0]
+    path.write_text(SETTINGS.replace("grace_s = 8", "grace_s = 9"))
+    watch.look()
+    assert [each.bounds.stop_limit_ms for each in host.taken] == [9_000.0]
