Look at a bounded number of servers for each choice

Change: above 96 servers a choice looks at 64 of the own zone and 32 others, drawn anew each time; the ejector's peers are renewed with the published view; the check for quiet ends at the first server that wants none; reports ask first whose they are. Fleets with fewer servers choose as before.

Ruled out: a sorted list of engines by load, which news of 0.2 s would reorder all the time.

--- a/src/gypsumfield/decisions/ejection.py
+++ b/src/gypsumfield/decisions/ejection.py
@@ -100,6 +100,11 @@
             if not self._is_open(record, now_ms)
         )
 
+    def is_excluded(self, host_id: str, now_ms: float) -> bool:
+        """Return whether a backend server gets no request now."""
+        record = self._records.get(host_id)
+        return record is not None and not self._is_open(record, now_ms)
+
     def note_sent(self, host_id: str, now_ms: float) -> None:
         """Note that a request was sent; it is the probe of an ejected one."""
         record = self._records.get(host_id)
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -8,8 +8,10 @@
 
 import math
 import random
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
+from typing import TypeVar
 
 from gypsumfield.decisions.pace import Pace
 from gypsumfield.decisions.pace import START_MS
@@ -112,6 +114,31 @@
 LARGE_FLEET_SAMPLE = SampleSize(near_count=3, far_count=2)
 
 
+# Servers that one choice looks at. What it costs must not grow with the fleet, and the
+# best of a hundred is hardly worse than the best of thousands.
+NEAR_LOOKED_AT = 64
+FAR_LOOKED_AT = 32
+
+ServerT = TypeVar("ServerT")
+
+
+def look_at_some(
+    servers: Sequence[ServerT], is_near: Callable[[ServerT], bool], rng: random.Random
+) -> Sequence[ServerT]:
+    """Return the servers that a choice looks at: all, or some of very many.
+
+    Load answered: thousands of servers, on a host with half a core.
+    """
+    if len(servers) <= NEAR_LOOKED_AT + FAR_LOOKED_AT:
+        return servers
+    near: list[ServerT] = []
+    far: list[ServerT] = []
+    for server in servers:
+        (near if is_near(server) else far).append(server)
+    near = rng.sample(near, min(NEAR_LOOKED_AT, len(near)))
+    return near + rng.sample(far, min(FAR_LOOKED_AT, len(far)))
+
+
 class StreamNeed(NamedTuple):
     """What a stream asks of an engine.
 
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -142,11 +142,11 @@
             for service in ports.catalogue.engine_services()
             for belief in ports.catalogue.servers_of(service)
             if belief.server.server_id not in self._asking
-            and not ports.notices.quiet_ms(belief.server)
-            and ports.ledger.load(belief.server.server_id, now_ms).run_count
             and ports.keeps_count_of(
                 belief.server.server_id, belief.server.availability_zone
             )
+            and not ports.notices.quiet_ms(belief.server)
+            and ports.ledger.load(belief.server.server_id, now_ms).run_count
         ]
 
     def _ask(self, server: BackendServer) -> None:
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -21,6 +21,7 @@
 from gypsumfield.decisions.placement import choose_rescue
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import LARGE_FLEET_SAMPLE
+from gypsumfield.decisions.placement import look_at_some
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import StreamNeed
@@ -105,6 +106,7 @@
         self._ejectors: dict[str, Ejector] = {}
         self._avoidance = Avoidance(ports.availability_zone)
         self._cold_shares: dict[str, ColdShare] = {}
+        self._kept_revisions: dict[str, int] = {}
         self._loads = EngineLoads(
             ports.catalogue, ports.ledger, ports.board, ports.clock
         )
@@ -224,17 +226,26 @@
         now_ms = self._ports.clock.monotonic_ms()
         beliefs = self._ports.catalogue.servers_of(service)
         ejector = self._ejector(service)
-        ejector.keep([belief.server.server_id for belief in beliefs])
+        revision = self._ports.catalogue.revision
+        if self._kept_revisions.get(service) != revision:
+            self._kept_revisions[service] = revision
+            ejector.keep([belief.server.server_id for belief in beliefs])
         self._avoidance.forget(now_ms)
-        ejected = ejector.excluded(now_ms)
+        zone = self._ports.availability_zone
         usable = [
             belief
-            for belief in beliefs
+            for belief in look_at_some(
+                beliefs, lambda b: b.server.availability_zone == zone, self._ports.rng
+            )
             if belief.server.server_id not in tried
             and not self.hindrance(belief.server)
             and not self._avoidance.is_unreachable(belief.server.server_id, now_ms)
         ]
-        sound = [b for b in usable if b.server.server_id not in ejected] or usable
+        sound = [
+            belief
+            for belief in usable
+            if not ejector.is_excluded(belief.server.server_id, now_ms)
+        ] or usable
         suspect = self._avoidance.is_zone_suspect
         reached = [b for b in sound if not suspect(b.server.availability_zone, now_ms)]
         return reached or sound
@@ -262,19 +273,8 @@
         return ""
 
     def quiet_ms(self, service: str) -> float:
-        """Return when the first server of a service takes requests again.
-
-        Returns:
-            The time, or 0 when not all servers that are there want quiet.
-        """
-        catalogue = self._ports.catalogue
-        there = [
-            belief.server
-            for belief in catalogue.servers_of(service)
-            if not catalogue.is_leaving(belief)
-            and belief.server.availability_zone not in catalogue.evacuated_zones
-        ]
-        return min((self._ports.notices.quiet_ms(each) for each in there), default=0.0)
+        """Return when the first server of a service takes requests again, or 0."""
+        return self._ports.notices.service_quiet_ms(service)
 
     def note_sent(self, server: BackendServer) -> None:
         """Note a request that leaves for a server."""
--- a/src/gypsumfield/gateway/server_notices.py
+++ b/src/gypsumfield/gateway/server_notices.py
@@ -60,6 +60,24 @@
             server.server_id, server.started_wall_ms, self._ports.clock.monotonic_ms()
         )
 
+    def service_quiet_ms(self, service: str) -> float:
+        """Return when the first server of a service takes requests again.
+
+        Returns:
+            The time, or 0 when not all servers that are there want quiet.
+        """
+        catalogue = self._ports.catalogue
+        times_ms = []
+        for belief in catalogue.servers_of(service):
+            zone = belief.server.availability_zone
+            if catalogue.is_leaving(belief) or zone in catalogue.evacuated_zones:
+                continue
+            left_ms = self.quiet_ms(belief.server)
+            if left_ms <= 0.0:
+                return 0.0
+            times_ms.append(left_ms)
+        return min(times_ms, default=0.0)
+
     def may_rescue(self, server: BackendServer) -> bool:
         """Return whether a server that wants quiet may get a run's only way on."""
         return self._quiet.may_rescue(server.server_id)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,8 +8,11 @@
 from gypsumfield.decisions.placement import choose_engine
 from gypsumfield.decisions.placement import choose_plain
 from gypsumfield.decisions.placement import EngineLoad
+from gypsumfield.decisions.placement import FAR_LOOKED_AT
 from gypsumfield.decisions.placement import GROWTH_TOKENS
 from gypsumfield.decisions.placement import LARGE_FLEET_SAMPLE
+from gypsumfield.decisions.placement import look_at_some
+from gypsumfield.decisions.placement import NEAR_LOOKED_AT
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.decisions.placement import start_ms
@@ -187,3 +190,25 @@
     far = [engine(f"far{number}", zone="z2", committed=0) for number in range(9)]
     assert choose(engine("near", committed=20_000), *far, need=need) == "near"
     assert choose(engine("near", committed=25_000), *far, need=need).startswith("far")
+
+
+def test_a_choice_looks_at_a_bounded_number_of_servers():
+    servers = [engine(f"e{n}", zone=f"z{n % 6}") for n in range(3_000)]
+
+    def is_near(server):
+        return server.availability_zone == "z1"
+
+    seen = look_at_some(servers, is_near, random.Random(1))
+    near = [server for server in seen if is_near(server)]
+    assert (len(near), len(seen)) == (NEAR_LOOKED_AT, NEAR_LOOKED_AT + FAR_LOOKED_AT)
+    assert len({server.server_id for server in seen}) == len(seen)
+    few = servers[: NEAR_LOOKED_AT + FAR_LOOKED_AT]
+    assert look_at_some(few, is_near, random.Random(1)) == few
+
+
+def test_the_own_zones_few_servers_are_all_looked_at_in_a_large_fleet():
+    servers = [engine(f"e{n}", zone="z1" if n < 5 else "z2") for n in range(3_000)]
+    seen = look_at_some(
+        servers, lambda each: each.availability_zone == "z1", random.Random(1)
+    )
+    assert sum(each.availability_zone == "z1" for each in seen) == 5
