--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -226,6 +226,7 @@
         now_ms = self._ports.clock.monotonic_ms()
         beliefs = self._ports.catalogue.servers_of(service)
         ejector = self._ejector(service)
+        # The peers of an ejected server change with the published view only.
         revision = self._ports.catalogue.revision
         if self._kept_revisions.get(service) != revision:
             self._kept_revisions[service] = revision
