Log the limits that servers name in their answers

Logs could not show when a host was told a limit, so that 'no host reads it' and 'each host keeps it alone' looked the same.

The adapter decodes Server-Limit; a host records what each start of a server last said and logs every change with the ages of the statement (event server_limit, counted in the metric of events). Answers overtake each other, so a limit is relaxed only by a statement that is certainly newer. Placement does not change yet.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -144,6 +144,7 @@
         else UNREACHABLE_LIMIT_MS,
     )
     exchange = Exchange(request, timeouts, job.abort, deps.pool if may_reuse else None)
+    sent_ms = deps.clock.monotonic_ms()
 
     def check_before_send() -> str:
         is_rescue = options.resume is not None and bool(options.resume.copy_name)
@@ -161,7 +162,7 @@
         exchange.header_items(),
         deps.wire.decode_answer(exchange.header_items()),
     )
-    deps.notices.record_answer(server, status, answer.metadata)
+    deps.notices.record_answer(server, status, answer.metadata, sent_ms)
     outcome = classify_answer(status, answer.metadata, job.request_id)
     if outcome is Outcome.NOT_RUN:
         exchange.close()
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -76,6 +76,9 @@
         is_leaving: Whether the server announces that it will leave.
         pause_ms: Time for which the server wants no more requests (``Retry-After``),
             or None.
+        has_limit: Whether the server names a limit on its requests, valid or not.
+        limit_per_s: The limit in requests a second from all hosts, or None when it
+            names none or an invalid one.
         invalid_header: Name and value of a header about the server that is invalid,
             or empty.
     """
@@ -86,6 +89,8 @@
     is_encoded: bool
     is_leaving: bool = False
     pause_ms: float | None = None
+    has_limit: bool = False
+    limit_per_s: float | None = None
     invalid_header: str = ""
 
 
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -163,6 +163,20 @@
     kept_ms: float
 
 
+class ServerLimit(Event, frozen=True, kw_only=True, tag="server_limit"):
+    """A server named another limit on its requests, or none any more (None).
+
+    ``previous_per_s`` is the limit that was in force. The server made the statement
+    between ``sent_ms_ago``, when the request was sent, and ``received_ms_ago``.
+    """
+
+    limit_per_s: float | None
+    previous_per_s: float | None
+    sent_ms_ago: float | None
+    received_ms_ago: float
+    source: str
+
+
 class OddNotice(Event, frozen=True, kw_only=True, tag="odd_notice"):
     """A header about a server is invalid and ignored, or its value was limited."""
 
--- a/src/gypsumfield/gateway/server_notices.py
+++ b/src/gypsumfield/gateway/server_notices.py
@@ -1,14 +1,18 @@
 """Notices in answers of backend servers: that they leave, or accept no requests now."""
 
+import math
 from http import HTTPStatus
 from typing import NamedTuple
 
 from gypsumfield.clock import Clock
+from gypsumfield.decisions.server_limits import LimitRecords
+from gypsumfield.decisions.server_limits import LimitStatement
 from gypsumfield.decisions.server_pauses import MAX_PAUSE_MS
 from gypsumfield.decisions.server_pauses import ServerPauses
 from gypsumfield.gateway.calls import AnswerMetadata
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.events import OddNotice
+from gypsumfield.gateway.events import ServerLimit
 from gypsumfield.gateway.events import ServerQuiet
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.interfaces import EmitEvent
@@ -37,17 +41,25 @@
     """Records the notices of servers that answered this host.
 
     A server with status 503 and ``Retry-After`` asks for a pause, in which this host
-    sends it no requests.
+    sends it no requests. A server in need names a limit on its requests in each answer.
+
+    Attributes:
+        limits: Limits that servers have named, to this host or to others.
     """
 
     def __init__(self, deps: NoticeDependencies) -> None:
         self._deps = deps
+        self.limits = LimitRecords()
         self._pauses = ServerPauses()
         # Used as an ordered set: the oldest entry is evicted first.
         self._logged_odd_starts: dict[tuple[str, int], None] = {}
 
     def record_answer(
-        self, server: BackendServer, status: int, metadata: AnswerMetadata
+        self,
+        server: BackendServer,
+        status: int,
+        metadata: AnswerMetadata,
+        sent_ms: float | None = None,
     ) -> None:
         """Record the notices in the head of an answer.
 
@@ -55,6 +67,8 @@
             server: The server to which the request was sent.
             status: HTTP status of the answer.
             metadata: Decoded headers about the server.
+            sent_ms: Monotonic time at which a caller's request was sent; None for the
+                answer to a call of this host, which may name a limit but not end it.
         """
         if status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another server uses this address now.
@@ -67,6 +81,41 @@
             self._log_odd_notice(server, metadata.invalid_header)
         if status == HTTPStatus.SERVICE_UNAVAILABLE and metadata.pause_ms:
             self._start_pause(server, metadata.pause_ms)
+        is_trusted = metadata.is_sealed or metadata.is_not_run
+        is_end = sent_ms is not None and is_trusted and not metadata.has_limit
+        if metadata.limit_per_s is not None or is_end:
+            now_ms = self._deps.clock.monotonic_ms()
+            earliest_ms = -math.inf if sent_ms is None else sent_ms
+            statement = LimitStatement(metadata.limit_per_s, earliest_ms, now_ms)
+            self.record_limit(server, statement, "answer")
+
+    def record_limit(
+        self, server: BackendServer, statement: LimitStatement, source: str
+    ) -> None:
+        """Record what a server said about its limit; log a change.
+
+        Args:
+            server: The server, in the start that made the statement.
+            statement: The statement.
+            source: Where it came from, for the log.
+        """
+        start = (server.server_id, server.started_wall_ms)
+        previous_per_s = self.limits.limit_per_s(*start)
+        if not self.limits.record(*start, statement):
+            return
+        now_ms = self._deps.clock.monotonic_ms()
+        has_sent_time = statement.sent_ms > -math.inf
+        self._deps.emit(
+            ServerLimit(
+                service=server.service,
+                backend_server=server.server_id,
+                limit_per_s=statement.limit_per_s,
+                previous_per_s=previous_per_s,
+                sent_ms_ago=now_ms - statement.sent_ms if has_sent_time else None,
+                received_ms_ago=now_ms - statement.received_ms,
+                source=source,
+            )
+        )
 
     def pause_ms(self, server: BackendServer) -> float:
         """Return the rest of the pause of a server in ms, or 0."""
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -29,6 +29,8 @@
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
 RETRY_AFTER = "Retry-After"
+# Requests a second that the server accepts from all hosts together.
+LIMIT = "Server-Limit"
 AUTHORIZATION = "Authorization"
 # Characters of an invalid header that are logged.
 INVALID_HEADER_LOG_LIMIT = 60
@@ -129,11 +131,15 @@
     leaving = values.get(LEAVING.lower())
     retry_after = values.get(RETRY_AFTER.lower())
     retry_after_s = None if retry_after is None else _parse_number(retry_after)
+    limit = values.get(LIMIT.lower())
+    limit_per_s = None if limit is None else _parse_number(limit)
     invalid_header = ""
     if leaving not in (None, LEAVING_VALUE):
         invalid_header = f"{LEAVING}: {leaving}"
     elif retry_after is not None and retry_after_s is None:
         invalid_header = f"{RETRY_AFTER}: {retry_after}"
+    elif limit is not None and limit_per_s is None:
+        invalid_header = f"{LIMIT}: {limit}"
     return AnswerMetadata(
         request_id=values.get(REQUEST_ID.lower(), ""),
         is_sealed=SEAL.lower() in values,
@@ -141,6 +147,8 @@
         is_encoded=bool(values.get("content-encoding", "")),
         is_leaving=leaving == LEAVING_VALUE,
         pause_ms=None if retry_after_s is None else retry_after_s * MS_PER_S,
+        has_limit=limit is not None,
+        limit_per_s=limit_per_s,
         invalid_header=invalid_header[:INVALID_HEADER_LOG_LIMIT],
     )
 
