--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -36,34 +36,38 @@
         self.events = []
         self.host = None
         self.settings = None
+        self.news_port = free_port(socket.SOCK_DGRAM)
 
-    def add_server(self, service, server_id, respond):
+    def add_server(self, service, server_id, respond, zone="z1"):
         server = FakeBackendServer(respond)
         server.start()
         self.servers[server_id] = server
-        self.store.put(f"servers/{server_id}", registration(service, server))
+        self.store.put(f"servers/{server_id}", registration(service, server, zone=zone))
         return server
 
     def publish(self, **changes):
         self.store.put("op/config", publication(self.services, **changes))
 
     def start(self, seed_ips=()):
-        self.settings = EdgeSettings(
-            host_id="edge-1",
-            availability_zone="z1",
-            caller_address=f"127.0.0.1:{free_port()}",
-            readiness_address=f"127.0.0.1:{free_port()}",
-            peer_address=f"127.0.0.1:{free_port()}",
-            metrics_address=f"127.0.0.1:{free_port()}",
-            ip="127.0.0.1",
-            news_port=free_port(socket.SOCK_DGRAM),
+        self.settings = self.host_settings("edge-1", "127.0.0.1", "z1", seed_ips)
+        self.host = build_edge_host(self.settings, system_clock(), self.events.append)
+        self.host.start()
+        wait_until(lambda: self.is_ready() and self.has_servers(len(self.servers)))
+
+    def host_settings(self, host_id, ip, zone, seed_ips=()):
+        return EdgeSettings(
+            host_id=host_id,
+            availability_zone=zone,
+            caller_address=f"{ip}:{free_port()}",
+            readiness_address=f"{ip}:{free_port()}",
+            peer_address=f"{ip}:{free_port()}",
+            metrics_address=f"{ip}:{free_port()}",
+            ip=ip,
+            news_port=self.news_port,
             seed_ips=tuple(seed_ips),
             store_address=self.store.address,
             bounds=EdgeBounds(),
         )
-        self.host = build_edge_host(self.settings, system_clock(), self.events.append)
-        self.host.start()
-        wait_until(lambda: self.is_ready() and self.has_servers(len(self.servers)))
 
     def is_ready(self):
         return self.host.components.catalogue.publication is not None
