--- a/src/gypsumfield/gateway/advice.py
+++ b/src/gypsumfield/gateway/advice.py
@@ -7,7 +7,6 @@
 is advice only: no limit depends on it, and without it a host selects an engine itself.
 """
 
-import itertools
 from collections.abc import Callable
 
 import gevent
@@ -19,6 +18,7 @@
 from gypsumfield.gateway.host_updates import Advice
 from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.host_updates import UpdateKind
+from gypsumfield.gateway.pending_replies import PendingReplies
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.interfaces import EmitEvent
 
@@ -49,8 +49,7 @@
         self._writer = writer
         self._clock = clock
         self._emit = emit
-        self._numbers = itertools.count(1)
-        self._pending: dict[int, AsyncResult] = {}
+        self._replies: PendingReplies[str] = PendingReplies()
         self._paused_until_ms: dict[str, float] = {}
 
     def request_engine(self, placement_query: PlacementQuery) -> str | None:
@@ -75,8 +74,8 @@
         now_ms = self._clock.monotonic_ms()
         if self._paused_until_ms.get(card.host_id, 0.0) > now_ms:
             return None
-        number = next(self._numbers)
-        pending = self._pending[number] = AsyncResult()
+        pending = AsyncResult()
+        number = self._replies.add(pending.set)
         with_number = placement_query.with_number(number)
         datagram = self._writer.encode(UpdateKind.QUERY, query=with_number)
         self._writer.deps.send(card.ip, datagram)
@@ -87,7 +86,7 @@
             self._emit(AdviserSilent(peer=card.host_id, pause_ms=SILENT_PAUSE_MS))
             return None
         finally:
-            del self._pending[number]
+            self._replies.discard(number)
 
     def answer(self, ip: str, placement_query: PlacementQuery) -> None:
         """Answer the query of a host of the zone, if this is the first delegate."""
@@ -98,6 +97,4 @@
 
     def receive_advice(self, advice: Advice) -> None:
         """Receive an answer; one that arrives after the timeout is ignored."""
-        pending = self._pending.get(advice.number)
-        if pending is not None:
-            pending.set(advice.server_id)
+        self._replies.resolve(advice.number, advice.server_id)
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -8,9 +8,6 @@
 
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.avoidance import Avoidance
-from gypsumfield.decisions.ejection import BackendHealth
-from gypsumfield.decisions.ejection import EjectionSettings
-from gypsumfield.decisions.ejection import Ejector
 from gypsumfield.decisions.fleet_shares import ColdShare
 from gypsumfield.decisions.pace import mean_pace
 from gypsumfield.decisions.pace import Pace
@@ -26,7 +23,6 @@
 from gypsumfield.decisions.placement import select_rescue_engine
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
-from gypsumfield.events import BackendHealthChanged
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.catalogue import ServerRecord
 from gypsumfield.gateway.engine_loads import EngineLoads
@@ -37,14 +33,12 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.server_health import ServerHealth
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.interfaces import EmitEvent
 
 # A host that received advice reports the resulting run within this time.
 ADVISED_LOAD_LIFETIME_MS = 200.0
-# The limit counts consecutive failures. Partly failing servers fail about every
-# second request; healthy ones fail one in seven on the services with the most errors.
-EJECTION = EjectionSettings(failure_limit=4, ejection_ms=2_000.0)
 
 
 class PlacementDependencies(NamedTuple):
@@ -102,10 +96,9 @@
 
     def __init__(self, deps: PlacementDependencies) -> None:
         self._deps = deps
-        self._ejectors: dict[str, Ejector] = {}
+        self._health = ServerHealth(deps.emit)
         self._avoidance = Avoidance(deps.availability_zone)
         self._cold_shares: dict[str, ColdShare] = {}
-        self._ejector_revisions: dict[str, int] = {}
         self._loads = EngineLoads(
             deps.catalogue, deps.ledger, deps.report_cache, deps.clock
         )
@@ -223,12 +216,8 @@
         """Return the servers that may receive a request of a service now."""
         now_ms = self._deps.clock.monotonic_ms()
         records = self._deps.catalogue.servers_of(service)
-        ejector = self._ejector(service)
-        # The servers that the ejector compares change only with the published view.
         revision = self._deps.catalogue.revision
-        if self._ejector_revisions.get(service) != revision:
-            self._ejector_revisions[service] = revision
-            ejector.set_servers([record.server.server_id for record in records])
+        ejector = self._health.update_servers(service, records, revision)
         self._avoidance.expire(now_ms)
         zone = self._deps.availability_zone
         usable = [
@@ -280,7 +269,7 @@
     def record_sent(self, server: BackendServer) -> None:
         """Record that a request is sent to a server."""
         now_ms = self._deps.clock.monotonic_ms()
-        self._ejector(server.service).record_sent(server.server_id, now_ms)
+        self._health.ejector(server.service).record_sent(server.server_id, now_ms)
         self._deps.notices.record_sent(server)
         record = self._deps.catalogue.find_server(server.server_id)
         if record is not None and self._loads.is_cold(record):
@@ -290,7 +279,7 @@
     def record_success(self, server: BackendServer, latency_ms: float) -> None:
         """Record an answer and its latency; for a stream, that to the first event."""
         self._avoidance.record_answer(server.server_id, server.availability_zone)
-        self._ejector(server.service).record_success(
+        self._health.ejector(server.service).record_success(
             server.server_id, latency_ms, self._deps.clock.monotonic_ms()
         )
 
@@ -331,7 +320,7 @@
         now_ms = self._deps.clock.monotonic_ms()
         if is_unreachable:
             self._avoidance.record_unreachable(server.server_id, now_ms)
-        self._ejector(server.service).record_failure(server.server_id, now_ms)
+        self._health.ejector(server.service).record_failure(server.server_id, now_ms)
 
     def run_count(self, service: str) -> int:
         """Return the number of runs on all servers of a service."""
@@ -375,25 +364,3 @@
         allowed = self._deps.cold_rate_limit(server)
         share = self._cold_shares.setdefault(server.server_id, ColdShare())
         return share.is_open(self._deps.clock.monotonic_ms(), allowed)
-
-    def _ejector(self, service: str) -> Ejector:
-        if service not in self._ejectors:
-            self._ejectors[service] = Ejector(
-                EJECTION,
-                lambda server_id, health, reason: self._log_health_change(
-                    service, server_id, health, reason
-                ),
-            )
-        return self._ejectors[service]
-
-    def _log_health_change(
-        self, service: str, server_id: str, health: BackendHealth, reason: str
-    ) -> None:
-        self._deps.emit(
-            BackendHealthChanged(
-                service=service,
-                backend_server=server_id,
-                health=health.value,
-                reason=reason,
-            )
-        )
