Keep the limit that a server names over all hosts

Cause: no code read Server-Limit, and a host had no way to keep a rate together with other hosts that is lower than their number. Class: a bound over all hosts that each host was left to keep, or not, by itself.

Now every request to such a server needs a permit. Each zone has a fixed part of the limit; its first delegate grants it in evenly spaced slots, and forwards queries to another zone when its own part is used up. The sender uses the permit up right before the first byte, so that no path can go around it; without one a call goes to another server, or gets 503 with the time of the next permit. In any 4 s the zones grant the limit and at most one saved permit each, and only so many zones grant that this stays within the tolerance. A host grants in proportion to the hosts of its zone that it hears, so parts of a partitioned zone add up to the zone; a new grantor begins with no permit saved up.

Why not the shares of fleet_shares, as for cold servers and retries: a limit of 3 a second divided among 195 hosts is one request a minute each, or nothing for the hosts of lower rank; with all servers limited, most hosts could serve no call at all.

--- a/bench/advice_cost.py
+++ b/bench/advice_cost.py
@@ -80,6 +80,7 @@
             ledger=ledger,
             report_cache=EngineReportCache(catalogue, clock),
             notices=ServerNotices(NoticeDependencies(catalogue, clock, discard_event)),
+            permit_wait_ms=lambda server: 0.0,
             cold_rate_limit=lambda server: 0,
             is_large_fleet=lambda: True,
             clock=clock,
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -25,6 +25,7 @@
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.permits import Permits
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.placing import ServerPlacement
 from gypsumfield.gateway.routes import permit_call
@@ -77,6 +78,7 @@
         catalogue: Configuration in force and records of servers.
         placer: Selects servers and records the results of requests.
         notices: Stores what servers announce in their answers.
+        permits: Permits for requests to servers that have named a limit.
         pool: Idle connections to servers.
         clock: Monotonic clock.
         emit: Writes an event to the log.
@@ -86,6 +88,7 @@
     catalogue: Catalogue
     placer: Placer
     notices: ServerNotices
+    permits: Permits
     pool: ConnectionPool
     clock: Clock
     emit: EmitEvent
@@ -151,6 +154,8 @@
         reason = deps.placer.exclusion_reason(server, is_rescue) or _revocation_reason(
             deps, job
         )
+        if not reason and not deps.permits.consume(server):
+            reason = "there is no permit under the server's limit"
         if not reason:
             deps.placer.record_sent(server)
         return reason
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -202,6 +202,7 @@
             catalogue=catalogue,
             ledger=ledger,
             report_cache=report_cache,
+            notices=notices,
             pull=pull,
             is_store_answering=lambda: follower.is_store_reachable,
             clock=clock,
@@ -230,6 +231,7 @@
             ledger=ledger,
             report_cache=fleet.report_cache,
             notices=fleet.notices,
+            permit_wait_ms=peers.permits.wait_ms,
             cold_rate_limit=peers.cold_rate_limit,
             is_large_fleet=lambda: peers.is_large_fleet,
             clock=clock,
@@ -239,13 +241,21 @@
     )
     peers.adviser.select_engine = placer.advise
     reserve = _build_reserve(fleet, placer)
-    queue = StreamQueue(placer, reserve, peers.adviser.request_engine, clock, emit)
+    queue = StreamQueue(
+        placer,
+        reserve,
+        peers.adviser.request_engine,
+        peers.permits.acquire_for_job,
+        clock,
+        emit,
+    )
     registry = StreamRegistry()
     attempts = AttemptDependencies(
         _build_wire_format(),
         catalogue,
         placer,
         fleet.notices,
+        peers.permits,
         ConnectionPool(),
         clock,
         emit,
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -177,6 +177,18 @@
     source: str
 
 
+class PermitRefused(Event, frozen=True, kw_only=True, tag="permit_refused"):
+    """A request was not sent to a server, because its limit is used up.
+
+    ``wait_ms`` is the time until the next permit, ``max_wait_ms`` what the request
+    could have waited.
+    """
+
+    limit_per_s: float
+    wait_ms: float
+    max_wait_ms: float
+
+
 class OddNotice(Event, frozen=True, kw_only=True, tag="odd_notice"):
     """A header about a server is invalid and ignored, or its value was limited."""
 
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -103,6 +103,65 @@
     server_id: str
 
 
+class WireLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What one start of a server last said about its limit.
+
+    Attributes:
+        server_id: The server.
+        started_wall_ms: Wall time of its start.
+        limit_per_s: Requests a second from all hosts; None for no limit.
+        sent_age_ms: Time since the request was sent whose answer said so, or None.
+        received_age_ms: Time since that answer arrived.
+    """
+
+    server_id: str
+    started_wall_ms: int
+    limit_per_s: float | None
+    sent_age_ms: float | None
+    received_age_ms: float
+
+
+class PermitQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Query for a permit to send one request to a server that has named a limit.
+
+    Attributes:
+        number: Identifies the query to the asking host.
+        server_id: The server.
+        max_wait_ms: Longest wait for the permit.
+        reply_ip: Address of the asking host.
+        is_forwarded: Whether the zone of the asking host has refused the permit.
+        home_wait_ms: Time until that zone has the next one; 0 before it has refused.
+    """
+
+    number: int
+    server_id: str
+    max_wait_ms: float
+    reply_ip: str
+    is_forwarded: bool = False
+    home_wait_ms: float = 0.0
+
+    def forwarded(self, home_wait_ms: float) -> "PermitQuery":
+        """Return the query for another zone."""
+        return msgspec.structs.replace(
+            self, is_forwarded=True, home_wait_ms=home_wait_ms
+        )
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True):
+    """Reply to a query for a permit.
+
+    Attributes:
+        number: Number of the query.
+        is_granted: Whether the request may be sent after the wait.
+        wait_ms: Time until it may be sent; without a grant, the time until the next
+            permit.
+    """
+
+    number: int
+    is_granted: bool
+    wait_ms: float
+
+
 class UpdateKind(enum.IntEnum):
     """Purpose of a datagram, and what its loads count.
 
@@ -116,6 +175,8 @@
         ZONE: From a delegate to those of other zones: runs of the sender's zone.
         QUERY: Query to the first delegate of a large fleet's zone.
         ADVICE: Answer to a query.
+        PERMIT_QUERY: Query for a permit, to the first delegate of a zone.
+        PERMIT: Reply to it.
     """
 
     HELLO = 0
@@ -125,6 +186,8 @@
     ZONE = 4
     QUERY = 5
     ADVICE = 6
+    PERMIT_QUERY = 7
+    PERMIT = 8
 
 
 class HostUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -149,6 +212,9 @@
         changes_after: Lowest revision at which a receiver can apply the changes.
         query: Query of a ``QUERY``.
         advice: Answer of an ``ADVICE``.
+        limits: Limits on requests that servers have named.
+        permit_query: Query of a ``PERMIT_QUERY``.
+        permit_reply: Reply of a ``PERMIT``.
     """
 
     kind: UpdateKind
@@ -168,6 +234,9 @@
     changes_after: int = 0
     query: PlacementQuery | None = None
     advice: Advice | None = None
+    limits: list[WireLimit] = []
+    permit_query: PermitQuery | None = None
+    permit_reply: PermitReply | None = None
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -31,7 +31,10 @@
 from gypsumfield.gateway.large_fleet import LargeFleet
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.permits import PermitDependencies
+from gypsumfield.gateway.permits import Permits
 from gypsumfield.gateway.roster import Roster
+from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.small_fleet import SmallFleet
 from gypsumfield.gateway.update_writer import SendRound
@@ -70,6 +73,7 @@
         catalogue: The published view.
         ledger: Runs in flight, by server.
         report_cache: Latest reports of engines.
+        notices: Limits that servers have named.
         pull: Fetches the view of a peer that is ahead of this host.
         is_store_answering: Whether the store answered the last call.
         clock: Monotonic clock, also used to sleep.
@@ -82,6 +86,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    notices: ServerNotices
     pull: ViewPull
     is_store_answering: Callable[[], bool]
     clock: Clock
@@ -96,6 +101,7 @@
         bounds: Limits that this host has to keep; replaced when settings are reloaded.
         adviser: Requests engines for streams from the first delegate, and answers
             such requests.
+        permits: Requests and grants permits for requests to servers with a limit.
     """
 
     def __init__(self, deps: PeerDependencies) -> None:
@@ -118,6 +124,7 @@
                 catalogue=deps.catalogue,
                 ledger=deps.ledger,
                 report_cache=deps.report_cache,
+                notices=deps.notices,
                 is_store_reachable=self._is_store_reachable,
                 is_receiving_changes=lambda: self._large.is_receiving_changes,
                 send=deps.send or self._send_datagram,
@@ -126,6 +133,15 @@
         )
         self._small = SmallFleet(self._writer)
         self.adviser = Adviser(self._writer, deps.clock, deps.emit)
+        self.permits = Permits(
+            PermitDependencies(
+                settings.availability_zones,
+                self._writer,
+                deps.notices,
+                deps.clock,
+                deps.emit,
+            )
+        )
         self._large = LargeFleet(self._writer, self._cold_servers, self.adviser)
         self._update_pending = Signal()
         self._round_number = 0
@@ -255,6 +271,7 @@
             self._round_number += 1
             self._last_round_ms = now_ms
             self._mark_silent()
+            self.permits.record_zone_hosts()
             self._send_hellos(is_slow_heartbeat_due)
         is_large = self._roster.is_large
         fleet = self._large if is_large else self._small
@@ -312,6 +329,10 @@
             self._handle_update(update)
 
     def _handle_update(self, update: HostUpdate) -> None:
+        self._writer.store_limits(update)
+        if update.kind in (UpdateKind.PERMIT_QUERY, UpdateKind.PERMIT):
+            self.permits.handle_update(update)
+            return
         roster = self._roster
         sender = update.sender
         is_new = roster.record_message(
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -50,6 +50,7 @@
         ledger: Runs in flight.
         report_cache: Load reports of engines.
         notices: Announcements of servers that they are leaving or full.
+        permit_wait_ms: Returns the time for which a server's limit is used up.
         cold_rate_limit: Returns this host's limit for a cold server, in requests/s.
         is_large_fleet: Returns whether load updates are too old to rely on alone.
         clock: Monotonic clock.
@@ -62,6 +63,7 @@
     ledger: Ledger
     report_cache: EngineReportCache
     notices: ServerNotices
+    permit_wait_ms: Callable[[BackendServer], float]
     cold_rate_limit: Callable[[BackendServer], int]
     is_large_fleet: Callable[[], bool]
     clock: Clock
@@ -227,6 +229,7 @@
             )
             if record.server.server_id not in tried
             and not self.exclusion_reason(record.server)
+            and not self._deps.permit_wait_ms(record.server)
             and not self._avoidance.is_unreachable(record.server.server_id, now_ms)
         ]
         healthy = [
@@ -262,9 +265,19 @@
             return "the server is cold"
         return ""
 
-    def pause_ms(self, service: str) -> float:
-        """Return the time until some server accepts requests; 0 if one does now."""
-        return self._deps.notices.service_pause_ms(service)
+    def pause_ms(self, service: str, max_permit_wait_ms: float = 0.0) -> float:
+        """Return the time until some server accepts requests; 0 if one does now.
+
+        Args:
+            service: The service.
+            max_permit_wait_ms: Wait for a permit that counts as none.
+        """
+
+        def permit_wait_ms(server: BackendServer) -> float:
+            wait_ms = self._deps.permit_wait_ms(server)
+            return wait_ms if wait_ms > max_permit_wait_ms else 0.0
+
+        return self._deps.notices.service_pause_ms(service, permit_wait_ms)
 
     def record_sent(self, server: BackendServer) -> None:
         """Record that a request is sent to a server."""
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -87,6 +87,10 @@
         placement = deps.attempts.placer.place_plain(job.service, progress.server_ids)
         if placement is None:
             break
+        if not deps.attempts.permits.acquire_for_job(job, placement.server):
+            if job.abort.reason:
+                break
+            continue
         if progress.server_ids and not share.take(
             clock.monotonic_ms(), deps.host_count()
         ):
--- a/src/gypsumfield/gateway/server_notices.py
+++ b/src/gypsumfield/gateway/server_notices.py
@@ -1,6 +1,7 @@
 """Notices in answers of backend servers: that they leave, or accept no requests now."""
 
 import math
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -87,28 +88,35 @@
             now_ms = self._deps.clock.monotonic_ms()
             earliest_ms = -math.inf if sent_ms is None else sent_ms
             statement = LimitStatement(metadata.limit_per_s, earliest_ms, now_ms)
-            self.record_limit(server, statement, "answer")
+            self.record_limit(
+                server.server_id, server.started_wall_ms, statement, "answer"
+            )
 
     def record_limit(
-        self, server: BackendServer, statement: LimitStatement, source: str
+        self,
+        server_id: str,
+        started_wall_ms: int,
+        statement: LimitStatement,
+        source: str,
     ) -> None:
         """Record what a server said about its limit; log a change.
 
         Args:
-            server: The server, in the start that made the statement.
+            server_id: Id of the server.
+            started_wall_ms: Start of the server that made the statement.
             statement: The statement.
             source: Where it came from, for the log.
         """
-        start = (server.server_id, server.started_wall_ms)
-        previous_per_s = self.limits.limit_per_s(*start)
-        if not self.limits.record(*start, statement):
+        previous_per_s = self.limits.limit_per_s(server_id, started_wall_ms)
+        if not self.limits.record(server_id, started_wall_ms, statement):
             return
         now_ms = self._deps.clock.monotonic_ms()
+        record = self._deps.catalogue.find_server(server_id)
         has_sent_time = statement.sent_ms > -math.inf
         self._deps.emit(
             ServerLimit(
-                service=server.service,
-                backend_server=server.server_id,
+                service=record.server.service if record else "",
+                backend_server=server_id,
                 limit_per_s=statement.limit_per_s,
                 previous_per_s=previous_per_s,
                 sent_ms_ago=now_ms - statement.sent_ms if has_sent_time else None,
@@ -117,6 +125,10 @@
             )
         )
 
+    def limit_per_s(self, server: BackendServer) -> float | None:
+        """Return the limit on requests of all hosts to a server, or None."""
+        return self.limits.limit_per_s(server.server_id, server.started_wall_ms)
+
     def pause_ms(self, server: BackendServer) -> float:
         """Return the rest of the pause of a server in ms, or 0."""
         return self._pauses.remaining_pause_ms(
@@ -125,11 +137,17 @@
             self._deps.clock.monotonic_ms(),
         )
 
-    def service_pause_ms(self, service: str) -> float:
+    def service_pause_ms(
+        self, service: str, permit_wait_ms: Callable[[BackendServer], float]
+    ) -> float:
         """Return the time until the first server of a service accepts requests again.
 
+        Args:
+            service: The service.
+            permit_wait_ms: Returns the time for which a server's limit is used up.
+
         Returns:
-            Milliseconds, or 0 when at least one usable server has no pause in force.
+            Milliseconds, or 0 when at least one usable server accepts requests now.
         """
         catalogue = self._deps.catalogue
         times_ms = []
@@ -137,7 +155,9 @@
             zone = record.server.availability_zone
             if catalogue.is_leaving(record) or zone in catalogue.evacuated_zones:
                 continue
-            remaining_ms = self.pause_ms(record.server)
+            remaining_ms = max(
+                self.pause_ms(record.server), permit_wait_ms(record.server)
+            )
             if remaining_ms <= 0.0:
                 return 0.0
             times_ms.append(remaining_ms)
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -43,6 +43,7 @@
         bounds: Limits that this host keeps.
         capacity: Capacity of the host for work other than serving calls: the smaller
             of its processor in hundredths of a core and its link in Mbit/s.
+        availability_zones: All zones of the installation.
     """
 
     host_id: str
@@ -57,6 +58,7 @@
     store_address: str
     bounds: EdgeBounds
     capacity: int = 0
+    availability_zones: tuple[str, ...] = ()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -9,6 +9,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.avoidance import ENGINE_FULL_MS
+from gypsumfield.decisions.permits import wait_limit_ms
 from gypsumfield.decisions.queue_waits import estimated_retry_after_ms
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import remaining_wait_ms
@@ -31,6 +32,7 @@
 
 Advise = Callable[[PlacementQuery], str | None]
 Reserve = Callable[[BackendServer, int], str | None]
+AcquirePermit = Callable[[Job, BackendServer], bool]
 
 
 class _QueueEntry:
@@ -54,6 +56,7 @@
         placer: Placer,
         reserve: Reserve,
         advise: Advise,
+        acquire_permit: AcquirePermit,
         clock: Clock,
         emit: EmitEvent,
     ) -> None:
@@ -67,12 +70,15 @@
             advise: Requests an engine from the zone's first delegate. Returns its
                 id, an empty string if no engine is suitable, or None without
                 advice.
+            acquire_permit: Waits for a permit for a stream on an engine that has
+                named a limit, and returns whether it was granted.
             clock: Monotonic clock.
             emit: Writes an event to the log.
         """
         self._placer = placer
         self._reserve = reserve
         self._advise = advise
+        self._acquire_permit = acquire_permit
         self._clock = clock
         self._emit = emit
         self._queued: list[_QueueEntry] = []
@@ -127,18 +133,20 @@
         return placement
 
     def _refuse_if_paused(self, job: Job) -> None:
-        """Refuse a stream at once if every engine has requested a pause.
+        """Refuse a stream at once if every engine is paused or has no permit in time.
 
         Raises:
             RefusedError: The refusal says when the first engine accepts requests.
         """
-        pause_ms = self._placer.pause_ms(job.service)
+        waited_ms = self._clock.monotonic_ms() - job.started_ms
+        max_wait_ms = wait_limit_ms(job.route.target_latency_ms, waited_ms)
+        pause_ms = self._placer.pause_ms(job.service, max_wait_ms)
         if pause_ms > 0.0:
             raise RefusedError(
                 Refusal(
                     503,
                     "engines_quiet",
-                    "every engine is full and wants no requests",
+                    "every engine has requested a pause or reached its limit",
                     retry_after_ms=pause_ms,
                 )
             )
@@ -188,13 +196,14 @@
     ) -> ServerPlacement | None:
         """Return a placement whose memory the engine has reserved, or None."""
         full_engines: list[str] = []
+        excluded = list(tried)
         query = PlacementQuery(
             0,
             job.service,
             peak_tokens,
             job.call.prompt_tokens,
             remaining_ms,
-            list(tried),
+            excluded,
             full_engines,
         )
         for _ in range(MAX_RESERVATION_ATTEMPTS):
@@ -206,6 +215,11 @@
                 return None
             if advice is not None:
                 placement = self._placer.place_at(advice) or placement
+            if not self._acquire_permit(job, placement.server):
+                if job.abort.reason:
+                    return None
+                excluded.append(placement.server.server_id)
+                continue
             reservation = self._reserve_memory(job, placement, peak_tokens)
             if reservation is not None:
                 return placement._replace(reservation=reservation)
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -1,11 +1,14 @@
 """Encodes and sends the updates of this host to other hosts."""
 
+import math
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
 from gypsumfield.clock import Clock
+from gypsumfield.decisions.server_limits import LimitStatement
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReport
 from gypsumfield.gateway.engine_reports import EngineReportCache
@@ -14,11 +17,13 @@
 from gypsumfield.gateway.host_updates import LeavingServer
 from gypsumfield.gateway.host_updates import UpdateKind
 from gypsumfield.gateway.host_updates import WireItem
+from gypsumfield.gateway.host_updates import WireLimit
 from gypsumfield.gateway.host_updates import WireLoad
 from gypsumfield.gateway.host_updates import WireReport
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.roster import Roster
+from gypsumfield.gateway.server_notices import ServerNotices
 
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
@@ -54,6 +59,7 @@
         catalogue: The published view.
         ledger: Runs in flight, by server.
         report_cache: Latest reports of engines.
+        notices: Limits that servers have named.
         is_store_reachable: Whether this host watches the store and gets answers.
         is_receiving_changes: Whether this host receives changes, from the store or
             from other hosts.
@@ -65,6 +71,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    notices: ServerNotices
     is_store_reachable: Callable[[], bool]
     is_receiving_changes: Callable[[], bool]
     send: Callable[[str, bytes], None]
@@ -138,6 +145,42 @@
             for server_id, report in reports.items()
         ]
 
+    def wire_limits(self, server_ids: Iterable[str]) -> list[WireLimit]:
+        """Return the wire form of what servers said about their limits."""
+        now_ms = self.deps.clock.monotonic_ms()
+        limits = []
+        for server_id in server_ids:
+            record = self.deps.notices.limits.find(server_id)
+            if record is None:
+                continue
+            statement = record.statement
+            has_sent_time = statement.sent_ms > -math.inf
+            limits.append(
+                WireLimit(
+                    server_id,
+                    record.started_wall_ms,
+                    statement.limit_per_s,
+                    now_ms - statement.sent_ms if has_sent_time else None,
+                    now_ms - statement.received_ms,
+                )
+            )
+        return limits
+
+    def store_limits(self, update: HostUpdate) -> None:
+        """Record the limits that another host has sent."""
+        now_ms = self.deps.clock.monotonic_ms()
+        for limit in update.limits:
+            sent_age_ms = math.inf if limit.sent_age_ms is None else limit.sent_age_ms
+            statement = LimitStatement(
+                limit.limit_per_s, now_ms - sent_age_ms, now_ms - limit.received_age_ms
+            )
+            self.deps.notices.record_limit(
+                limit.server_id,
+                limit.started_wall_ms,
+                statement,
+                f"peer {update.sender.host_id}",
+            )
+
     def store_reports(self, update: HostUpdate) -> None:
         """Record the engine reports that another host has sent."""
         now_ms = self.deps.clock.monotonic_ms()
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -75,8 +75,14 @@
             store_address=self._string("platform.address"),
             bounds=self._bounds(),
             capacity=self._capacity(),
+            availability_zones=self._availability_zones(),
         )
 
+    def _availability_zones(self) -> tuple[str, ...]:
+        # The region of each zone, by zone.
+        zones = self._lookup("zones")
+        return tuple(sorted(zones)) if isinstance(zones, Mapping) else ()
+
     def _capacity(self) -> int:
         # The host has `cpu_share` of one core, and this core is `cpu_cores` times as
         # fast as a standard core.
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -67,6 +67,7 @@
             seed_ips=tuple(seed_ips),
             store_address=self.store.address,
             bounds=EdgeBounds(),
+            availability_zones=("z1", "z2"),
         )
 
     def is_ready(self):
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -65,6 +65,7 @@
                 ledger=self.ledger,
                 report_cache=EngineReportCache(self.catalogue, clock),
                 notices=self.notices,
+                permit_wait_ms=lambda server: 0.0,
                 cold_rate_limit=lambda server: cold_share_per_s(
                     cold_bound_per_s(20.0, bounds.cold_factor, bounds.cold_extra), 1, 0
                 ),
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -8,6 +8,9 @@
 from edge_fleet import EdgeFleet
 from edge_fleet import read_answer
 from fake_platform import complete_answer
+from fake_platform import event
+from fake_platform import STREAM_END
+from fake_platform import stream_head
 from fake_platform import wait_until
 from gypsumfield.clock import system_clock
 from gypsumfield.gateway.composition import build_edge_host
@@ -16,6 +19,9 @@
 LIMIT_PER_S = 2.0
 CALL_INTERVAL_S = 0.125
 RUN_S = 8.0
+# Of two zones, each grants a permit every eight seconds.
+LIMIT_HEADER = b"Server-Limit: 0.25\r\n"
+PROMPT = "X-Token-Counts: 1000,800\r\nX-Length-Hint: 800\r\nX-Model: m\r\n"
 
 
 class LimitedFleet(EdgeFleet):
@@ -79,6 +85,70 @@
         super().stop()
 
 
+@pytest.fixture
+def single_host():
+    kinds = {"plain": "idempotent", "once": "non_idempotent", "engine": "streaming"}
+    edge_fleet = EdgeFleet(kinds)
+    edge_fleet.publish()
+    yield edge_fleet
+    edge_fleet.stop()
+
+
+def answer_stream(request, sock):
+    head = stream_head(request).replace(b"Content-Type", LIMIT_HEADER + b"Content-Type")
+    sock.sendall(head + event(1) + STREAM_END)
+
+
+def answer_call(request, sock):
+    sock.sendall(complete_answer(request, extra=LIMIT_HEADER.decode()))
+
+
+@pytest.mark.parametrize("service", ["plain", "once", "engine"])
+def test_calls_above_a_limit_are_refused_at_once_with_a_time_to_return(
+    single_host, service
+):
+    answer = answer_stream if service == "engine" else answer_call
+    server = single_host.add_server(service, "s1", answer)
+    single_host.start()
+    assert single_host.call(f"/{service}/", headers=PROMPT)[0] == 200
+    calls = [
+        gevent.spawn(
+            single_host.call, f"/{service}/", attempt=f"a{number}", headers=PROMPT
+        )
+        for number in range(10)
+    ]
+    started_ms = system_clock().monotonic_ms()
+    answers = [call.get() for call in calls]
+    assert system_clock().monotonic_ms() - started_ms < 1_500.0
+    assert {status for status, _, _ in answers} == {503}
+    assert all(float(headers["retry-after"]) > 0.0 for _, headers, _ in answers)
+    assert len(server.requests) == 1
+    assert single_host.events_named("server_limit")
+    assert single_host.events_named("permit_refused")
+
+
+@pytest.mark.parametrize("service", ["plain", "once", "engine"])
+def test_calls_above_a_limit_go_to_a_server_without_one(single_host, service):
+    answer = answer_stream if service == "engine" else answer_call
+    limited = single_host.add_server(service, "s1", answer)
+    single_host.start()
+    assert single_host.call(f"/{service}/", headers=PROMPT)[0] == 200
+
+    def answer_without_limit(request, sock):
+        if service == "engine":
+            sock.sendall(stream_head(request) + event(1) + STREAM_END)
+        else:
+            sock.sendall(complete_answer(request))
+
+    free = single_host.add_server(service, "s2", answer_without_limit)
+    wait_until(lambda: single_host.has_servers(2))
+    for number in range(5):
+        answer = single_host.call(f"/{service}/", attempt=f"a{number}", headers=PROMPT)
+        assert answer[0] == 200
+    assert len(limited.requests) == 1
+    assert len(free.requests) == 5
+
+
 @pytest.fixture
 def fleet():
     limited_fleet = LimitedFleet()
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -55,7 +55,12 @@
     clock = fleet.clock.as_clock()
     return (
         StreamQueue(
-            fleet.placer, engines.reserve, lambda _query: None, clock, events.append
+            fleet.placer,
+            engines.reserve,
+            lambda _query: None,
+            lambda _job, _server: True,
+            clock,
+            events.append,
         ),
         engines,
         events,
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -17,6 +17,8 @@
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.peers import PeerDependencies
 from gypsumfield.gateway.peers import PeerLink
+from gypsumfield.gateway.server_notices import NoticeDependencies
+from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.settings import EdgeBounds
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.view_pull import LAG_TOLERANCE_MS
@@ -63,6 +65,9 @@
         self.events = []
         self.catalogue = make_catalogue(clock)
         self.ledger = Ledger()
+        self.notices = ServerNotices(
+            NoticeDependencies(self.catalogue, clock, self.events.append)
+        )
         self.link = PeerLink(
             PeerDependencies(
                 settings=EdgeSettings(
@@ -78,11 +83,13 @@
                     "",
                     EdgeBounds(),
                     self.capacity,
+                    self.fleet.zones,
                 ),
                 boot_id=f"b{self.boot}",
                 catalogue=self.catalogue,
                 ledger=self.ledger,
                 report_cache=EngineReportCache(self.catalogue, clock),
+                notices=self.notices,
                 pull=self,
                 is_store_answering=lambda: self.is_store_answering,
                 clock=clock,
@@ -195,6 +202,7 @@
         self.hosts = []
         self.by_ip = {}
         self.publish(1)
+        self.zones = tuple(f"z{number}" for number in range(zone_count))
         zones = [f"z{number % zone_count}" for number in range(host_count)]
         seeds = [f"10.0.0.{number + 1}" for number in range(3)]
         for number, zone in enumerate(zones):
