Count polls, reservations and copies under an engine's limit

What callers saw: nothing; an engine that limits its requests got a poll every half second and a call for each copy besides.

Engines with a limit are not polled and reserve nothing, since the report and the reservation would take the permits of streams; copies of runs wait for a permit. The client checks the permit right before it sends, like calls of callers.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -25,6 +25,7 @@
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.permits import NO_PERMIT_REASON
 from gypsumfield.gateway.permits import Permits
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.placing import ServerPlacement
@@ -155,7 +156,7 @@
             deps, job
         )
         if not reason and not deps.permits.consume(server):
-            reason = "there is no permit under the server's limit"
+            reason = NO_PERMIT_REASON
         if not reason:
             deps.placer.record_sent(server)
         return reason
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -214,7 +214,7 @@
         ledger,
         report_cache,
         notices,
-        EngineClient(notices.record_answer),
+        EngineClient(notices.record_answer, peers.permits.consume),
         follower,
         pull,
         peers,
@@ -302,6 +302,7 @@
             placer=serving.placer,
             ledger=fleet.ledger,
             notices=fleet.notices,
+            permits=fleet.peers.permits,
             copy_run=fleet.engines.copy_run,
             can_connect=can_connect,
             can_move=lambda service: _can_move(fleet.catalogue, service),
@@ -329,11 +330,8 @@
 def _build_servers(
     common: _CommonParts, fleet: _Fleet, serving: _Serving
 ) -> EdgeServers:
-    settings, catalogue, request_tracker = (
-        common.settings,
-        fleet.catalogue,
-        serving.request_tracker,
-    )
+    settings, catalogue = common.settings, fleet.catalogue
+    request_tracker = serving.request_tracker
 
     def is_ready() -> bool:
         return catalogue.publication is not None and not request_tracker.is_draining
@@ -376,7 +374,9 @@
 def _build_reserve(fleet: _Fleet, placer: Placer) -> Reserve:
     def reserve(server: BackendServer, tokens: int) -> str | None:
         spec = fleet.catalogue.engine_spec(server.service)
-        if spec is None or not placer.has_reservations(server.service):
+        # On an engine with a limit, a reservation would need a second permit.
+        is_limited = fleet.notices.limit_per_s(server) is not None
+        if not spec or is_limited or not placer.has_reservations(server.service):
             return ""
         return fleet.engines.reserve(server, tokens, spec.reservation_ms)
 
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -109,7 +109,8 @@
         catalogue: Registered engines.
         ledger: Runs in flight; engines without any are not queried.
         report_cache: Receives the reports.
-        notices: Engines that asked for no requests are not queried.
+        notices: Engines that asked for no requests, or that limit them, are not
+            queried.
         clock: Monotonic clock.
         emit: Writes an event to the log.
     """
@@ -160,6 +161,7 @@
                 record.server.server_id, record.server.availability_zone
             )
             and not deps.notices.pause_ms(record.server)
+            and deps.notices.limit_per_s(record.server) is None
             and deps.ledger.load(record.server.server_id, now_ms).run_count
         ]
 
--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -39,6 +39,7 @@
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.interfaces import EmitEvent
 
+NO_PERMIT_REASON = "there is no permit under the server's limit"
 # A delegate replies within a few milliseconds, also when another zone has to.
 REPLY_TIMEOUT_MS = 30.0
 # Without a reply, the server gets no requests of this host for this time.
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.protection import ASSUMED_NOTICE_MS
@@ -20,6 +21,8 @@
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.permits import NO_PERMIT_REASON
+from gypsumfield.gateway.permits import Permits
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.run_copies import OnDemandCopy
 from gypsumfield.gateway.server_notices import ServerNotices
@@ -31,6 +34,8 @@
 # copies of other hosts.
 COPY_TIMEOUT_MS = 2_000.0
 MAX_COPY_TARGETS = 2
+# The other runs of a leaving engine wait behind the one that waits for a permit.
+COPY_PERMIT_WAIT_MS = 300.0
 CHECK_INTERVAL_MS = 100.0
 # Events arrive every 30 to 60 ms, but a preempted stream pauses longer. Missing
 # events alone therefore don't prove a failure, and the engine is probed by opening
@@ -48,6 +53,7 @@
         placer: Selects engines for copies and counts failures.
         ledger: Runs and copies in flight.
         notices: Announcements of servers that they are leaving or full.
+        permits: Permits for calls to engines that have named a limit.
         copy_run: Copies a run's key-value cache; takes the source engine, the
             request id, the target's address and the timeout in milliseconds.
         can_connect: Returns whether a server's address accepts a connection.
@@ -61,6 +67,7 @@
     placer: Placer
     ledger: Ledger
     notices: ServerNotices
+    permits: Permits
     copy_run: Callable[[BackendServer, str, str, float], CopyResult]
     can_connect: Callable[[str], bool]
     can_move: Callable[[str], bool]
@@ -181,6 +188,12 @@
         self, stream: Stream, source: BackendServer, target: BackendServer
     ) -> bool:
         """Copy one run and return whether no other target needs to be tried."""
+        if not self._deps.permits.acquire(
+            source, COPY_PERMIT_WAIT_MS, AbortHandle(), stream.job.request_id
+        ):
+            self._log_copy(stream, source, target.server_id, 0.0, NO_PERMIT_REASON)
+            stream.copies.refused_at_ms = self._deps.clock.monotonic_ms()
+            return True
         started_ms = self._deps.clock.monotonic_ms()
         # The ledger counts the copy's memory before the first call, so that no other
         # host selects the same free memory.
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -17,6 +17,7 @@
 from gypsumfield.gateway.calls import CopyResult
 from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.permits import NO_PERMIT_REASON
 from gypsumfield.platform.headers import decode_answer
 from gypsumfield.verdicts import RunVerdict
 
@@ -61,12 +62,17 @@
     Args:
         record_metadata: Called with the engine, the status and the metadata of each
             answer, as soon as its headers are read.
+        consume_permit: Called right before a call is sent; returns whether the
+            engine's limit on requests permits it.
     """
 
     def __init__(
-        self, record_metadata: Callable[[BackendServer, int, AnswerMetadata], None]
+        self,
+        record_metadata: Callable[[BackendServer, int, AnswerMetadata], None],
+        consume_permit: Callable[[BackendServer], bool],
     ) -> None:
         self._record_metadata = record_metadata
+        self._consume_permit = consume_permit
 
     def read_state(self, server: BackendServer) -> EngineState:
         """Request an engine's load and whether it will leave.
@@ -162,8 +168,12 @@
             must_echo_id=False,
         )
         exchange = Exchange(request, timeouts, AbortHandle())
+
+        def check_before_send() -> str:
+            return "" if self._consume_permit(server) else NO_PERMIT_REASON
+
         try:
-            status = exchange.open(lambda: "")
+            status = exchange.open(check_before_send)
             self._record_metadata(
                 server, status, decode_answer(exchange.header_items())
             )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -137,7 +137,7 @@
     with EndlessServer(*ANSWER_PARTS[part]) as server:
         registration_data = json.dumps(registration("engine", server)).encode()
         engine = decode_server("servers/e1", registration_data, 1)
-        client = EngineClient(lambda *metadata: None)
+        client = EngineClient(lambda *metadata: None, lambda server: True)
         store = StoreClient(server.address)
         calls = {
             "report": lambda: client.read_state(engine),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,7 +203,8 @@
 def reserve(fake_server, tokens, lifetime_ms, recorded=None):
     """Reserve memory at a fake server; the list ``recorded`` gets its metadata."""
     client = EngineClient(
-        lambda *metadata: recorded is None or recorded.append(metadata)
+        lambda *metadata: recorded is None or recorded.append(metadata),
+        lambda server: True,
     )
     registration_data = json.dumps(registration("engine", fake_server)).encode()
     server = decode_server("servers/e1", registration_data, 1)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -9,6 +9,7 @@
 from edge_fleet import read_answer
 from fake_platform import complete_answer
 from fake_platform import event
+from fake_platform import registration
 from fake_platform import STREAM_END
 from fake_platform import stream_head
 from fake_platform import wait_until
@@ -164,3 +165,39 @@
     gevent.joinall(senders, raise_error=True)
     assert fleet.audit.excess() <= 0.0
     assert set(fleet.statuses) == {200}
+
+
+def limited_stream(request, sock, limit):
+    head = stream_head(request)
+    header = f"Server-Limit: {limit}\r\nContent-Type".encode()
+    sock.sendall(head.replace(b"Content-Type", header) + event(1))
+
+
+def test_polls_and_copies_of_a_stream_do_not_exceed_its_engines_limit(single_host):
+    may_end = gevent.event.Event()
+
+    def respond(request, sock):
+        if request["target"].startswith("/-/"):
+            body = b'{"state": "ready", "handle": "m1", "created": 1}'
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            sock.sendall(head.encode() + body)
+            return
+        limited_stream(request, sock, 0.25)
+        may_end.wait(20)
+        sock.sendall(STREAM_END)
+
+    limited = single_host.add_server("engine", "e1", respond)
+    registered = registration("engine", limited)
+    single_host.store.put("servers/e1", registered)
+    single_host.start()
+    with contextlib.closing(single_host.send_request("/engine/", headers=PROMPT)):
+        wait_until(lambda: single_host.events_named("server_limit"))
+        sent_before = len(limited.requests)
+        gevent.sleep(1.2)
+        single_host.add_server("engine", "e2", respond)
+        wait_until(lambda: single_host.has_servers(2))
+        single_host.store.put("servers/e1", {**registered, "state": "draining"})
+        wait_until(lambda: single_host.events_named("engine_leaves"))
+        gevent.sleep(0.5)
+        assert len(limited.requests) == sent_before
+        may_end.set()
