Resume runs at engines with a limit as soon as they have a permit

What callers saw: a stream whose engine failed broke off, if the engine with the copy of its run named a limit. Cause: a resumption from a copy skips the queue, in which permits are acquired, and the check before the first byte then stopped it. Evidence: the new test got a truncated stream on the code before; now the run resumes and each engine's requests keep their distance.

The resumption waits up to 1.5 s for its permit: callers abandon a stream that pauses for two seconds. A missing permit is no failure of the server.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -40,6 +40,8 @@
 # Callers wait about seven seconds for a stream without events. If a partition heals
 # within that time, the stream continues.
 STREAM_UNREACHABLE_LIMIT_MS = 8_000.0
+# Callers abandon a stream that pauses for two seconds.
+RESCUE_PERMIT_WAIT_MS = 1_500.0
 # Servers that refuse requests or are unreachable are replaced in the store within a
 # few hundred milliseconds.
 RETRY_AFTER_FAILURE_MS = 500.0
@@ -128,6 +130,9 @@
             it reached. Also raised if the answer belongs to another request or
             states that the call did not run.
     """
+    is_rescue = options.resume is not None and bool(options.resume.copy_name)
+    if is_rescue:
+        _acquire_rescue_permit(deps, job, server)
     may_reuse = job.route.is_resumable or job.route.kind is CallKind.IDEMPOTENT
     request = OutgoingRequest(
         address=server.address,
@@ -151,7 +156,6 @@
     sent_ms = deps.clock.monotonic_ms()
 
     def check_before_send() -> str:
-        is_rescue = options.resume is not None and bool(options.resume.copy_name)
         reason = deps.placer.exclusion_reason(server, is_rescue) or _revocation_reason(
             deps, job
         )
@@ -256,7 +260,7 @@
     is_unreachable = error.code == "unreachable"
     if is_unreachable and isinstance(error.__cause__, TimeoutError):
         deps.placer.record_connect_timeout(server)
-    elif error.code not in ("aborted", "not_sent"):
+    elif error.code not in ("aborted", "not_sent", "no_permit"):
         deps.placer.record_failure(server, is_unreachable)
 
 
@@ -285,6 +289,15 @@
     return RefusedError(Refusal(status, error.code, str(error), error.verdict))
 
 
+def _acquire_rescue_permit(
+    deps: AttemptDependencies, job: Job, server: BackendServer
+) -> None:
+    """Wait for a permit to resume a run that can continue only on this engine."""
+    permits = deps.permits
+    if not permits.acquire(server, RESCUE_PERMIT_WAIT_MS, job.abort, job.request_id):
+        raise BackendError(NO_PERMIT_REASON, RunVerdict.NOT_RUN, "no_permit")
+
+
 def _revocation_reason(deps: AttemptDependencies, job: Job) -> str:
     """Return why a waiting call is no longer permitted, or an empty string."""
     publication = deps.catalogue.publication
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -1,6 +1,7 @@
 """Requests to servers that name a limit, through edge hosts with their own network."""
 
 import contextlib
+import itertools
 
 import gevent
 import pytest
@@ -167,10 +168,10 @@
     assert set(fleet.statuses) == {200}
 
 
-def limited_stream(request, sock, limit):
+def limited_stream(request, sock, limit, number=1):
     head = stream_head(request)
     header = f"Server-Limit: {limit}\r\nContent-Type".encode()
-    sock.sendall(head.replace(b"Content-Type", header) + event(1))
+    sock.sendall(head.replace(b"Content-Type", header) + event(number))
 
 
 def test_polls_and_copies_of_a_stream_do_not_exceed_its_engines_limit(single_host):
@@ -201,3 +202,33 @@
         gevent.sleep(0.5)
         assert len(limited.requests) == sent_before
         may_end.set()
+
+
+def test_a_run_resumes_at_a_limited_engine_with_a_permit(single_host):
+    arrivals_ms = {"e1": [], "e2": []}
+
+    def respond(request, sock):
+        server_id = request["headers"]["x-expect-instance"]
+        arrivals_ms[server_id].append(system_clock().monotonic_ms())
+        if "kv-from" in request["headers"]:
+            limited_stream(request, sock, 4.0, number=2)
+            sock.sendall(STREAM_END)
+            return None
+        limited_stream(request, sock, 4.0)
+        if request["headers"]["x-attempt-id"] == "run-2":
+            return "close"
+        sock.sendall(STREAM_END)
+        return None
+
+    for server_id in arrivals_ms:
+        single_host.add_server("engine", server_id, respond)
+    single_host.start()
+    while len(single_host.events_named("server_limit")) < 2:
+        single_host.call("/engine/", headers=PROMPT, attempt="run-1")
+    for _ in range(3):
+        status, _, body = single_host.call("/engine/", headers=PROMPT, attempt="run-2")
+        assert (status, body.count(b"id: ")) == (200, 2)
+    # Of two zones, each grants a permit every half second.
+    for times_ms in arrivals_ms.values():
+        pauses_ms = [later - time for time, later in itertools.pairwise(times_ms)]
+        assert min(pauses_ms) >= 400.0
