Pass limits of servers on to the other hosts

What callers saw: nothing; a server in need named a limit of 3 a second and 195 hosts still sent it 5 a second half a minute later (virtual time, 54 calls a second to six servers), since each host learned of the limit only from an answer of its own. Cause: statements of servers about their limit stayed on the host that received them.

Hosts add them to the updates that they exchange anyway: changes in every round for 3 s, all limits in the slow rounds, eight an update at most. The end of a limit spreads in the same way. Evidence: two tests at 195 hosts that fail without it; all hosts know a limit, or its end, within 2 s.

--- a/src/gypsumfield/decisions/server_limits.py
+++ b/src/gypsumfield/decisions/server_limits.py
@@ -12,6 +12,9 @@
 
 # An older statement is not passed on to other hosts.
 STATEMENT_LIFETIME_MS = 30_000.0
+# A change is passed on in every heartbeat round for this time, everything else only in
+# the slow rounds.
+CHANGE_RESEND_MS = 3_000.0
 # The end of a limit is recorded for longer than any statement from before it is passed
 # on, so that such a statement does not restore the limit.
 RECORD_LIFETIME_MS = 600_000.0
@@ -33,10 +36,11 @@
 
 
 class LimitRecord(NamedTuple):
-    """The latest statement of one start of a server."""
+    """The latest statement of one start of a server, and when its limit changed."""
 
     started_wall_ms: int
     statement: LimitStatement
+    changed_ms: float
 
 
 class LimitRecords:
@@ -46,7 +50,11 @@
         self._records: dict[str, LimitRecord] = {}
 
     def record(
-        self, server_id: str, started_wall_ms: int, statement: LimitStatement
+        self,
+        server_id: str,
+        started_wall_ms: int,
+        statement: LimitStatement,
+        now_ms: float,
     ) -> bool:
         """Record a statement, and return whether it changes the limit in force.
 
@@ -54,6 +62,7 @@
             server_id: Id of the backend server.
             started_wall_ms: Wall-clock time of the server's start, which identifies it.
             statement: The statement of this start.
+            now_ms: Monotonic time.
         """
         current = self._records.get(server_id)
         if current is None or started_wall_ms > current.started_wall_ms:
@@ -62,14 +71,17 @@
                 return current is not None and bool(
                     current.statement.limit_per_s is not None
                 )
-            self._expire(statement.received_ms)
-            self._records[server_id] = LimitRecord(started_wall_ms, statement)
+            self._expire(now_ms)
+            self._records[server_id] = LimitRecord(started_wall_ms, statement, now_ms)
             return True
         if started_wall_ms < current.started_wall_ms:
             return False
         merged = _merge(current.statement, statement)
-        self._records[server_id] = LimitRecord(started_wall_ms, merged)
-        return merged.limit_per_s != current.statement.limit_per_s
+        has_changed = merged.limit_per_s != current.statement.limit_per_s
+        self._records[server_id] = LimitRecord(
+            started_wall_ms, merged, now_ms if has_changed else current.changed_ms
+        )
+        return has_changed
 
     def limit_per_s(self, server_id: str, started_wall_ms: int) -> float | None:
         """Return the limit of a server's start, or None without one."""
@@ -82,14 +94,21 @@
         """Return the record of a server, or None."""
         return self._records.get(server_id)
 
-    def recent(self, now_ms: float) -> dict[str, LimitRecord]:
-        """Return the records that may be passed on to other hosts, by server."""
+    def to_pass_on(self, now_ms: float, is_slow_round: bool) -> list[str]:
+        """Return the servers whose statements are passed on to other hosts now.
+
+        Args:
+            now_ms: Monotonic time.
+            is_slow_round: Whether unchanged limits are passed on, too.
+        """
         oldest_ms = now_ms - STATEMENT_LIFETIME_MS
-        return {
-            server_id: record
+        changed_since_ms = -math.inf if is_slow_round else now_ms - CHANGE_RESEND_MS
+        return [
+            server_id
             for server_id, record in self._records.items()
             if record.statement.received_ms >= oldest_ms
-        }
+            and record.changed_ms >= changed_since_ms
+        ]
 
     def _expire(self, now_ms: float) -> None:
         oldest_ms = now_ms - RECORD_LIFETIME_MS
--- a/src/gypsumfield/gateway/large_fleet.py
+++ b/src/gypsumfield/gateway/large_fleet.py
@@ -171,7 +171,10 @@
             return
         self._sent_leaving = {server.server_id for server in leaving}
         datagram = writer.encode(
-            UpdateKind.MEMBER, own_loads=wire_own_loads, leaving=leaving
+            UpdateKind.MEMBER,
+            own_loads=wire_own_loads,
+            leaving=leaving,
+            limits=writer.due_limits(send_round),
         )
         for number, peer in enumerate(writer.deps.roster.live_local_delegates()):
             if number == 0 or send_round.is_slow_heartbeat_due or unsent_leaving:
@@ -194,6 +197,7 @@
             "leaving": leaving,
             "changes": changes,
             "changes_after": max(0, changes_after),
+            "limits": writer.due_limits(send_round),
         }
         cold_limits = self._select_cold_limits()
         self._store_cold_limits(cold_limits)
--- a/src/gypsumfield/gateway/server_notices.py
+++ b/src/gypsumfield/gateway/server_notices.py
@@ -108,9 +108,9 @@
             source: Where it came from, for the log.
         """
         previous_per_s = self.limits.limit_per_s(server_id, started_wall_ms)
-        if not self.limits.record(server_id, started_wall_ms, statement):
-            return
         now_ms = self._deps.clock.monotonic_ms()
+        if not self.limits.record(server_id, started_wall_ms, statement, now_ms):
+            return
         record = self._deps.catalogue.find_server(server_id)
         has_sent_time = statement.sent_ms > -math.inf
         self._deps.emit(
--- a/src/gypsumfield/gateway/small_fleet.py
+++ b/src/gypsumfield/gateway/small_fleet.py
@@ -65,6 +65,7 @@
         changes, changes_after = writer.collect_changes()
         counted_servers = self._counted_servers()
         own_loads = self._own_loads()
+        limits = writer.due_limits(send_round)
         for peer in writer.deps.roster.live_hosts():
             host_id = peer.card.host_id
             receiver_loads = own_loads.get(host_id, [])
@@ -83,6 +84,7 @@
                 leaving=writer.leaving(),
                 changes=changes,
                 changes_after=max(0, changes_after),
+                limits=limits,
             )
             writer.deps.send(peer.card.ip, datagram)
 
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -27,6 +27,8 @@
 
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
+# With more limits than this, updates take turns, so that their size stays bounded.
+MAX_LIMITS_PER_UPDATE = 8
 # Hosts that a hello lists in addition to the best ranked of each zone.
 HELLO_HOST_COUNT = 4
 # The notice of a server that it will leave is sent again in each round for this time.
@@ -166,6 +168,16 @@
             )
         return limits
 
+    def due_limits(self, send_round: SendRound) -> list[WireLimit]:
+        """Return the limits that are passed on to other hosts in a round."""
+        if not send_round.is_heartbeat_due:
+            return []
+        due = self.deps.notices.limits.to_pass_on(
+            self.deps.clock.monotonic_ms(), send_round.is_slow_heartbeat_due
+        )
+        first = send_round.round_number * MAX_LIMITS_PER_UPDATE % max(1, len(due))
+        return self.wire_limits((due[first:] + due[:first])[:MAX_LIMITS_PER_UPDATE])
+
     def store_limits(self, update: HostUpdate) -> None:
         """Record the limits that another host has sent."""
         now_ms = self.deps.clock.monotonic_ms()
--- a/tests/test_limits_load.py
+++ b/tests/test_limits_load.py
@@ -3,12 +3,14 @@
 import pytest
 
 from limited_fleet import LimitedFleet
+from limited_fleet import LimitedServer
 
 
 def start_fleet(host_count, limits_per_s, rate_per_s, **options):
     fleet = LimitedFleet(host_count, limits_per_s, rate_per_s, **options)
     fleet.run(4_000.0)
-    fleet.start_calls()
+    if limits_per_s:
+        fleet.start_calls()
     return fleet
 
 
@@ -92,3 +94,30 @@
         host.start()
     fleet.run(12_000.0)
     assert fleet.worst_excess() <= 0.0
+
+
+def test_every_host_learns_of_a_limit_and_of_its_end_from_the_others():
+    fleet = start_fleet(195, [], 1.0)
+    server = LimitedServer(1, 3.0, "z1", 5_000.0)
+    informed_host = next(h for h in fleet.hosts if not h.link.roster.is_delegate)
+    fleet.answer(informed_host, server, informed_host.boot, fleet.now_ms)
+
+    def have_all_recorded(limit_per_s):
+        return all(
+            host.notices.limit_per_s(server.record) == limit_per_s
+            for host in fleet.hosts
+        )
+
+    fleet.run_until(lambda: have_all_recorded(3.0), 2_000.0)
+    server.limit_per_s = None
+    fleet.answer(informed_host, server, informed_host.boot, fleet.now_ms)
+    fleet.run_until(lambda: have_all_recorded(None), 2_000.0)
+
+
+def test_hosts_that_a_server_has_not_told_its_limit_keep_it_too():
+    fleet = start_fleet(195, [3.0] * 6, 54.0)
+    fleet.run(4_000.0)
+    before = [server.arrival_count for server in fleet.servers]
+    fleet.run(10_000.0)
+    for server, count in zip(fleet.servers, before, strict=True):
+        assert (server.arrival_count - count) / 10.0 <= 3.3
