--- a/src/gypsumfield/decisions/server_limits.py
+++ b/src/gypsumfield/decisions/server_limits.py
@@ -12,8 +12,7 @@
 
 # An older statement is not passed on to other hosts.
 STATEMENT_LIFETIME_MS = 30_000.0
-# A change is passed on in every heartbeat round for this time, everything else only in
-# the slow rounds.
+# A change is passed on in every heartbeat round for this time.
 CHANGE_RESEND_MS = 3_000.0
 # The end of a limit is recorded for longer than any statement from before it is passed
 # on, so that such a statement does not restore the limit.
@@ -94,21 +93,19 @@
         """Return the record of a server, or None."""
         return self._records.get(server_id)
 
-    def to_pass_on(self, now_ms: float, is_slow_round: bool) -> list[str]:
-        """Return the servers whose statements are passed on to other hosts now.
+    def to_pass_on(self, now_ms: float) -> tuple[list[str], list[str]]:
+        """Return the servers whose statements may be passed on to other hosts.
 
-        Args:
-            now_ms: Monotonic time.
-            is_slow_round: Whether unchanged limits are passed on, too.
+        Returns:
+            Those whose limit changed in the last `CHANGE_RESEND_MS`, and the others.
         """
-        oldest_ms = now_ms - STATEMENT_LIFETIME_MS
-        changed_since_ms = -math.inf if is_slow_round else now_ms - CHANGE_RESEND_MS
-        return [
-            server_id
-            for server_id, record in self._records.items()
-            if record.statement.received_ms >= oldest_ms
-            and record.changed_ms >= changed_since_ms
-        ]
+        changed: list[str] = []
+        unchanged: list[str] = []
+        for server_id, record in self._records.items():
+            if record.statement.received_ms >= now_ms - STATEMENT_LIFETIME_MS:
+                is_changed = record.changed_ms >= now_ms - CHANGE_RESEND_MS
+                (changed if is_changed else unchanged).append(server_id)
+        return changed, unchanged
 
     def _expire(self, now_ms: float) -> None:
         oldest_ms = now_ms - RECORD_LIFETIME_MS
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -117,8 +117,8 @@
     server_id: str
     started_wall_ms: int
     limit_per_s: float | None
-    sent_age_ms: float | None
-    received_age_ms: float
+    sent_age_ms: int | None
+    received_age_ms: int
 
 
 class PermitQuery(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -27,8 +27,10 @@
 
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
-# With more limits than this, updates take turns, so that their size stays bounded.
-MAX_LIMITS_PER_UPDATE = 8
+# Limits of servers in one update: those that changed lately in every round, the others
+# in slow rounds. With more of them, updates take turns.
+CHANGED_LIMITS_PER_UPDATE = 8
+UNCHANGED_LIMITS_PER_UPDATE = 2
 # Hosts that a hello lists in addition to the best ranked of each zone.
 HELLO_HOST_COUNT = 4
 # The notice of a server that it will leave is sent again in each round for this time.
@@ -90,6 +92,7 @@
     def __init__(self, deps: WriterDependencies) -> None:
         self.deps = deps
         self._sent_revision = 0
+        self._slow_round_number = 0
 
     def encode(self, kind: UpdateKind, **fields: Any) -> bytes:
         """Return a datagram of a kind; ``fields`` are optional `HostUpdate` fields."""
@@ -162,8 +165,8 @@
                     server_id,
                     record.started_wall_ms,
                     statement.limit_per_s,
-                    now_ms - statement.sent_ms if has_sent_time else None,
-                    now_ms - statement.received_ms,
+                    math.ceil(now_ms - statement.sent_ms) if has_sent_time else None,
+                    int(now_ms - statement.received_ms),
                 )
             )
         return limits
@@ -172,11 +175,16 @@
         """Return the limits that are passed on to other hosts in a round."""
         if not send_round.is_heartbeat_due:
             return []
-        due = self.deps.notices.limits.to_pass_on(
-            self.deps.clock.monotonic_ms(), send_round.is_slow_heartbeat_due
+        changed, unchanged = self.deps.notices.limits.to_pass_on(
+            self.deps.clock.monotonic_ms()
         )
-        first = send_round.round_number * MAX_LIMITS_PER_UPDATE % max(1, len(due))
-        return self.wire_limits((due[first:] + due[:first])[:MAX_LIMITS_PER_UPDATE])
+        due = _take_turns(changed, send_round.round_number, CHANGED_LIMITS_PER_UPDATE)
+        if send_round.is_slow_heartbeat_due:
+            self._slow_round_number += 1
+            due += _take_turns(
+                unchanged, self._slow_round_number, UNCHANGED_LIMITS_PER_UPDATE
+            )
+        return self.wire_limits(due)
 
     def store_limits(self, update: HostUpdate) -> None:
         """Record the limits that another host has sent."""
@@ -207,6 +215,12 @@
             self.deps.report_cache.put(wire_report.server_id, report, source)
 
 
+def _take_turns(names: list[str], round_number: int, count: int) -> list[str]:
+    """Return ``count`` of the names, in the next rounds the ones after them."""
+    first = round_number * count % max(1, len(names))
+    return (names[first:] + names[:first])[:count]
+
+
 def wire_loads(loads: Mapping[str, ServerLoad]) -> list[WireLoad]:
     """Return the wire form of loads by server."""
     return [WireLoad(server_id, *load) for server_id, load in loads.items()]
