Ignore advice on an engine that has no permit for this host

Cause: the first delegate advises by its own records and may name an engine whose limit has just been used up for the querying host, which then queried for a permit again instead of taking another engine.

--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -157,7 +157,8 @@
         if record is None or self.exclusion_reason(record.server):
             return None
         now_ms = self._deps.clock.monotonic_ms()
-        if self._avoidance.is_unreachable(server_id, now_ms):
+        is_unreachable = self._avoidance.is_unreachable(server_id, now_ms)
+        if is_unreachable or self._deps.permit_wait_ms(record.server):
             return None
         load = self._loads.load(record)
         count = len(self._deps.catalogue.servers_of(record.server.service))
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -38,6 +38,7 @@
 
     def __init__(self, zones, cold_ms=0, events=discard_event):
         self.clock = ManualClock(1_000.0)
+        self.permit_waits_ms = {}
         clock = self.clock.as_clock()
         self.catalogue = make_catalogue(clock)
         document = publication({"engine": "streaming"})
@@ -65,7 +66,9 @@
                 ledger=self.ledger,
                 report_cache=EngineReportCache(self.catalogue, clock),
                 notices=self.notices,
-                permit_wait_ms=lambda server: 0.0,
+                permit_wait_ms=lambda server: self.permit_waits_ms.get(
+                    server.server_id, 0.0
+                ),
                 cold_rate_limit=lambda server: cold_share_per_s(
                     cold_bound_per_s(20.0, bounds.cold_factor, bounds.cold_extra), 1, 0
                 ),
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -39,6 +39,17 @@
     assert fleet.candidates() == ["e1", "e2"]
 
 
+def test_a_server_whose_limit_is_used_up_is_no_candidate_and_not_advised(fleet):
+    fleet.permit_waits_ms["e1"] = 300.0
+    assert fleet.candidates() == ["e2"]
+    assert fleet.placer.place_at("e1") is None
+    assert fleet.placer.exclusion_reason(fleet.server("e1")) == ""
+    assert fleet.placer.pause_ms("engine") == 0.0
+    fleet.permit_waits_ms["e2"] = 200.0
+    assert fleet.placer.pause_ms("engine") == 200.0
+    assert fleet.placer.pause_ms("engine", max_permit_wait_ms=250.0) == 0.0
+
+
 def test_invalid_notices_are_logged_once_per_start_and_ignored(fleet, events):
     for _ in range(3):
         receive_answer(fleet, "e1", 200, ("Server-Leaving", "maybe"))
