Grant no permits on a host that has heard no other host

Cause: four hosts were restarted in a zone that was cut off and whose seed was down. None heard another host, so each took itself for the whole zone and granted the zone's part.

A host with seeds grants nothing until it has heard another host, or until the records of other hosts would have expired. The audit begins anew when a limit ends.

--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -26,6 +26,7 @@
 from gypsumfield.decisions.permits import wait_limit_ms
 from gypsumfield.decisions.permits import zone_rate_per_s
 from gypsumfield.gateway.events import PermitRefused
+from gypsumfield.gateway.host_counts import HOST_RETENTION_MS
 from gypsumfield.gateway.host_counts import RecentMaximum
 from gypsumfield.gateway.host_updates import HostCard
 from gypsumfield.gateway.host_updates import HostUpdate
@@ -80,6 +81,7 @@
         self._held: dict[str, deque[float]] = {}
         self._refused_until_ms: dict[str, float] = {}
         self._zone_host_count = RecentMaximum(deps.clock)
+        self._has_heard_peers = False
         self._forward_numbers = itertools.count()
 
     def acquire_for_job(self, job: Job, server: BackendServer) -> bool:
@@ -189,6 +191,7 @@
 
     def record_zone_hosts(self) -> None:
         """Record how many hosts of the zone are live; called at each heartbeat."""
+        self._has_heard_peers |= bool(self._roster.live_hosts())
         self._zone_host_count.record(len(self._roster.local_hosts()) + 1)
 
     def _query(self, server: BackendServer, max_wait_ms: float) -> PermitReply:
@@ -251,7 +254,7 @@
         zones: Collection[str],
     ) -> PermitSlot:
         roster = self._roster
-        if not roster.is_settled or roster.own_card.availability_zone not in zones:
+        if not self._can_grant or roster.own_card.availability_zone not in zones:
             return PermitSlot(False, NO_REPLY_PAUSE_MS)
         rate_per_s = zone_rate_per_s(
             limit_per_s,
@@ -267,6 +270,17 @@
             self._deps.clock.monotonic_ms(),
         )
 
+    @property
+    def _can_grant(self) -> bool:
+        """Whether this host knows enough of its zone to grant a part for it.
+
+        A host that has received nothing since its start may be one of many behind a
+        partition.
+        """
+        roster = self._roster
+        is_known = self._has_heard_peers or roster.is_alone
+        return roster.is_settled and (is_known or roster.uptime_ms > HOST_RETENTION_MS)
+
     def _reply(self, query: PermitQuery, slot: PermitSlot) -> None:
         wait_ms = slot.wait_ms
         if not slot.is_granted and query.is_forwarded:
--- a/tests/limit_audit.py
+++ b/tests/limit_audit.py
@@ -26,31 +26,35 @@
 
     def __init__(self, contact_ms=3_000.0):
         self.contact_ms = contact_ms
-        self.arrivals = []
-        self.named_ms = None
-        self.told_ms = {}
+        self._worst = float("-inf")
+        self._restart()
 
     def record_arrival(self, at_ms, host, limit_per_s):
-        self.arrivals.append(Arrival(at_ms, host, limit_per_s))
+        """Record a request; ``limit_per_s`` is what the server names now, or None."""
+        if limit_per_s is None:
+            self._worst = self.excess()
+            self._restart()
+        else:
+            self._arrivals.append(Arrival(at_ms, host, limit_per_s))
 
     def record_told(self, at_ms, host):
         """Record that a host received an answer in which the server names a limit."""
-        if self.named_ms is None:
-            self.named_ms = at_ms
-        self.told_ms.setdefault(host, at_ms)
+        if self._named_ms is None:
+            self._named_ms = at_ms
+        self._told_ms.setdefault(host, at_ms)
 
     def excess(self):
         """Return the largest number of requests above what a window allows, or less."""
+        worst = self._worst
+        if self._named_ms is None:
+            return worst
         counted = [
             arrival
-            for arrival in self.arrivals
-            if self.named_ms is not None
-            and arrival.at_ms >= self.named_ms + self.contact_ms - WINDOW_MS
-            and arrival.at_ms >= self.told_ms.get(arrival.host, float("inf")) + TOLD_MS
+            for arrival in self._arrivals
+            if arrival.at_ms >= self._told_ms.get(arrival.host, float("inf")) + TOLD_MS
         ]
-        worst = float("-inf")
         for last, arrival in enumerate(counted):
-            if arrival.at_ms < self.named_ms + self.contact_ms:
+            if arrival.at_ms < self._named_ms + self.contact_ms:
                 continue
             window = [
                 other
@@ -61,3 +65,8 @@
             allowed = TOLERANCE_FACTOR * limit_per_s * WINDOW_MS / 1_000.0
             worst = max(worst, len(window) - allowed - TOLERANCE_REQUESTS)
         return worst
+
+    def _restart(self):
+        self._arrivals = []
+        self._named_ms = None
+        self._told_ms = {}
