Query the standby delegate for permits when the first one is silent

What callers saw: nothing so far. While the first delegate of a zone was lost, for up to 1.4 s, and whenever it replied too late, no host of the zone got a permit, although other zones had some. Cause: a query went to the first delegate only, and one that was no delegate any more ignored it.

The query now goes to the standby after 30 ms, which forwards it to another zone; only first delegates grant, so that the bound is as before. In a large fleet the host that represents a zone is asked, not the best ranked of the delegates that were heard. The test fails without it.

--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -43,8 +43,11 @@
 NO_PERMIT_REASON = "there is no permit under the server's limit"
 # A delegate replies within a few milliseconds, also when another zone has to.
 REPLY_TIMEOUT_MS = 30.0
-# Without a reply, the server gets no requests of this host for this time.
+# A delegate that did not reply gets no queries for this time, and a server for which no
+# host can reply gets no requests.
 NO_REPLY_PAUSE_MS = 500.0
+# The first delegate, and the standby if that does not reply.
+QUERY_ATTEMPTS = 2
 # Permits that are used up are queried again after this time at the latest: the limit
 # may have changed.
 MAX_REFUSAL_MS = 2_000.0
@@ -70,6 +73,13 @@
     emit: EmitEvent
 
 
+class _SentQuery(NamedTuple):
+    """Number of a query, and the address of the host that has to answer it."""
+
+    number: int
+    ip: str
+
+
 class Permits:
     """Acquires permits for the requests of this host, and grants those of its zone."""
 
@@ -82,6 +92,7 @@
         self._refused_until_ms: dict[str, float] = {}
         self._zone_host_count = RecentMaximum(deps.clock)
         self._has_heard_peers = False
+        self._silent_until_ms: dict[str, float] = {}
         self._forward_numbers = itertools.count()
 
     def acquire_for_job(self, job: Job, server: BackendServer) -> bool:
@@ -154,33 +165,31 @@
         server: BackendServer,
         max_wait_ms: float,
         receive: Callable[[PermitReply], None],
-    ) -> int:
+    ) -> _SentQuery:
         """Query for a permit without waiting.
 
+        The query goes to the first delegate of the zone. While that does not reply, it
+        goes to the standby, which forwards it.
+
         Args:
             server: A server that has named a limit.
             max_wait_ms: Longest wait for the permit's slot.
             receive: Called with the reply, possibly before this function returns.
-
-        Returns:
-            The number of the query, for `cancel`.
         """
         roster = self._roster
         number = self._replies.add(receive)
         query = PermitQuery(number, server.server_id, max_wait_ms, roster.own_card.ip)
-        if roster.is_first_delegate:
+        now_ms = self._deps.clock.monotonic_ms()
+        ips = [
+            peer.card.ip
+            for peer in roster.live_local_delegates()
+            if self._silent_until_ms.get(peer.card.ip, 0.0) <= now_ms
+        ]
+        if roster.is_first_delegate or not ips:
             self._answer(query)
-            return number
-        delegates = roster.live_local_delegates()
-        if delegates:
-            self._send(delegates[0].card.ip, UpdateKind.PERMIT_QUERY, query=query)
-        else:
-            self._replies.resolve(number, PermitReply(number, False, NO_REPLY_PAUSE_MS))
-        return number
-
-    def cancel(self, number: int) -> None:
-        """Ignore the reply to a query."""
-        self._replies.discard(number)
+            return _SentQuery(number, roster.own_card.ip)
+        self._send(ips[0], UpdateKind.PERMIT_QUERY, query=query)
+        return _SentQuery(number, ips[0])
 
     def handle_update(self, update: HostUpdate) -> None:
         """Handle a query for a permit or the reply to one."""
@@ -195,15 +204,19 @@
         self._zone_host_count.record(len(self._roster.local_hosts()) + 1)
 
     def _query(self, server: BackendServer, max_wait_ms: float) -> PermitReply:
-        pending = AsyncResult()
-        number = self.request(server, max_wait_ms, pending.set)
-        try:
-            reply: PermitReply = pending.get(timeout=REPLY_TIMEOUT_MS / MS_PER_S)
-            return reply
-        except gevent.Timeout:
-            return PermitReply(number, False, NO_REPLY_PAUSE_MS)
-        finally:
-            self.cancel(number)
+        reply = None
+        for _ in range(QUERY_ATTEMPTS):
+            pending = AsyncResult()
+            sent = self.request(server, max_wait_ms, pending.set)
+            try:
+                reply = pending.get(timeout=REPLY_TIMEOUT_MS / MS_PER_S)
+                break
+            except gevent.Timeout:
+                silent_ms = self._deps.clock.monotonic_ms() + NO_REPLY_PAUSE_MS
+                self._silent_until_ms[sent.ip] = silent_ms
+            finally:
+                self._replies.discard(sent.number)
+        return reply or PermitReply(0, False, NO_REPLY_PAUSE_MS)
 
     def _record_refusal(
         self,
@@ -213,6 +226,10 @@
         request_id: str,
     ) -> None:
         now_ms = self._deps.clock.monotonic_ms()
+        # Servers that are gone are not asked for again, and would stay for ever.
+        for server_id, until_ms in list(self._refused_until_ms.items()):
+            if until_ms <= now_ms:
+                del self._refused_until_ms[server_id]
         self._refused_until_ms[server.server_id] = now_ms + min(wait_ms, MAX_REFUSAL_MS)
         limit_per_s = self._deps.notices.limit_per_s(server)
         self._deps.emit(
@@ -228,8 +245,6 @@
 
     def _answer(self, query: PermitQuery) -> None:
         """Grant or refuse a permit of this zone, or forward the query to another."""
-        if not self._roster.is_first_delegate:
-            return
         record = self._deps.notices.limits.find(query.server_id)
         limit_per_s = record.statement.limit_per_s if record else None
         if record is None or limit_per_s is None:
@@ -272,12 +287,14 @@
 
     @property
     def _can_grant(self) -> bool:
-        """Whether this host knows enough of its zone to grant a part for it.
+        """Whether this host grants for its zone, and knows enough of it.
 
         A host that has received nothing since its start may be one of many behind a
         partition.
         """
         roster = self._roster
+        if not roster.is_first_delegate:
+            return False
         is_known = self._has_heard_peers or roster.is_alone
         return roster.is_settled and (is_known or roster.uptime_ms > HOST_RETENTION_MS)
 
@@ -319,7 +336,10 @@
         """Return the host of each other zone that grants its part of a limit."""
         roster = self._roster
         own_zone = roster.own_card.availability_zone
-        peers = roster.remote_delegates() if roster.is_large else roster.live_hosts()
+        if roster.is_large:
+            peers = [p for p in roster.remote_delegates() if p.is_zone_representative]
+        else:
+            peers = roster.live_hosts()
         by_zone: dict[str, dict[str, HostCard]] = {}
         for peer in peers:
             zone = peer.card.availability_zone
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -153,10 +153,16 @@
     return {"method": method, "target": target, "headers": headers, "body": body}
 
 
-def complete_answer(request, body=b"done", status="200 OK", extra=""):
+def limit_header(limit_per_s):
+    """Return the header of a server that accepts so many requests a second."""
+    return "" if limit_per_s is None else f"Server-Limit: {limit_per_s}\r\n"
+
+
+def complete_answer(request, body=b"done", status="200 OK", extra="", limit_per_s=None):
     request_id = request["headers"]["x-attempt-id"]
     return (
         f"HTTP/1.1 {status}\r\nX-Attempt-Id: {request_id}\r\n{SEAL_HEADER}{extra}"
+        f"{limit_header(limit_per_s)}"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
@@ -168,10 +174,11 @@
     )
 
 
-def stream_head(request):
+def stream_head(request, limit_per_s=None):
     request_id = request["headers"]["x-attempt-id"]
     return (
         f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\n{SEAL_HEADER}"
+        f"{limit_header(limit_per_s)}"
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
--- a/tests/test_limits_load.py
+++ b/tests/test_limits_load.py
@@ -1,7 +1,9 @@
 """Limits on requests under load, over all hosts, in virtual time."""
 
+import gevent
 import pytest
 
+from gypsumfield.aborts import AbortHandle
 from limited_fleet import LimitedFleet
 from limited_fleet import LimitedServer
 
@@ -121,3 +123,28 @@
     fleet.run(10_000.0)
     for server, count in zip(fleet.servers, before, strict=True):
         assert (server.arrival_count - count) / 10.0 <= 3.3
+
+
+def acquire_permit(fleet, host, server):
+    """Return whether a host gets a permit, with network delays in virtual time."""
+    abort = AbortHandle()
+    greenlet = gevent.spawn(host.link.permits.acquire, server.record, 200.0, abort)
+    while not greenlet.ready():
+        gevent.sleep(0.001)
+        fleet.run(1.0)
+    return greenlet.get()
+
+
+@pytest.mark.parametrize("host_count", [14, 30])
+def test_hosts_get_permits_of_other_zones_while_their_delegate_is_lost(host_count):
+    fleet = start_fleet(host_count, [], 1.0, zone_count=4)
+    server = LimitedServer(1, 40.0, "z1", 5_000.0)
+    for host in fleet.hosts:
+        fleet.answer(host, server, host.boot, fleet.now_ms)
+    asking = next(
+        h for h in fleet.hosts if h.zone == "z2" and not h.link.roster.is_delegate
+    )
+    fleet.first_delegates("z2")[0].is_up = False
+    assert acquire_permit(fleet, asking, server)
+    # The asking host still takes the delegate for live.
+    assert len(asking.link.roster.live_local_delegates()) == 2
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -22,15 +22,15 @@
 CALL_INTERVAL_S = 0.125
 RUN_S = 8.0
 # Of two zones, each grants a permit every eight seconds.
-LIMIT_HEADER = b"Server-Limit: 0.25\r\n"
+LOW_LIMIT_PER_S = 0.25
 PROMPT = "X-Token-Counts: 1000,800\r\nX-Length-Hint: 800\r\nX-Model: m\r\n"
 
 
 class LimitedFleet(EdgeFleet):
     """Two hosts in z1, one in z2; `s1` in z1 names a limit, `s2` in z2 names none."""
 
-    def __init__(self, kind="non_idempotent"):
-        super().__init__({"plain": kind})
+    def __init__(self):
+        super().__init__({"plain": "non_idempotent"})
         self.audit = LimitAudit()
         self.limit_per_s = LIMIT_PER_S
         self.hosts = {}
@@ -59,8 +59,7 @@
         now_ms = system_clock().monotonic_ms()
         host_id = request["headers"]["x-attempt-id"].partition("/")[0]
         self.audit.record_arrival(now_ms, host_id, self.limit_per_s)
-        extra = f"Server-Limit: {self.limit_per_s}\r\n"
-        sock.sendall(complete_answer(request, extra=extra))
+        sock.sendall(complete_answer(request, limit_per_s=self.limit_per_s))
         self.audit.record_told(now_ms, host_id)
 
     @staticmethod
@@ -97,12 +96,11 @@
 
 
 def answer_stream(request, sock):
-    head = stream_head(request).replace(b"Content-Type", LIMIT_HEADER + b"Content-Type")
-    sock.sendall(head + event(1) + STREAM_END)
+    sock.sendall(stream_head(request, LOW_LIMIT_PER_S) + event(1) + STREAM_END)
 
 
 def answer_call(request, sock):
-    sock.sendall(complete_answer(request, extra=LIMIT_HEADER.decode()))
+    sock.sendall(complete_answer(request, limit_per_s=LOW_LIMIT_PER_S))
 
 
 @pytest.mark.parametrize("service", ["plain", "once", "engine"])
@@ -168,12 +166,6 @@
     assert set(fleet.statuses) == {200}
 
 
-def limited_stream(request, sock, limit, number=1):
-    head = stream_head(request)
-    header = f"Server-Limit: {limit}\r\nContent-Type".encode()
-    sock.sendall(head.replace(b"Content-Type", header) + event(number))
-
-
 def test_polls_and_copies_of_a_stream_do_not_exceed_its_engines_limit(single_host):
     may_end = gevent.event.Event()
 
@@ -183,7 +175,7 @@
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
             sock.sendall(head.encode() + body)
             return
-        limited_stream(request, sock, 0.25)
+        sock.sendall(stream_head(request, LOW_LIMIT_PER_S) + event(1))
         may_end.wait(20)
         sock.sendall(STREAM_END)
 
@@ -211,10 +203,9 @@
         server_id = request["headers"]["x-expect-instance"]
         arrivals_ms[server_id].append(system_clock().monotonic_ms())
         if "kv-from" in request["headers"]:
-            limited_stream(request, sock, 4.0, number=2)
-            sock.sendall(STREAM_END)
+            sock.sendall(stream_head(request, 4.0) + event(2) + STREAM_END)
             return None
-        limited_stream(request, sock, 4.0)
+        sock.sendall(stream_head(request, 4.0) + event(1))
         if request["headers"]["x-attempt-id"] == "run-2":
             return "close"
         sock.sendall(STREAM_END)
