Forward permit queries in fleets without representatives yet

Without representatives the best ranked host of another zone is asked; one that grants nothing refuses. That the delegates of such a fleet know each other late is a finding of its own, older than permits, and is listed in docs/design/large-fleets.md.

--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -336,10 +336,10 @@
         """Return the host of each other zone that grants its part of a limit."""
         roster = self._roster
         own_zone = roster.own_card.availability_zone
-        if roster.is_large:
-            peers = [p for p in roster.remote_delegates() if p.is_zone_representative]
-        else:
-            peers = roster.live_hosts()
+        # A fleet that has just become large has no representatives yet.
+        peers = [
+            peer for peer in roster.remote_delegates() if peer.is_zone_representative
+        ] or roster.live_hosts()
         by_zone: dict[str, dict[str, HostCard]] = {}
         for peer in peers:
             zone = peer.card.availability_zone
