Keep copies of runs on engines whose limit is used up

Cause: engines without a permit were no candidates for copies either, though a copy takes no request of this host, and the permit for a resumption is acquired when it comes. Evidence: the new assertion of test_server_notices.py fails without it (None instead of an engine).

--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -197,7 +197,7 @@
     ) -> BackendServer | None:
         """Return an engine for a copy of a run on ``source``, or None."""
         # Copying between zones takes twice as long, so the source's zone is preferred.
-        loads = self._engine_loads(source.service, tried)
+        loads = self._engine_loads(source.service, tried, needs_permit=False)
         size = self._sample_size()
         demand = StreamDemand(
             run.planned_tokens, source.availability_zone, sample_size=size
@@ -210,13 +210,22 @@
         """Return an engine that keeps a copy of a run from its start, or None."""
         if not should_copy_from_start(self._deps.is_large_fleet()):
             return None
-        loads = self._engine_loads(service, [runs_on])
+        loads = self._engine_loads(service, [runs_on], needs_permit=False)
         zone = self._deps.availability_zone
         demand = StreamDemand(peak_tokens, zone, sample_size=self._sample_size())
         return self._server_of(select_backup_engine(loads, demand, self._deps.rng))
 
-    def candidates(self, service: str, tried: Collection[str]) -> list[ServerRecord]:
-        """Return the servers that may receive a request of a service now."""
+    def candidates(
+        self, service: str, tried: Collection[str], needs_permit: bool = True
+    ) -> list[ServerRecord]:
+        """Return the servers that may receive a request of a service now.
+
+        Args:
+            service: The service.
+            tried: Ids of servers that are left out.
+            needs_permit: Whether servers whose limit is used up are left out. They
+                may still hold copies of runs.
+        """
         now_ms = self._deps.clock.monotonic_ms()
         records = self._deps.catalogue.servers_of(service)
         revision = self._deps.catalogue.revision
@@ -230,7 +239,7 @@
             )
             if record.server.server_id not in tried
             and not self.exclusion_reason(record.server)
-            and not self._deps.permit_wait_ms(record.server)
+            and not (needs_permit and self._deps.permit_wait_ms(record.server))
             and not self._avoidance.is_unreachable(record.server.server_id, now_ms)
         ]
         healthy = [
@@ -356,12 +365,14 @@
             return None
         return ServerPlacement(record.server, candidate_count, stream_count, tokens)
 
-    def _engine_loads(self, service: str, tried: Collection[str]) -> list[EngineLoad]:
+    def _engine_loads(
+        self, service: str, tried: Collection[str], needs_permit: bool = True
+    ) -> list[EngineLoad]:
         """Return the loads of usable engines that did not just refuse a reservation."""
         now_ms = self._deps.clock.monotonic_ms()
         return [
             self._loads.load(record)
-            for record in self.candidates(service, tried)
+            for record in self.candidates(service, tried, needs_permit)
             if not self._avoidance.is_full(record.server.server_id, now_ms)
         ]
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -43,6 +43,7 @@
     fleet.permit_waits_ms["e1"] = 300.0
     assert fleet.candidates() == ["e2"]
     assert fleet.placer.place_at("e1") is None
+    assert fleet.placer.place_backup("engine", 1_000, "e2").server_id == "e1"
     assert fleet.placer.exclusion_reason(fleet.server("e1")) == ""
     assert fleet.placer.pause_ms("engine") == 0.0
     fleet.permit_waits_ms["e2"] = 200.0
