Send calls elsewhere before they wait for a permit

Cause: the wait did not ask whether the server is the only candidate. Evidence: the three cases of test_calls_do_not_wait_for_a_permit_while_another_server_is_free failed before.

--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -95,15 +95,24 @@
         self._silent_until_ms: dict[str, float] = {}
         self._forward_numbers = itertools.count()
 
-    def acquire_for_job(self, job: Job, server: BackendServer) -> bool:
-        """Wait for a permit for a call, while the call can still be answered in time.
+    def acquire_for_job(
+        self, job: Job, server: BackendServer, candidate_count: int
+    ) -> bool:
+        """Acquire a permit for a call, and return whether the call may be sent.
+
+        The call waits for the permit of its only candidate, while it can still be
+        answered in time. A server that was refused is no candidate until it has a
+        permit again.
 
-        Returns:
-            Whether the call may be sent. A server that was refused is no candidate
-            until it has a permit again.
+        Args:
+            job: The call.
+            server: The server that was selected for it.
+            candidate_count: Servers that could be selected, this one included.
         """
-        waited_ms = self._deps.clock.monotonic_ms() - job.started_ms
-        max_wait_ms = wait_limit_ms(job.route.target_latency_ms, waited_ms)
+        max_wait_ms = 0.0
+        if candidate_count == 1:
+            waited_ms = self._deps.clock.monotonic_ms() - job.started_ms
+            max_wait_ms = wait_limit_ms(job.route.target_latency_ms, waited_ms)
         return self.acquire(server, max_wait_ms, job.abort, job.request_id)
 
     def acquire(
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -87,7 +87,9 @@
         placement = deps.attempts.placer.place_plain(job.service, progress.server_ids)
         if placement is None:
             break
-        if not deps.attempts.permits.acquire_for_job(job, placement.server):
+        if not deps.attempts.permits.acquire_for_job(
+            job, placement.server, placement.candidate_count
+        ):
             if job.abort.reason:
                 break
             continue
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -32,7 +32,7 @@
 
 Advise = Callable[[PlacementQuery], str | None]
 Reserve = Callable[[BackendServer, int], str | None]
-AcquirePermit = Callable[[Job, BackendServer], bool]
+AcquirePermit = Callable[[Job, BackendServer, int], bool]
 
 
 class _QueueEntry:
@@ -70,8 +70,9 @@
             advise: Requests an engine from the zone's first delegate. Returns its
                 id, an empty string if no engine is suitable, or None without
                 advice.
-            acquire_permit: Waits for a permit for a stream on an engine that has
-                named a limit, and returns whether it was granted.
+            acquire_permit: Acquires a permit for a stream on an engine that has
+                named a limit, out of a number of candidates. Returns whether it was
+                granted.
             clock: Monotonic clock.
             emit: Writes an event to the log.
         """
@@ -215,7 +216,9 @@
                 return None
             if advice is not None:
                 placement = self._placer.place_at(advice) or placement
-            if not self._acquire_permit(job, placement.server):
+            if not self._acquire_permit(
+                job, placement.server, placement.candidate_count
+            ):
                 if job.abort.reason:
                     return None
                 excluded.append(placement.server.server_id)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -149,6 +149,32 @@
     assert len(free.requests) == 5
 
 
+@pytest.mark.parametrize("service", ["plain", "once", "engine"])
+def test_calls_do_not_wait_for_a_permit_while_another_server_is_free(
+    single_host, service
+):
+    # A zone grants a permit every 400 ms, and calls may wait for half a second.
+    limit_per_s = 5.0
+
+    def respond(request, sock):
+        limit = limit_per_s if request["headers"]["x-expect-instance"] == "s1" else None
+        if service == "engine":
+            sock.sendall(stream_head(request, limit) + event(1) + STREAM_END)
+        else:
+            sock.sendall(complete_answer(request, limit_per_s=limit))
+
+    single_host.add_server(service, "s1", respond)
+    single_host.start()
+    assert single_host.call(f"/{service}/", headers=PROMPT)[0] == 200
+    single_host.add_server(service, "s2", respond)
+    wait_until(lambda: single_host.has_servers(2))
+    for number in range(6):
+        started_ms = system_clock().monotonic_ms()
+        answer = single_host.call(f"/{service}/", attempt=f"a{number}", headers=PROMPT)
+        assert answer[0] == 200
+        assert system_clock().monotonic_ms() - started_ms < 250.0
+
+
 @pytest.fixture
 def fleet():
     limited_fleet = LimitedFleet()
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -58,7 +58,7 @@
             fleet.placer,
             engines.reserve,
             lambda _query: None,
-            lambda _job, _server: True,
+            lambda _job, _server, _candidate_count: True,
             clock,
             events.append,
         ),
