--- a/src/gypsumfield/decisions/server_limits.py
+++ b/src/gypsumfield/decisions/server_limits.py
@@ -66,10 +66,8 @@
         current = self._records.get(server_id)
         if current is None or started_wall_ms > current.started_wall_ms:
             if statement.limit_per_s is None:
-                self._records.pop(server_id, None)
-                return current is not None and bool(
-                    current.statement.limit_per_s is not None
-                )
+                ended = self._records.pop(server_id, None)
+                return ended is not None and ended.statement.limit_per_s is not None
             self._expire(now_ms)
             self._records[server_id] = LimitRecord(started_wall_ms, statement, now_ms)
             return True
--- a/src/gypsumfield/gateway/permits.py
+++ b/src/gypsumfield/gateway/permits.py
@@ -51,7 +51,7 @@
 # Permits that are used up are queried again after this time at the latest: the limit
 # may have changed.
 MAX_REFUSAL_MS = 2_000.0
-# A granted permit is used within this time after its slot: a connect takes less.
+# A permit expires this long after its slot; a connect takes less.
 PERMIT_LIFETIME_MS = 500.0
 
 
@@ -235,7 +235,7 @@
         request_id: str,
     ) -> None:
         now_ms = self._deps.clock.monotonic_ms()
-        # Servers that are gone are not asked for again, and would stay for ever.
+        # Nothing else removes the entries of servers that are gone.
         for server_id, until_ms in list(self._refused_until_ms.items()):
             if until_ms <= now_ms:
                 del self._refused_until_ms[server_id]
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -196,6 +196,7 @@
         self, job: Job, peak_tokens: int, tried: Collection[str], remaining_ms: float
     ) -> ServerPlacement | None:
         """Return a placement whose memory the engine has reserved, or None."""
+        # The query refers to both lists, which grow with each attempt.
         full_engines: list[str] = []
         excluded = list(tried)
         query = PlacementQuery(
