Show the rate tokens of a host that has served no request

What an operator saw: gypsumfield_shares_held_tokens of an idle host stays 0 although its shares have tokens. Cause: pools are minted when shares change or a request takes a token, and the gauge summed them as they were.

--- a/src/gypsumfield/decisions/quotas.py
+++ b/src/gypsumfield/decisions/quotas.py
@@ -151,10 +151,12 @@
         """Part of every account's rate, 0 to 1, that this host assigns to its zone."""
         return self._split.share
 
-    @property
-    def held_tokens(self) -> float:
-        """Number of rate tokens of all accounts that this host holds."""
-        return sum(pool.available_tokens() for pool in self._pools.values())
+    def held_tokens(self, limits: Mapping[str, AccountLimit], now_ms: float) -> float:
+        """Return the rate tokens of all accounts that this host holds at ``now_ms``."""
+        return sum(
+            self.pool_of(account, limit, now_ms).available_tokens()
+            for account, limit in limits.items()
+        )
 
     def receive_zone_share(self, peer_share: float, now_ms: float) -> None:
         """Receive from a peer of this zone the zone's part of every account's rate."""
--- a/src/gypsumfield/quota_service.py
+++ b/src/gypsumfield/quota_service.py
@@ -140,7 +140,8 @@
     @property
     def held_tokens(self) -> float:
         """Rate tokens of all accounts that this host holds."""
-        return self._ledger.held_tokens
+        now_ms = self._clock.monotonic_ms()
+        return self._ledger.held_tokens(self._sources.read_limits(), now_ms)
 
     def shares(self) -> Mapping[str, float]:
         """Return this host's share of each account's rate, for the status page."""
