Count a limit in the tests from the shortest contact time

The virtual fleets counted from 5 s after a limit was named, the time of the large site; 3 s is that of the small ones and stricter.

--- a/tests/limit_audit.py
+++ b/tests/limit_audit.py
@@ -24,7 +24,7 @@
         contact_ms: Time after the first naming of a limit from which it is counted.
     """
 
-    def __init__(self, contact_ms=3_000.0):
+    def __init__(self, contact_ms):
         self.contact_ms = contact_ms
         self._worst = float("-inf")
         self._restart()
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -11,14 +11,16 @@
 NETWORK_MS = 1.0
 WORK_MS = 20.0
 MAX_WAIT_MS = 60.0
+# Shortest time of all installations after which a limit that was named counts.
+CONTACT_MS = 3_000.0
 
 
 class LimitedServer:
     """A plain server with the limit that it names now; None names none."""
 
-    def __init__(self, number, limit_per_s, zone, contact_ms):
+    def __init__(self, number, limit_per_s, zone):
         self.limit_per_s = limit_per_s
-        self.audit = LimitAudit(contact_ms)
+        self.audit = LimitAudit(CONTACT_MS)
         self.arrival_count = 0
         self.record = BackendServer(
             f"s{number}", "plain", f"10.9.0.{number}:80", zone, 6, False, 0.0, 7, 1
@@ -39,7 +41,7 @@
     def __init__(self, host_count, limits_per_s, rate_per_s, zone_count=6, seed=1):
         super().__init__(host_count, zone_count, seed)
         self.servers = [
-            LimitedServer(number, limit_per_s, f"z{number % zone_count}", 5_000.0)
+            LimitedServer(number, limit_per_s, f"z{number % zone_count}")
             for number, limit_per_s in enumerate(limits_per_s)
         ]
         self.outcomes = Counter()
--- a/tests/test_limits_load.py
+++ b/tests/test_limits_load.py
@@ -100,7 +100,7 @@
 
 def test_every_host_learns_of_a_limit_and_of_its_end_from_the_others():
     fleet = start_fleet(195, [], 1.0)
-    server = LimitedServer(1, 3.0, "z1", 5_000.0)
+    server = LimitedServer(1, 3.0, "z1")
     informed_host = next(h for h in fleet.hosts if not h.link.roster.is_delegate)
     fleet.answer(informed_host, server, informed_host.boot, fleet.now_ms)
 
@@ -138,7 +138,7 @@
 @pytest.mark.parametrize("host_count", [14, 30])
 def test_hosts_get_permits_of_other_zones_while_their_delegate_is_lost(host_count):
     fleet = start_fleet(host_count, [], 1.0, zone_count=4)
-    server = LimitedServer(1, 40.0, "z1", 5_000.0)
+    server = LimitedServer(1, 40.0, "z1")
     for host in fleet.hosts:
         fleet.answer(host, server, host.boot, fleet.now_ms)
     asking = next(
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -31,7 +31,7 @@
 
     def __init__(self):
         super().__init__({"plain": "non_idempotent"})
-        self.audit = LimitAudit()
+        self.audit = LimitAudit(contact_ms=3_000.0)
         self.limit_per_s = LIMIT_PER_S
         self.hosts = {}
         self.statuses = []
