--- a/tests/test_limits_load.py
+++ b/tests/test_limits_load.py
@@ -129,9 +129,10 @@
     """Return whether a host gets a permit, with network delays in virtual time."""
     abort = AbortHandle()
     greenlet = gevent.spawn(host.link.permits.acquire, server.record, 200.0, abort)
-    while not greenlet.ready():
-        gevent.sleep(0.001)
-        fleet.run(1.0)
+    with gevent.Timeout(20, AssertionError("the permit was not decided in time")):
+        while not greenlet.ready():
+            gevent.sleep(0.001)
+            fleet.run(1.0)
     return greenlet.get()
 
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -240,8 +240,9 @@
     for server_id in arrivals_ms:
         single_host.add_server("engine", server_id, respond)
     single_host.start()
-    while len(single_host.events_named("server_limit")) < 2:
-        single_host.call("/engine/", headers=PROMPT, attempt="run-1")
+    with gevent.Timeout(20, AssertionError("no stream reached the second engine")):
+        while len(single_host.events_named("server_limit")) < 2:
+            single_host.call("/engine/", headers=PROMPT, attempt="run-1")
     for _ in range(3):
         status, _, body = single_host.call("/engine/", headers=PROMPT, attempt="run-2")
         assert (status, body.count(b"id: ")) == (200, 2)
