--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -16,12 +16,12 @@
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
-from geventhttpclient.response import HTTPSocketResponse
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import detect_unreachable_peer
 from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
+from gypsumfield.adapters.responses import Response
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.exceptions import BackendError
@@ -29,13 +29,6 @@
 from gypsumfield.verdicts import Stage
 from gypsumfield.verdicts import verdict_of_stage
 
-READ_SIZE_BYTES = 65_536
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
-FIRST_FINAL_STATUS = 200
-# Maximum bytes of headers, interim answers, chunk sizes and trailers that may arrive
-# without a byte of the body. Servers commonly limit their headers to an eighth of this.
-FRAMING_LIMIT_BYTES = 131_072
-
 
 class OutgoingRequest(NamedTuple):
     """One request to a backend server.
@@ -76,76 +69,6 @@
     total_ms: float = math.inf
 
 
-class _TrailingBytesError(Exception):
-    """Bytes follow a complete answer on its connection."""
-
-
-class _Response(HTTPSocketResponse):
-    """Response that retains its connection until the echoed request id is checked."""
-
-    _sock: Any
-    idle_sock: Any = None
-    has_trailing_bytes = False
-    final_status = 0
-    _framing_bytes = 0
-
-    def feed(self, data: str | bytes) -> None:
-        """Parse data; bytes after a complete answer only prevent connection reuse.
-
-        Raises:
-            HTTPParseError: The data isn't HTTP, or has too many bytes of framing.
-        """
-        body_bytes = len(self._body_buffer)
-        try:
-            super().feed(data)
-        except HTTPParseError:
-            if not self.has_final_answer:
-                raise
-            self.has_trailing_bytes = True
-        except _TrailingBytesError:
-            self.has_trailing_bytes = True
-        if len(self._body_buffer) > body_bytes:
-            self._framing_bytes = 0
-            return
-        self._framing_bytes += len(data)
-        if self._framing_bytes > FRAMING_LIMIT_BYTES and not self.has_final_answer:
-            raise HTTPParseError(f"{self._framing_bytes} bytes without an answer")
-
-    @property
-    def has_final_answer(self) -> bool:
-        """Whether a complete final answer (not an interim 1xx answer) was read."""
-        return bool(self.message_complete and self.final_status)
-
-    def _on_message_begin(self) -> None:
-        if self.has_final_answer:
-            raise _TrailingBytesError
-        super()._on_message_begin()
-
-    def _on_headers_complete(self) -> Any:
-        status = int(self.get_code())
-        if status >= FIRST_FINAL_STATUS:
-            self.final_status = status
-        return super()._on_headers_complete()
-
-    def release(self) -> None:
-        sock = self._sock
-        self._sock = None
-        if sock is None:
-            return
-        if self.should_close():
-            sock.close()
-        else:
-            self.idle_sock = sock
-
-    def read_available(self) -> bytes:
-        """Wait for body bytes and return them; empty at the end of the answer."""
-        while not self._body_buffer and not self.message_complete:
-            self.feed(self._sock.recv(READ_SIZE_BYTES))
-        chunk = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return chunk
-
-
 class Exchange:
     """One request and its answer; the request is sent at most once.
 
@@ -165,7 +88,7 @@
         self._timeouts = timeouts
         self._abort = abort
         self._pool = pool
-        self._response: _Response | None = None
+        self._response: Response | None = None
         self._sock: Any = None
         self._is_request_sent = False
         self._timer: gevent.Greenlet | None = None
@@ -332,7 +255,7 @@
         return bool(readable)
 
     def _read_headers(self) -> None:
-        self._response = _Response(self._sock, method=self._request.method)
+        self._response = Response(self._sock, method=self._request.method)
         self.stage = Stage.ANSWERING
         self._sock.settimeout(self._timeouts.body_idle_ms / MS_PER_S)
         echoed = self._response.get(self._request.request_id_header)
@@ -342,13 +265,7 @@
     @property
     def has_end_marker(self) -> bool:
         """Whether the end of the answer is marked, not just by a close."""
-        response = self._require_response()
-        return (
-            "content-length" in response
-            or "transfer-encoding" in response
-            or self._request.method == "HEAD"
-            or self.status in STATUSES_WITHOUT_BODY
-        )
+        return self._require_response().has_end_marker
 
     def _error_code(self, error: Exception) -> str:
         if self.stage is Stage.BEFORE_CONNECT:
@@ -356,7 +273,7 @@
         is_timeout = isinstance(error, TimeoutError)
         return "backend_stalled" if is_timeout else "backend_failed"
 
-    def _require_response(self) -> _Response:
+    def _require_response(self) -> Response:
         if self._response is None:
             raise self._error("no answer was read", "backend_failed")
         return self._response
--- /dev/null
+++ b/src/gypsumfield/adapters/responses.py
@@ -0,0 +1,94 @@
+"""Parses one answer of a backend server as it arrives."""
+
+from typing import Any
+
+from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPSocketResponse
+
+READ_SIZE_BYTES = 65_536
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+# Maximum bytes of headers, interim answers, chunk sizes and trailers that may arrive
+# without a byte of the body. Servers commonly limit their headers to an eighth of this.
+FRAMING_LIMIT_BYTES = 131_072
+
+
+class _TrailingBytesError(Exception):
+    """Bytes follow a complete answer on its connection."""
+
+
+class Response(HTTPSocketResponse):
+    """Response that retains its connection until the echoed request id is checked."""
+
+    _sock: Any
+    idle_sock: Any = None
+    has_trailing_bytes = False
+    final_status = 0
+    _framing_bytes = 0
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse data; bytes after a complete answer only prevent connection reuse.
+
+        Raises:
+            HTTPParseError: The data isn't HTTP, or has too many bytes of framing.
+        """
+        body_bytes = len(self._body_buffer)
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self.has_final_answer:
+                raise
+            self.has_trailing_bytes = True
+        except _TrailingBytesError:
+            self.has_trailing_bytes = True
+        if len(self._body_buffer) > body_bytes:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > FRAMING_LIMIT_BYTES and not self.has_final_answer:
+            raise HTTPParseError(f"{self._framing_bytes} bytes without an answer")
+
+    @property
+    def has_final_answer(self) -> bool:
+        """Whether a complete final answer (not an interim 1xx answer) was read."""
+        return bool(self.message_complete and self.final_status)
+
+    def _on_message_begin(self) -> None:
+        if self.has_final_answer:
+            raise _TrailingBytesError
+        super()._on_message_begin()
+
+    def _on_headers_complete(self) -> Any:
+        status = int(self.get_code())
+        if status >= FIRST_FINAL_STATUS:
+            self.final_status = status
+        return super()._on_headers_complete()
+
+    def release(self) -> None:
+        """Keep the connection if it may be used again, else close it."""
+        sock = self._sock
+        self._sock = None
+        if sock is None:
+            return
+        if self.should_close():
+            sock.close()
+        else:
+            self.idle_sock = sock
+
+    def read_available(self) -> bytes:
+        """Wait for body bytes and return them; empty at the end of the answer."""
+        while not self._body_buffer and not self.message_complete:
+            self.feed(self._sock.recv(READ_SIZE_BYTES))
+        chunk = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return chunk
+
+    @property
+    def has_end_marker(self) -> bool:
+        """Whether the end of the answer is marked, not just by a close."""
+        return (
+            "content-length" in self
+            or "transfer-encoding" in self
+            or self.method == "HEAD"
+            or self.final_status in STATUSES_WITHOUT_BODY
+        )
