Take a connection that the host has shut down for no end of an answer

What callers saw: an answer without length and chunks could end as complete when its time limit passed, or its host took it off an unreachable engine, while the host was writing to a slow caller. Cause: the next read then returns no data, which is how such an answer ends; nothing remembered that the host itself had shut the connection down. (A read that waits at that moment fails, so that it needs this timing.) The exchange remembers it now.

The test at the exchange failed on and on; the four others guard the whole path and passed before.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -91,6 +91,7 @@
         self._response: Response | None = None
         self._sock: Any = None
         self._is_request_sent = False
+        self._is_shut_down = False
         self._timer: gevent.Greenlet | None = None
 
     def open(self, check_before_send: Callable[[], str]) -> int:
@@ -151,6 +152,9 @@
         except (OSError, HTTPParseError, AttributeError) as error:
             raise self._error(_error_text(error), "answer_truncated") from error
         if not chunk:
+            if self._is_shut_down and not self.has_end_marker:
+                # The end of the data is this host's own shutdown.
+                raise self._error("the connection was shut down", "answer_truncated")
             self.stage = Stage.ANSWERED
         return chunk
 
@@ -214,6 +218,7 @@
     def _shut_down(self) -> None:
         if self._sock is None:
             return
+        self._is_shut_down = True
         try:
             self._sock.shutdown(gevent.socket.SHUT_RDWR)
         except OSError:
