Take only chunks, not any transfer coding, for the marked end of an answer

What callers saw: a stream with another transfer coding, whose engine broke it off between two events, ended as complete. Cause: the header alone counted as the mark of the end; HTTP ends such an answer with its connection. Now only chunks as the last coding count.

--- a/src/gypsumfield/adapters/responses.py
+++ b/src/gypsumfield/adapters/responses.py
@@ -88,7 +88,14 @@
         """Whether the end of the answer is marked, not just by a close."""
         return (
             "content-length" in self
-            or "transfer-encoding" in self
+            or self._is_chunked()
             or self.method == "HEAD"
             or self.final_status in STATUSES_WITHOUT_BODY
         )
+
+    def _is_chunked(self) -> bool:
+        # Only the last of several codings delimits the body; without chunks it is a
+        # close that ends it.
+        codings = self.get("transfer-encoding") or ""
+        last = codings if isinstance(codings, str) else codings[-1]
+        return last.rpartition(",")[2].strip().lower() == "chunked"
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -66,6 +66,20 @@
         assert not is_whole(read_answer(sock))
 
 
+@pytest.mark.parametrize("coding", ["identity", "chunked, identity", "gzip"])
+def test_a_transfer_coding_other_than_chunks_marks_no_end(fleet, coding):
+    def respond(request, sock):
+        line = f"\r\nTransfer-Encoding: {coding}\r\n\r\n".encode()
+        sock.sendall(unframed_head(request).replace(b"\r\n\r\n", line))
+        sock.sendall(b"id: 1\ndata: piece\n\n")
+        fleet.servers["s1"].crash()
+        return "close"
+
+    fleet.add_server("engine", "s1", respond)
+    fleet.start()
+    assert not is_whole(fleet.call("/engine/", headers=PROMPT))
+
+
 @pytest.mark.parametrize("is_aborted", [False, True])
 def test_a_shutdown_by_the_host_between_two_reads_does_not_look_complete(
     fleet, is_aborted
