--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -32,7 +32,6 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
-from gypsumfield.gateway.attempt import WireFormat
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.job import Job
@@ -48,6 +47,7 @@
 from gypsumfield.gateway.routes import select_service
 from gypsumfield.gateway.streams import Stream
 from gypsumfield.gateway.streams import StreamDependencies
+from gypsumfield.gateway.wire_format import WireFormat
 from gypsumfield.interfaces import EmitEvent
 
 BODY_CHUNK_BYTES = 65_536
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -1,9 +1,5 @@
 """Sends one request to one backend server and classifies its answer."""
 
-from collections.abc import Callable
-from collections.abc import Iterable
-from collections.abc import Mapping
-from collections.abc import Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -18,7 +14,6 @@
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.calls import AnswerMetadata
-from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.calls import SendOptions
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.events import RequestPlaced
@@ -32,6 +27,7 @@
 from gypsumfield.gateway.placing import ServerPlacement
 from gypsumfield.gateway.routes import permit_call
 from gypsumfield.gateway.server_notices import ServerNotices
+from gypsumfield.gateway.wire_format import WireFormat
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
 
@@ -49,30 +45,6 @@
 MISDIRECTED_STATUS = 421
 SUCCESS_STATUSES = range(200, 300)
 
-HeaderItems = Sequence[tuple[str, str]]
-
-
-class WireFormat(NamedTuple):
-    """Functions of the platform's adapter that read and write HTTP headers.
-
-    Attributes:
-        request_id_header: Name of the header that holds the request id, in requests
-            and in answers.
-        decode_request: Decodes the headers of a caller's request.
-        encode_request: Returns the headers of a request to a server.
-        decode_answer: Decodes the headers of a server's answer.
-        answer_headers: Returns the headers of a server's answer that are forwarded
-            to the caller.
-        error_headers: Returns the headers of an answer that this host generates.
-    """
-
-    request_id_header: str
-    decode_request: Callable[[Iterable[tuple[str, str]]], CallHeaders]
-    encode_request: Callable[[HeaderItems, str, SendOptions], Mapping[str, str]]
-    decode_answer: Callable[[Iterable[tuple[str, str]]], AnswerMetadata]
-    answer_headers: Callable[[Iterable[tuple[str, str]]], list[tuple[str, str]]]
-    error_headers: Callable[[str], list[tuple[str, str]]]
-
 
 class AttemptDependencies(NamedTuple):
     """Dependencies of the functions that send requests and report their results.
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -19,7 +19,6 @@
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayDependencies
 from gypsumfield.gateway.attempt import AttemptDependencies
-from gypsumfield.gateway.attempt import WireFormat
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.edge_host import EdgeComponents
 from gypsumfield.gateway.edge_host import EdgeHost
@@ -260,7 +259,7 @@
     )
     registry = StreamRegistry()
     attempts = AttemptDependencies(
-        _build_wire_format(),
+        headers.WIRE_FORMAT,
         catalogue,
         placer,
         fleet.notices,
@@ -385,14 +384,3 @@
 
 def _page_server(address: str, application: Any) -> CallerServer:
     return CallerServer(split_address(address), RequestTracker(application))
-
-
-def _build_wire_format() -> WireFormat:
-    return WireFormat(
-        request_id_header=headers.REQUEST_ID,
-        decode_request=headers.decode_request,
-        encode_request=headers.encode_request,
-        decode_answer=headers.decode_answer,
-        answer_headers=headers.answer_headers,
-        error_headers=headers.error_headers,
-    )
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -9,6 +9,7 @@
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.calls import ResumePoint
 from gypsumfield.gateway.calls import SendOptions
+from gypsumfield.gateway.wire_format import WireFormat
 
 REQUEST_ID = "X-Attempt-Id"
 DEADLINE = "X-Deadline-Ms"
@@ -193,3 +194,13 @@
     except ValueError:
         return None
     return value if 0.0 <= value < 1e12 else None
+
+
+WIRE_FORMAT = WireFormat(
+    request_id_header=REQUEST_ID,
+    decode_request=decode_request,
+    encode_request=encode_request,
+    decode_answer=decode_answer,
+    answer_headers=answer_headers,
+    error_headers=error_headers,
+)
