Log each answer that ends with its connection, and whether it counts as complete

The logs of an edge host could not tell whether a stream that was passed on as complete had a marked end: `request_completed` is the same for both. `unmarked_end` says so, and why an answer does not count as complete.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -13,6 +13,7 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.answer_ends import AnswerEnds
 from gypsumfield.gateway.calls import AnswerMetadata
 from gypsumfield.gateway.calls import SendOptions
 from gypsumfield.gateway.catalogue import Catalogue
@@ -56,6 +57,7 @@
         notices: Stores what servers announce in their answers.
         permits: Permits for requests to servers that have named a limit.
         part_guard: Refuses requests with a part that crashes servers.
+        answer_ends: Checks the ends of answers that nothing marks.
         pool: Idle connections to servers.
         clock: Monotonic clock.
         emit: Writes an event to the log.
@@ -67,6 +69,7 @@
     notices: ServerNotices
     permits: Permits
     part_guard: PartGuard
+    answer_ends: AnswerEnds
     pool: ConnectionPool
     clock: Clock
     emit: EmitEvent
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -16,6 +16,8 @@
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.fleet_shares import retry_shares_by_service
 from gypsumfield.decisions.fleet_shares import RetryBounds
+from gypsumfield.gateway.answer_ends import AnswerEnds
+from gypsumfield.gateway.answer_ends import EndDependencies
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayDependencies
 from gypsumfield.gateway.attempt import AttemptDependencies
@@ -265,6 +267,7 @@
         fleet.notices,
         peers.permits,
         fleet.part_guard,
+        AnswerEnds(EndDependencies(fleet.part_guard.has_crashed, emit)),
         ConnectionPool(),
         clock,
         emit,
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -135,6 +135,16 @@
     remaining_ms: float
 
 
+class UnmarkedEnd(Event, frozen=True, kw_only=True, tag="unmarked_end"):
+    """An answer with neither a length nor chunks has ended with its connection.
+
+    ``reason`` says why it does not count as complete; it is empty if it does.
+    """
+
+    event_count: int
+    reason: str
+
+
 class RunCopied(Event, frozen=True, kw_only=True, tag="run_copied"):
     """A run's key-value cache was copied, or could not be: see ``reason``."""
 
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -141,6 +141,8 @@
         opened = open_answer(attempts, job, server, options)
         try:
             body = opened.exchange.read_body(ANSWER_LIMIT_BYTES, True)
+            if not opened.exchange.has_end_marker:
+                attempts.answer_ends.check(job, server)
         except BackendError:
             opened.exchange.close()
             raise
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -267,10 +267,11 @@
         if self._splitter.has_remainder:
             reason = "the stream ended inside an event"
         elif not answer.exchange.has_end_marker:
-            if not self._splitter.event_count:
+            if self._splitter.event_count:
+                ends = self._deps.attempts.answer_ends
+                ends.check(self.job, self.server, self.event_count)
+            else:
                 reason = "the stream ended before its first event"
-            elif self._deps.attempts.part_guard.has_crashed(self.server):
-                reason = "the engine ended with the stream"
         if reason:
             raise BackendError(reason, RunVerdict.MAY_HAVE_RUN, "answer_truncated")
 
