Take an answer that ends with its connection as complete only if its server shows it

Cause: an answer with neither a length nor chunks ends with its connection, and every end counted as complete unless an engine that was not leaving refused a connection right after. An engine that is leaving was never asked; one behind a partition, one that is back already and another process at its address do not refuse; plain calls and failures were not checked at all. The class of fault: what cannot be told is taken for a success.

Now the default is the other way round: such an answer counts as complete only if the same start of its server answers a call afterwards (an engine's report names its start, a plain service's health check its id) and the engine has not made more events than were received. Otherwise the stream is resumed where that is allowed, or broken off; a plain call is repeated or answered with 502. This costs one connection for each answer without an end marker. A server that lives on and breaks such an answer off between two events cannot be told from one that has finished: that is left open.

--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -1,5 +1,6 @@
 """Decoded headers and results of one call, without their wire format."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -111,6 +112,18 @@
     used_tokens: int
 
 
+class EngineRuns(NamedTuple):
+    """What an engine says of its start and its runs; as old as its state.
+
+    Attributes:
+        started_wall_ms: Wall-clock time of its start, as in its registration.
+        event_counts: Events that each run has made so far, by request id.
+    """
+
+    started_wall_ms: int
+    event_counts: Mapping[str, int]
+
+
 class CopyResult(NamedTuple):
     """Result of copying a run's key-value cache to another engine.
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -267,7 +267,15 @@
         fleet.notices,
         peers.permits,
         fleet.part_guard,
-        AnswerEnds(EndDependencies(fleet.part_guard.has_crashed, emit)),
+        AnswerEnds(
+            EndDependencies(
+                catalogue,
+                peers.permits,
+                fleet.engines.read_runs,
+                fleet.engines.read_server_id,
+                emit,
+            )
+        ),
         ConnectionPool(),
         clock,
         emit,
--- a/src/gypsumfield/gateway/model.py
+++ b/src/gypsumfield/gateway/model.py
@@ -102,11 +102,13 @@
         cold_requests_per_s: Rate that a cold server accepts, in requests per second;
             0 when servers of the service are never cold.
         engine: Capacity of its engines; None for a plain service.
+        health_path: Path of health checks, or empty.
     """
 
     name: str
     cold_requests_per_s: float
     engine: EngineSpec | None
+    health_path: str = ""
 
 
 class Account(NamedTuple):
--- /dev/null
+++ b/src/gypsumfield/gateway/run_reader.py
@@ -0,0 +1,56 @@
+"""Reads the events of one run of a stream and checks the end of its answer."""
+
+from collections.abc import Callable
+
+from gypsumfield.adapters.backends import Exchange
+from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway.event_stream import EventSplitter
+from gypsumfield.gateway.event_stream import StreamEvent
+from gypsumfield.verdicts import RunVerdict
+
+
+class RunReader:
+    """Reads complete events from the answer of one engine.
+
+    Args:
+        exchange: Open exchange, of which only the headers have been read.
+        check_unmarked_end: Called when the answer has ended with its connection;
+            raises `BackendError` unless it is complete.
+
+    Attributes:
+        has_ended: Whether the answer was read to its end and is complete.
+    """
+
+    def __init__(
+        self, exchange: Exchange, check_unmarked_end: Callable[[], None]
+    ) -> None:
+        self.has_ended = False
+        self._exchange = exchange
+        self._check_unmarked_end = check_unmarked_end
+        self._splitter = EventSplitter()
+
+    def read(self) -> list[StreamEvent]:
+        """Wait for one chunk and return the events that it completes.
+
+        Raises:
+            BackendError: The engine failed, or broke the stream off.
+        """
+        chunk = self._exchange.read_chunk()
+        if chunk:
+            return self._splitter.feed(chunk)
+        reason = ""
+        if self._splitter.has_remainder:
+            reason = "the stream ended inside an event"
+        elif not self._exchange.has_end_marker:
+            if self._splitter.event_count:
+                self._check_unmarked_end()
+            else:
+                reason = "the stream ended before its first event"
+        if reason:
+            raise BackendError(reason, RunVerdict.MAY_HAVE_RUN, "answer_truncated")
+        self.has_ended = True
+        return []
+
+    def remainder(self) -> bytes:
+        """Return the blank bytes after the last event."""
+        return self._splitter.remainder()
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -18,7 +18,6 @@
 from gypsumfield.gateway.attempt import SUCCESS_STATUSES
 from gypsumfield.gateway.calls import ResumePoint
 from gypsumfield.gateway.calls import SendOptions
-from gypsumfield.gateway.event_stream import EventSplitter
 from gypsumfield.gateway.event_stream import StreamEvent
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
@@ -31,6 +30,7 @@
 from gypsumfield.gateway.plain_calls import BufferedAnswer
 from gypsumfield.gateway.run_copies import CopyDependencies
 from gypsumfield.gateway.run_copies import RunCopies
+from gypsumfield.gateway.run_reader import RunReader
 from gypsumfield.gateway.stream_progress import StreamProgress
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.gateway.stream_registry import StreamRegistry
@@ -88,7 +88,7 @@
         self._deps = deps
         self._answer: OpenAnswer | None = None
         self._unsent: list[StreamEvent] = []
-        self._splitter = EventSplitter()
+        self._reader: RunReader | None = None
         self._tried_ids: list[str] = []
         self._run_count = 0
         self._has_ended = False
@@ -133,7 +133,7 @@
                 self._read_events()
             except BackendError as error:
                 self._resume_elsewhere(error)
-        remainder = self._splitter.remainder()
+        remainder = self._reader.remainder() if self._reader else b""
         if remainder:
             yield remainder
         self._progress.record_complete(self.server.server_id, self._run_count == 1)
@@ -206,7 +206,7 @@
         self.server = server
         self.run = Run(server.server_id, call.prompt_tokens, self.job.expected_tokens)
         self.run.generated_tokens = self.generated_tokens
-        self._splitter = EventSplitter()
+        self._reader = None
         self._tried_ids.append(server.server_id)
         self._run_count += 1
         self._is_at_engine = True
@@ -232,6 +232,8 @@
             if error.verdict is RunVerdict.NOT_RUN:
                 self._run_count -= 1
             raise
+        exchange = self._answer.exchange
+        self._reader = RunReader(exchange, self._check_unmarked_end)
         return self._answer
 
     def _planned_tokens(self) -> int:
@@ -246,37 +248,21 @@
 
     def _read_events(self) -> None:
         """Read one chunk and store the events that it completes."""
-        assert self._answer is not None
-        chunk = self._answer.exchange.read_chunk()
+        assert self._reader is not None
+        self._unsent = self._reader.read()
+        self._has_ended = self._reader.has_ended
         self.last_received_ms = self._deps.attempts.clock.monotonic_ms()
-        if not chunk:
-            self._check_end(self._answer)
-            self._has_ended = True
-            return
-        self._unsent = self._splitter.feed(chunk)
         if self._unsent:
             self._deps.ledger.mark_prompt_processed(self.run)
 
-    def _check_end(self, answer: OpenAnswer) -> None:
-        """Check that the end of the answer is the end of the stream.
-
-        Raises:
-            BackendError: The engine broke the stream off.
-        """
-        reason = ""
-        if self._splitter.has_remainder:
-            reason = "the stream ended inside an event"
-        elif not answer.exchange.has_end_marker:
-            if self._splitter.event_count:
-                ends = self._deps.attempts.answer_ends
-                ends.check(self.job, self.server, self.event_count)
-            else:
-                reason = "the stream ended before its first event"
-        if reason:
-            raise BackendError(reason, RunVerdict.MAY_HAVE_RUN, "answer_truncated")
+    def _check_unmarked_end(self) -> None:
+        ends = self._deps.attempts.answer_ends
+        ends.check(self.job, self.server, self.event_count)
 
     def _read_failure(self, answer: OpenAnswer) -> BufferedAnswer:
         body = answer.exchange.read_body(ANSWER_LIMIT_BYTES, True)
+        if not answer.exchange.has_end_marker:
+            self._deps.attempts.answer_ends.check(self.job, self.server)
         self._has_ended = True
         headers = self._deps.attempts.wire.answer_headers(answer.headers)
         self.close()
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -63,6 +63,7 @@
 
 class _WireService(msgspec.Struct):
     name: str
+    health_path: str = ""
     cold_per_s: float = 0.0
     engine: _WireEngine | None = None
 
@@ -200,6 +201,7 @@
         name=wire.name,
         cold_requests_per_s=wire.cold_per_s,
         engine=_convert_engine(wire.engine) if wire.engine else None,
+        health_path=wire.health_path,
     )
 
 
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -1,8 +1,10 @@
-"""Calls to an engine about its load, its reservations and its key-value cache."""
+"""Calls of this host itself to backend servers, most of them to engines."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
+from typing import TypeVar
 
 import gevent.socket
 import msgspec
@@ -15,9 +17,11 @@
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import AnswerMetadata
 from gypsumfield.gateway.calls import CopyResult
+from gypsumfield.gateway.calls import EngineRuns
 from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.permits import NO_PERMIT_REASON
+from gypsumfield.platform.headers import answered_server_id
 from gypsumfield.platform.headers import decode_answer
 from gypsumfield.verdicts import RunVerdict
 
@@ -26,9 +30,12 @@
 # Answers have a few hundred bytes; one that takes longer will not complete.
 TOTAL_TIMEOUT_MS = 1_000.0
 ANSWER_LIMIT_BYTES = 1_048_576
+REPORT_TARGET = "/-/report"
 OK_STATUS = 200
+MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 _ID_HEADER = "X-Call-Id"
+_ReportT = TypeVar("_ReportT")
 
 
 class _WireReport(msgspec.Struct):
@@ -41,6 +48,12 @@
     kv_used: int = 0
 
 
+class _WireRuns(msgspec.Struct):
+    born: int = 0
+    # Lists of request id, tokens in memory, events made and priority.
+    executions: Any = None
+
+
 class _WireMove(msgspec.Struct):
     handle: Any = ""
     # Number of events generated so far, not a timestamp.
@@ -53,6 +66,7 @@
 
 class _Answer(NamedTuple):
     status: int
+    headers: list[tuple[str, str]]
     body: bytes
 
 
@@ -80,18 +94,39 @@
         Raises:
             BackendError: The engine did not answer, or its answer is invalid.
         """
-        timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
-        answer = self._call(server, "GET", "/-/report", b"", timeouts)
-        try:
-            report = msgspec.json.decode(answer.body, type=_WireReport)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise BackendError(f"report: {error}", RunVerdict.NOT_RUN) from error
+        report = self._read_report(server, _WireReport)
         return EngineState(
             is_leaving=report.state == "draining" or report.leaves_ms is not None,
             waiting_count=report.queued,
             used_tokens=report.kv_used,
         )
 
+    def read_runs(self, server: BackendServer) -> EngineRuns:
+        """Request an engine's start and its runs.
+
+        Raises:
+            BackendError: The engine did not answer, or its answer is invalid.
+        """
+        report = self._read_report(server, _WireRuns)
+        entries = report.executions if isinstance(report.executions, list) else []
+        return EngineRuns(report.born, dict(_event_counts(entries)))
+
+    def read_server_id(self, server: BackendServer, target: str) -> str:
+        """Return the id that the server at an address gives itself, or empty.
+
+        Args:
+            server: The server that is expected there.
+            target: Path of the service's health checks, or empty.
+
+        Raises:
+            BackendError: The server did not answer, or is another one.
+        """
+        timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
+        answer = self._call(server, "GET", target or REPORT_TARGET, b"", timeouts)
+        if answer.status == MISDIRECTED_STATUS:
+            raise BackendError("another server answered", RunVerdict.NOT_RUN)
+        return answered_server_id(answer.headers)
+
     def copy_run(
         self, server: BackendServer, request_id: str, target: str, timeout_ms: float
     ) -> CopyResult:
@@ -149,6 +184,16 @@
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise BackendError(f"reservation: {error}", RunVerdict.NOT_RUN) from error
 
+    def _read_report(
+        self, server: BackendServer, report_type: type[_ReportT]
+    ) -> _ReportT:
+        timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
+        answer = self._call(server, "GET", REPORT_TARGET, b"", timeouts)
+        try:
+            return msgspec.json.decode(answer.body, type=report_type)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise BackendError(f"report: {error}", RunVerdict.NOT_RUN) from error
+
     def _call(
         self,
         server: BackendServer,
@@ -175,10 +220,9 @@
 
         try:
             status = exchange.open(check_before_send)
-            self._record_metadata(
-                server, status, decode_answer(exchange.header_items())
-            )
-            return _Answer(status, exchange.read_body(ANSWER_LIMIT_BYTES, True))
+            items = exchange.header_items()
+            self._record_metadata(server, status, decode_answer(items))
+            return _Answer(status, items, exchange.read_body(ANSWER_LIMIT_BYTES, True))
         finally:
             exchange.close()
 
@@ -187,6 +231,14 @@
     return ExchangeTimeouts(CONNECT_TIMEOUT_MS, answer_ms, answer_ms, total_ms=total_ms)
 
 
+def _event_counts(entries: list[Any]) -> Iterator[tuple[str, int]]:
+    """Yield request id and number of events of each valid entry of a report."""
+    for entry in entries:
+        match entry:
+            case [str(request_id), _, int(event_count), *_]:
+                yield request_id, event_count
+
+
 def can_connect(address: str) -> bool:
     """Return whether a server accepts a TCP connection within `CONNECT_TIMEOUT_MS`."""
     ip, _, port = address.rpartition(":")
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -17,6 +17,8 @@
 SEAL = "X-Response-Seal"
 ACCOUNT = "X-Tenant"
 EXPECTED_SERVER = "X-Expect-Instance"
+# In answers to health checks.
+SERVER_ID = "X-Instance-Id"
 NOT_RUN = "X-Not-Executed"
 # Prompt tokens and the maximum number of output tokens, separated by a comma.
 TOKEN_COUNTS = "X-Token-Counts"
@@ -157,6 +159,12 @@
     )
 
 
+def answered_server_id(items: Iterable[tuple[str, str]]) -> str:
+    """Return the id that a server gives itself in an answer, or an empty string."""
+    values = {name.lower(): value.strip() for name, value in items}
+    return values.get(SERVER_ID.lower(), "")
+
+
 def answer_headers(items: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return the headers of a server's answer that are forwarded to the caller."""
     return [item for item in items if item[0].lower() not in _HOP_BY_HOP]
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -1,6 +1,8 @@
 """One edge host in this process, with fakes of the store and the backend servers."""
 
+import base64
 import contextlib
+import json
 import os
 import socket
 
@@ -61,6 +63,19 @@
         self.store.put(f"servers/{server_id}", registration(service, server, zone=zone))
         return server
 
+    def store_value(self, key):
+        return base64.b64decode(self.store.items[key]["value"])
+
+    def answer_own_call(self, server_id, sock, **report):
+        """Answer a report or a health check as the registered start of a server."""
+        born = json.loads(self.store_value(f"servers/{server_id}"))["born"]
+        body = json.dumps({"state": "ready", "born": born, **report}).encode()
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Instance-Id: {server_id}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        sock.sendall(head.encode() + body)
+
     def publish(self, **changes):
         self.store.put("op/config", publication(self.services, **changes))
 
--- a/tests/test_edge_host.py
+++ b/tests/test_edge_host.py
@@ -160,6 +160,9 @@
 
 def test_an_answer_that_ends_with_its_connection_is_complete(fleet):
     def answer_without_length(request, sock):
+        if "x-attempt-id" not in request["headers"]:
+            fleet.answer_own_call("s1", sock)
+            return "close"
         sock.sendall(complete_answer(request).replace(b"Content-Length: 4\r\n", b""))
         return "close"
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -27,12 +27,12 @@
     edge_fleet.stop()
 
 
-def close_after(body, is_reset=False):
+def close_after(fleet, body, is_reset=False):
     """Return a responder that sends an unframed answer and ends its connection."""
 
     def respond(request, sock):
         if "x-attempt-id" not in request["headers"]:
-            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            fleet.answer_own_call("s1", sock)
             return None
         sock.sendall(unframed_head(request) + body)
         if is_reset:
@@ -49,23 +49,23 @@
 
 
 def test_a_stream_without_length_and_chunks_is_complete(fleet):
-    answer = call_one_server(fleet, "engine", close_after(EVENTS))
+    answer = call_one_server(fleet, "engine", close_after(fleet, EVENTS))
     assert (answer[0], answer[2]) == (200, EVENTS)
 
 
 @pytest.mark.parametrize("cut", [3, 16, 20, len(EVENTS) - 1])
 def test_a_stream_that_ends_inside_an_event_is_not_complete(fleet, cut):
-    status, _, body = call_one_server(fleet, "engine", close_after(EVENTS[:cut]))
+    status, _, body = call_one_server(fleet, "engine", close_after(fleet, EVENTS[:cut]))
     assert status == 502 or body is None
 
 
 def test_a_stream_that_ends_before_its_first_event_is_not_complete(fleet):
-    status, _, body = call_one_server(fleet, "engine", close_after(b""))
+    status, _, body = call_one_server(fleet, "engine", close_after(fleet, b""))
     assert status == 502 or body is None
 
 
 def test_a_stream_that_is_reset_between_events_is_not_complete(fleet):
-    status, _, body = call_one_server(fleet, "engine", close_after(EVENTS, True))
+    status, _, body = call_one_server(fleet, "engine", close_after(fleet, EVENTS, True))
     assert status == 502 or body is None
 
 
@@ -100,7 +100,7 @@
 
 @pytest.mark.parametrize(("is_reset", "status"), [(False, 200), (True, 502)])
 def test_a_plain_answer_is_complete_unless_it_is_reset(fleet, is_reset, status):
-    answer = call_one_server(fleet, "plain", close_after(b"done", is_reset))
+    answer = call_one_server(fleet, "plain", close_after(fleet, b"done", is_reset))
     assert answer[0] == status
 
 
