Reset the connection of a caller without chunks when its stream breaks

What callers saw: with HTTP/1.0, a stream that was broken off ended like a whole one, since its only end is the close of the connection. Cause: the close after an error was the same as after the last byte. It is a reset now; callers with chunks miss the last chunk as before.

--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers: rejects ambiguous requests, counts those in flight."""
 
 import socket
+import struct
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -26,6 +27,7 @@
 LINGER_LIMIT_S = 1.0
 LINGER_READ_SIZE_BYTES = 65_536
 PEEK_SIZE_BYTES = 1
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _TOKEN_CHARACTERS = frozenset(
     b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
@@ -110,6 +112,17 @@
             self.close_connection = True
         super().finalize_headers()
 
+    def run_application(self) -> None:
+        """Answer the request; a broken answer whose end is a close is reset instead."""
+        try:
+            super().run_application()
+        except BaseException:
+            if self.headers_sent and not self.response_use_chunked:
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+            raise
+
     def _abandon_body(self) -> None:
         """Ignore the rest of the body; close the connection after the answer."""
         self.wsgi_input = _AbandonedBody(self.socket)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -232,6 +232,26 @@
     assert not is_whole(fleet.call("/engine/", headers=PROMPT))
 
 
+def test_a_broken_stream_without_chunks_is_reset_at_its_caller(fleet):
+    def respond(request, sock):
+        sock.sendall(unframed_head(request) + EVENTS)
+        gevent.sleep(0.05)
+        fleet.servers["s1"].crash()
+        return "close"
+
+    fleet.add_server("engine", "s1", respond)
+    fleet.start()
+    request = (
+        "POST /engine/ HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+        f"Authorization: Token key-a\r\n{PROMPT}Content-Length: 0\r\n\r\n"
+    )
+    with contextlib.closing(fleet.connect()) as sock:
+        sock.sendall(request.encode())
+        with pytest.raises(ConnectionResetError):
+            while sock.recv(4096):
+                continue
+
+
 @pytest.mark.parametrize("is_aborted", [False, True])
 def test_a_shutdown_by_the_host_between_two_reads_does_not_look_complete(
     fleet, is_aborted
