--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -83,7 +83,8 @@
     """One attempt to run a request on a backend server failed.
 
     ``event_count`` counts the events of a stream that its caller had received by then,
-    ``prompt_parts`` are the ids of the parts that other requests may share.
+    ``prompt_parts`` are the ids of the parts that other requests may share, and
+    ``content_id`` is the same in each repeat of a request.
     """
 
     attempt: int
@@ -92,6 +93,7 @@
     reason: str
     event_count: int = 0
     prompt_parts: tuple[str, ...] = ()
+    content_id: str = ""
 
 
 class RequestRetried(Event, frozen=True, kw_only=True, tag="request_retried"):
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -34,6 +34,7 @@
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.catalogue import Catalogue
+from gypsumfield.gateway.job import content_id_of
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.job import predict_tokens
 from gypsumfield.gateway.model import CallKind
@@ -150,9 +151,10 @@
             if request.time_limit_ms is None
             else request.time_limit_ms,
         )
+        method = environ["REQUEST_METHOD"]
         return Job(
             call=request,
-            method=environ["REQUEST_METHOD"],
+            method=method,
             target=target,
             headers=environ[RAW_HEADERS_KEY],
             body=body,
@@ -162,6 +164,7 @@
             started_ms=started_ms,
             deadline_ms=started_ms + max(0.0, time_limit_ms - DEADLINE_MARGIN_MS),
             abort=AbortHandle(),
+            content_id=content_id_of(method, target, permit.account, body),
         )
 
     def _check_draining(self, route: Route, request: CallHeaders) -> None:
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -211,6 +211,7 @@
             is_advised=placement.is_advised,
             prompt_tokens_per_ms=rate,
             prompt_parts=job.shared_parts,
+            content_id=f"{job.content_id:x}",
         )
     )
 
@@ -239,6 +240,7 @@
             reason=str(error),
             event_count=event_count,
             prompt_parts=job.shared_parts,
+            content_id=f"{job.content_id:x}",
         )
     )
     if not event_count:
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -99,7 +99,8 @@
 
     ``committed_tokens`` and ``stream_count`` are the recorded load that the selection
     was based on: this host's own runs and those that its peers reported.
-    ``prompt_parts`` are the ids of the parts that other requests may share.
+    ``prompt_parts`` are the ids of the parts that other requests may share, and
+    ``content_id`` is the same in each repeat of a request.
     """
 
     attempt: int
@@ -113,6 +114,7 @@
     prompt_tokens_per_ms: float = 0.0
     route: str = ""
     prompt_parts: tuple[str, ...] = ()
+    content_id: str = ""
 
 
 class PartEvidence(Event, frozen=True, kw_only=True, tag="part_evidence"):
--- a/src/gypsumfield/gateway/job.py
+++ b/src/gypsumfield/gateway/job.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+import msgspec
+import xxhash
+
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import Clock
 from gypsumfield.gateway.calls import CallHeaders
@@ -21,6 +24,17 @@
     return min(prediction, call.max_tokens) if call.max_tokens else prediction
 
 
+def content_id_of(
+    method: str, target: str, account: Account | None, body: bytes
+) -> int:
+    """Return a number in 63 bits for what a request and its repeats have in common."""
+    account_name = account.name if account else ""
+    # JSON keeps the fields apart, whatever they contain.
+    digest = xxhash.xxh64(msgspec.json.encode((method, target, account_name)))
+    digest.update(body)
+    return digest.intdigest() >> 1
+
+
 class Job(NamedTuple):
     """A permitted call and what this host has determined about it.
 
@@ -37,6 +51,7 @@
         deadline_ms: Monotonic time by which the final answer must be sent; it lies a
             little before the end of the caller's time limit.
         abort: Cancels the call when its caller disconnects or its deadline passes.
+        content_id: Number of its content, which is the same in each repeat; 0 for none.
     """
 
     call: CallHeaders
@@ -50,6 +65,7 @@
     started_ms: float
     deadline_ms: float
     abort: AbortHandle
+    content_id: int = 0
 
     @property
     def request_id(self) -> str:
