Refuse repeats of a request that has crashed servers

On a route with prompts, a verdict on the parts that it shares with everybody also refused sound requests. Cause: hosts related crashes to parts of prompts only. A plain request has none, and its retry and its repeats went to the next server like new ones. The class of fault: a failure that follows the request is counted against the server.

Evidence: of 23 broken attempts, 20 on 16 servers have one content id (hypothesis 1); the servers had one or two requests each, not full queues (against 2); no part evidence was logged at all (against 3), but the crashes of one host are less than 100 ms apart and would have counted once.

Now the content of a request (method, target, account, body) is one more part in the evidence that the hosts already share. It is refused after two crashes that nothing else explains, after four at most; a retry that was sent after a crash counts by itself. What other contents or a rack's crash may explain weighs less, and complete answers clear it.

--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -39,7 +39,7 @@
 from gypsumfield.gateway.job import predict_tokens
 from gypsumfield.gateway.model import CallKind
 from gypsumfield.gateway.model import Route
-from gypsumfield.gateway.part_guard import CONDEMNED_REASON
+from gypsumfield.gateway.part_guard import CONDEMNED_REASONS
 from gypsumfield.gateway.plain_calls import BufferedAnswer
 from gypsumfield.gateway.plain_calls import call_plain_service
 from gypsumfield.gateway.plain_calls import PlainCallDependencies
@@ -246,7 +246,7 @@
         """Add account and service to a refusal; 502 becomes 504 for an aborted call."""
         error.account = job.account_name
         error.service = job.service
-        is_late = bool(job.abort.reason) and job.abort.reason != CONDEMNED_REASON
+        is_late = bool(job.abort.reason) and job.abort.reason not in CONDEMNED_REASONS
         if is_late and error.refusal.status == HTTPStatus.BAD_GATEWAY:
             return RefusedError(error.refusal._replace(status=504, code="timeout"))
         return error
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -222,11 +222,21 @@
     server: BackendServer,
     attempt: int,
     error: BackendError,
+    sent_ms: float,
     event_count: int = 0,
 ) -> None:
     """Log a failed attempt and count it as a failure of its server.
 
     Attempts that were aborted or never sent are logged only.
+
+    Args:
+        deps: The log, the health of servers and the evidence are updated.
+        job: The call.
+        server: The server of the attempt.
+        attempt: Number of the attempt, from 1.
+        error: The failure.
+        sent_ms: Monotonic time at which the attempt began.
+        event_count: Complete events that were received in it.
     """
     deps.emit(
         AttemptFailed(
@@ -243,8 +253,7 @@
             content_id=f"{job.content_id:x}",
         )
     )
-    if not event_count:
-        deps.part_guard.record_failure(job, server, error)
+    deps.part_guard.record_failure(job, server, error, sent_ms, event_count)
     is_unreachable = error.code == "unreachable"
     if is_unreachable and isinstance(error.__cause__, TimeoutError):
         deps.placer.record_connect_timeout(server)
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -169,25 +169,29 @@
         crash_id: Identifies the start of the engine.
         age_ms: Time since the crash.
         was_answering: Whether the answer to the request had begun.
+        is_later: Whether the request was sent after an earlier crash of the part.
     """
 
     crash_id: int
     age_ms: int
     was_answering: bool
+    is_later: bool = False
 
 
 class WirePart(msgspec.Struct, frozen=True, array_like=True):
-    """Evidence on a part of prompts.
+    """Evidence on a part of requests.
 
     Attributes:
         part: Id of the part.
         crashes: Crashes since its last answer.
         answered_age_ms: Time since its last answer began, or None.
+        is_content: Whether it is the content of a request, not a named part.
     """
 
     part: int
     crashes: list[WirePartCrash]
     answered_age_ms: int | None
+    is_content: bool = False
 
 
 class UpdateKind(enum.IntEnum):
--- a/src/gypsumfield/gateway/part_guard.py
+++ b/src/gypsumfield/gateway/part_guard.py
@@ -1,4 +1,4 @@
-"""Keeps requests from the engines that a part of their prompt would crash."""
+"""Keeps requests from the servers that they, or a part of their prompt, would crash."""
 
 import math
 from collections.abc import Callable
@@ -24,9 +24,12 @@
 from gypsumfield.gateway.host_updates import WirePartCrash
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.model import CallKind
 from gypsumfield.interfaces import EmitEvent
 
 CONDEMNED_REASON = "a part of its prompt has crashed backend servers"
+CONDEMNED_CONTENT_REASON = "the same request has crashed backend servers"
+CONDEMNED_REASONS = frozenset({CONDEMNED_REASON, CONDEMNED_CONTENT_REASON})
 # Codes of attempts that fail with the connection, after the request was sent.
 BROKEN_CODES = frozenset({"answer_truncated", "backend_failed"})
 _PART_ID_LIMIT = 1 << 63
@@ -66,7 +69,11 @@
 
     def is_condemned(self, job: Job) -> bool:
         """Return whether a request must not be sent."""
-        return self._assess(job).suspicion is Suspicion.CONDEMNED
+        return bool(self.condemned_reason(job))
+
+    def condemned_reason(self, job: Job) -> str:
+        """Return why a request must not be sent, or an empty string."""
+        return _condemned_reason(job, self._assess(job))
 
     def refuse_condemned(self, job: Job) -> None:
         """Refuse a request that must not be sent.
@@ -75,42 +82,67 @@
             RefusedError: 503; the request has not run.
         """
         assessment = self._assess(job)
-        if assessment.suspicion is not Suspicion.CONDEMNED:
+        reason = _condemned_reason(job, assessment)
+        if not reason:
             return
         self._log_condemned(job, assessment)
+        is_content = assessment.part == job.content_id
         raise RefusedError(
             Refusal(
                 503,
-                "prompt_part_crashes",
-                CONDEMNED_REASON,
+                "request_crashes" if is_content else "prompt_part_crashes",
+                reason,
                 retry_after_ms=assessment.remaining_ms,
             )
         )
 
     def exclusion_reason(self, job: Job) -> str:
-        """Return why a request must not be sent, or an empty string."""
+        """Return why a request must not be sent, or an empty string, and log it."""
         assessment = self._assess(job)
-        if assessment.suspicion is not Suspicion.CONDEMNED:
-            return ""
-        self._log_condemned(job, assessment)
-        return CONDEMNED_REASON
+        reason = _condemned_reason(job, assessment)
+        if reason:
+            self._log_condemned(job, assessment)
+        return reason
 
     def record_failure(
-        self, job: Job, server: BackendServer, error: BackendError
+        self,
+        job: Job,
+        server: BackendServer,
+        error: BackendError,
+        sent_ms: float,
+        event_count: int,
     ) -> None:
         """Record a crash of the server if one explains the failure of a request.
 
-        Must be called only for a request without a complete event or answer. A broken
-        connection is a crash only if the server then refuses connections.
+        A broken connection is a crash only if the server then refuses connections. The
+        parts of a prompt are innocent once an event was complete; the request is not.
+
+        Args:
+            job: The request.
+            server: The server to which it was sent.
+            error: The failure.
+            sent_ms: Monotonic time at which it was sent.
+            event_count: Complete events that the server had sent.
         """
-        if error.code not in BROKEN_CODES or not job.shared_parts:
+        if error.code not in BROKEN_CODES:
             return
         now_ms = self._deps.clock.monotonic_ms()
         if not self.has_crashed(server):
             return
-        was_answering = error.code == "answer_truncated"
-        crash = PartCrash(_crash_id(server), now_ms, was_answering)
-        self.record_crash(_part_ids(job), crash, server.server_id)
+        # A plain service does not show which of its requests it was running.
+        is_plain = job.route.kind is not CallKind.STREAM
+        was_answering = error.code == "answer_truncated" and not event_count
+        crash = PartCrash(_crash_id(server), now_ms, was_answering or is_plain)
+        parts = [] if event_count else _shared_part_ids(job)
+
+        def record() -> None:
+            if job.content_id:
+                self.evidence.record_content_crash(
+                    job.content_id, crash, sent_ms, now_ms
+                )
+            self.evidence.record_crash(parts, crash, now_ms)
+
+        self._apply(record, "crash", server.server_id)
 
     def record_crash(
         self, parts: Collection[int], crash: PartCrash, server_id: str
@@ -130,10 +162,26 @@
             return False
         return self._deps.refuses_connections(server.address)
 
-    def record_answer(self, job: Job, begun_ms: float) -> None:
-        """Record that a request was answered, and when its answer began."""
+    def record_answer(self, job: Job, begun_ms: float, is_complete: bool) -> None:
+        """Record that a request was answered, and when its answer began.
+
+        Args:
+            job: The request.
+            begun_ms: Monotonic time at which its answer began.
+            is_complete: Whether it was answered to its end. Until then it may still
+                crash its server, whatever is known of its parts.
+        """
         if job.shared_parts:
-            self.record_answered_parts(_part_ids(job), begun_ms)
+            self.record_answered_parts(_shared_part_ids(job), begun_ms)
+        if is_complete and job.content_id:
+            now_ms = self._deps.clock.monotonic_ms()
+            self._apply(
+                lambda: self.evidence.record_content_answer(
+                    job.content_id, begun_ms, now_ms
+                ),
+                "answer",
+                "",
+            )
 
     def record_answered_parts(self, parts: Collection[int], begun_ms: float) -> None:
         """Record an answer to a request that holds these parts."""
@@ -155,18 +203,23 @@
         def merge_all() -> None:
             for wire in wire_parts:
                 crashes = [
-                    PartCrash(c.crash_id, now_ms - c.age_ms, c.was_answering)
+                    PartCrash(
+                        c.crash_id, now_ms - c.age_ms, c.was_answering, c.is_later
+                    )
                     for c in wire.crashes
                 ]
                 age_ms = wire.answered_age_ms
                 answered_ms = -math.inf if age_ms is None else now_ms - age_ms
-                self.evidence.merge(wire.part, crashes, answered_ms, now_ms)
+                self.evidence.merge(
+                    wire.part, crashes, answered_ms, now_ms, wire.is_content
+                )
 
         self._apply(merge_all, source, "")
 
     def _assess(self, job: Job) -> Assessment:
         now_ms = self._deps.clock.monotonic_ms()
-        return self.evidence.assess(_part_ids(job), now_ms)
+        content = [job.content_id] if job.content_id else []
+        return self.evidence.assess([*content, *_shared_part_ids(job)], now_ms)
 
     def _apply(self, change: Callable[[], object], source: str, server_id: str) -> None:
         """Make a change; if it matters to other hosts, log it and notify listeners."""
@@ -183,7 +236,7 @@
                     backend_server=server_id,
                     part=f"{part:x}",
                     crash_count=len(record.crashes),
-                    points=record.points,
+                    points=self.evidence.points_of(record),
                     suspicion=self.evidence.suspicion_of(part, now_ms).value,
                     source=source,
                 )
@@ -203,7 +256,14 @@
         )
 
 
-def _part_ids(job: Job) -> list[int]:
+def _condemned_reason(job: Job, assessment: Assessment) -> str:
+    if assessment.suspicion is not Suspicion.CONDEMNED:
+        return ""
+    is_content = assessment.part == job.content_id
+    return CONDEMNED_CONTENT_REASON if is_content else CONDEMNED_REASON
+
+
+def _shared_part_ids(job: Job) -> list[int]:
     return [_part_id(part) for part in job.shared_parts]
 
 
@@ -227,9 +287,14 @@
 
 def _wire_part(part: int, record: PartRecord, now_ms: float) -> WirePart:
     crashes = [
-        WirePartCrash(crash.crash_id, int(now_ms - crash.at_ms), crash.was_answering)
+        WirePartCrash(
+            crash.crash_id,
+            int(now_ms - crash.at_ms),
+            crash.was_answering,
+            crash.is_later,
+        )
         for crash in record.crashes
     ]
     has_answer = record.answered_ms > -math.inf
     age_ms = math.ceil(now_ms - record.answered_ms) if has_answer else None
-    return WirePart(part, crashes, age_ms)
+    return WirePart(part, crashes, age_ms, record.is_content)
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -64,12 +64,14 @@
         run_count: Attempts that have run or may have run.
         failure: Answer of a server with a server error status; the caller gets it
             when no other server answers.
+        sent_ms: Monotonic time at which the last attempt began.
     """
 
     def __init__(self) -> None:
         self.server_ids: list[str] = []
         self.run_count = 0
         self.failure: BufferedAnswer | None = None
+        self.sent_ms = 0.0
 
 
 def call_plain_service(deps: PlainCallDependencies, job: Job) -> BufferedAnswer:
@@ -110,6 +112,7 @@
                 placement.server,
                 len(progress.server_ids),
                 error,
+                progress.sent_ms,
             )
             last_error = _error_to_report(last_error, error)
             if not _may_retry(deps, job, progress, error, clock.monotonic_ms()):
@@ -135,7 +138,7 @@
     options = SendOptions(server.server_id, limit_ms, job.account_name)
     run = Run(server.server_id, 0, 0)
     deps.ledger.begin(run)
-    sent_ms = attempts.clock.monotonic_ms()
+    sent_ms = progress.sent_ms = attempts.clock.monotonic_ms()
     progress.run_count += 1
     try:
         opened = open_answer(attempts, job, server, options)
@@ -161,7 +164,7 @@
             f"the server failed with {opened.status}", RunVerdict.RAN, "failed"
         )
     if opened.status in SUCCESS_STATUSES:
-        attempts.part_guard.record_answer(job, sent_ms)
+        attempts.part_guard.record_answer(job, sent_ms, is_complete=True)
     attempts.placer.record_success(server, attempts.clock.monotonic_ms() - sent_ms)
     return buffered
 
--- a/src/gypsumfield/gateway/stream_progress.py
+++ b/src/gypsumfield/gateway/stream_progress.py
@@ -46,14 +46,14 @@
         self._last_event_ms = received_ms
         self._event_count += count
         if received_ms - self._first_event_ms >= ANSWER_CONFIRMATION_MS:
-            self._record_answer()
+            self._record_answer(is_complete=False)
 
     def record_complete(self, server_id: str, is_single_run: bool) -> None:
         """Record the end of the stream; one engine may have run it from its start."""
         job, deps = self._job, self._deps
         token_count = self._event_count * self._tokens_per_event
         if self._event_count:
-            self._record_answer()
+            self._record_answer(is_complete=True)
         if is_single_run:
             estimator = deps.placer.pace_estimator(job.service)
             elapsed_ms = self._last_event_ms - self._first_event_ms
@@ -102,7 +102,8 @@
             )
         )
 
-    def _record_answer(self) -> None:
-        if not self._is_answer_recorded:
+    def _record_answer(self, is_complete: bool) -> None:
+        if is_complete or not self._is_answer_recorded:
             self._is_answer_recorded = True
-            self._deps.part_guard.record_answer(self._job, self._first_event_ms)
+            begun_ms = self._first_event_ms
+            self._deps.part_guard.record_answer(self._job, begun_ms, is_complete)
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -23,7 +23,6 @@
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
-from gypsumfield.gateway.part_guard import CONDEMNED_REASON
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.placing import ServerPlacement
 from gypsumfield.gateway.plain_calls import ANSWER_LIMIT_BYTES
@@ -301,9 +300,11 @@
 
     def stop_if_condemned(self, guard: PartGuard) -> None:
         """Take the stream off an engine that it would crash with its first event."""
-        is_unanswered = self._is_at_engine and not self.event_count
-        if is_unanswered and guard.is_condemned(self.job):
-            self.job.abort.abort(CONDEMNED_REASON)
+        if not self._is_at_engine or self.event_count:
+            return
+        reason = guard.condemned_reason(self.job)
+        if reason:
+            self.job.abort.abort(reason)
 
     def abandon_engine(self) -> None:
         """Stop reading from an unreachable engine if the stream can be resumed.
@@ -367,6 +368,7 @@
             self.server,
             len(self._tried_ids),
             error,
+            self._progress.sent_ms,
             self.event_count,
         )
 
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -36,6 +36,7 @@
 UNCHANGED_LIMITS_PER_UPDATE = 2
 # Parts of prompts in one update, as for limits.
 CHANGED_PARTS_PER_UPDATE = 6
+NEWEST_PARTS_PER_UPDATE = 3
 UNCHANGED_PARTS_PER_UPDATE = 2
 # Hosts that a hello lists in addition to the best ranked of each zone.
 HELLO_HOST_COUNT = 4
@@ -219,12 +220,16 @@
             return []
         self._sent_parts_version = guard.evidence.version
         changed, unchanged = guard.evidence.to_pass_on(self.deps.clock.monotonic_ms())
-        due = changed[:CHANGED_PARTS_PER_UPDATE]
+        due = changed[:NEWEST_PARTS_PER_UPDATE]
+        # A crash may change many at once: the contents of all requests of its engine.
+        due += _take_turns(
+            changed[NEWEST_PARTS_PER_UPDATE:],
+            send_round.round_number,
+            CHANGED_PARTS_PER_UPDATE - len(due),
+        )
         if send_round.is_slow_heartbeat_due:
             due += _take_turns(
-                [*unchanged, *changed[CHANGED_PARTS_PER_UPDATE:]],
-                self._slow_round_number,
-                UNCHANGED_PARTS_PER_UPDATE,
+                unchanged, self._slow_round_number, UNCHANGED_PARTS_PER_UPDATE
             )
         return guard.wire_parts(due)
 
--- a/tests/deadly_fleet.py
+++ b/tests/deadly_fleet.py
@@ -8,6 +8,7 @@
 from edge_fleet import EdgeFleet
 from edge_fleet import read_answer
 from edge_fleet import worker_ip
+from fake_platform import complete_answer
 from fake_platform import event
 from fake_platform import registration
 from fake_platform import STREAM_END
@@ -19,6 +20,7 @@
 DEADLY_PART = "48720f3588ea"
 PROMPT_MS = 100.0
 DOWN_MS = 300.0
+KINDS = {"engine": "streaming", "plain": "idempotent", "once": "non_idempotent"}
 
 
 def prompt_headers(*parts):
@@ -35,6 +37,10 @@
     return [part.partition(":")[0] for part in prefix.split(",")][:-1]
 
 
+def has_deadly_part(request):
+    return DEADLY_PART in shared_parts(request)
+
+
 def is_closed_by_host(sock):
     """Return whether the host has closed the connection of a live engine."""
     sock.settimeout(0.0)
@@ -55,10 +61,13 @@
         dropped_count: Requests with the part whose host closed the connection before
             a live engine had answered; the engine drops them.
         begin_answer: Returns the bytes that an engine sends before it crashes.
+        is_deadly: Returns whether a request crashes the server that runs it.
+        run_ms: Time between the arrival of a request and its answer or crash.
     """
 
-    def __init__(self, host_count=3, engine_count=4, **service_kinds):
-        super().__init__(service_kinds or {"engine": "streaming"})
+    def __init__(self, host_count=3, engine_count=4, service="engine", **publication):
+        super().__init__({service: KINDS[service]})
+        self.service = service
         self.clock = system_clock()
         self.crashes = []
         self.deadly_arrivals = []
@@ -66,22 +75,24 @@
         self.begin_answer = stream_head
         self.hosts = []
         self.host_count = host_count
-        self.publish()
+        self.publish(**publication)
+        self.is_deadly = has_deadly_part
+        self.run_ms = PROMPT_MS
         for number in range(engine_count):
             zone = f"z{number % 2 + 1}"
-            self.add_server("engine", f"e{number}", self.responder(number), zone=zone)
+            self.add_server(service, f"e{number}", self.responder(number), zone=zone)
 
     def responder(self, number):
         return lambda request, sock: self.respond(number, request, sock)
 
     def respond(self, number, request, sock):
-        if "x-prompt-prefix" not in request["headers"]:
+        if "x-attempt-id" not in request["headers"]:
             sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             return None
-        is_deadly = DEADLY_PART in shared_parts(request)
+        is_deadly = self.is_deadly(request)
         if is_deadly:
             self.deadly_arrivals.append(self.clock.monotonic_ms())
-        gevent.sleep(PROMPT_MS / 1000)
+        gevent.sleep(self.run_ms / 1000)
         if is_deadly and is_closed_by_host(sock):
             self.dropped_count += 1
             return "close"
@@ -90,6 +101,9 @@
             gevent.sleep(0.01)
             self.crash(number)
             return "close"
+        if self.service != "engine":
+            sock.sendall(complete_answer(request))
+            return None
         sock.sendall(stream_head(request) + event(1) + event(2) + STREAM_END)
         return None
 
@@ -108,7 +122,7 @@
         number = int(server_id.removeprefix("e"))
         zone = f"z{number % 2 + 1}"
         key = f"servers/{server_id}"
-        self.store.put(key, registration("engine", server, zone=zone))
+        self.store.put(key, registration(self.service, server, zone=zone))
 
     def start_hosts(self):
         for number in range(self.host_count):
@@ -117,7 +131,7 @@
             wait_until(
                 lambda host=host: (
                     host.components.peers.live_count == self.host_count
-                    and len(host.components.catalogue.servers_of("engine"))
+                    and len(host.components.catalogue.servers_of(self.service))
                     == len(self.servers)
                 )
             )
@@ -140,6 +154,13 @@
         with contextlib.closing(request) as sock:
             return read_answer(sock)
 
+    def call_host(self, host_number, attempt, **kwargs):
+        """Send a request through one host; return its status, headers and body."""
+        self.settings = self.hosts[host_number][0]
+        request = self.send_request(f"/{self.service}/", attempt=attempt, **kwargs)
+        with contextlib.closing(request) as sock:
+            return read_answer(sock)
+
     def stop(self):
         for _, host in self.hosts:
             host.stop()
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -219,7 +219,7 @@
 STREAM_END = b"0\r\n\r\n"
 
 
-def publication(services, version=1, keys=("key-a",), routes=None):
+def publication(services, version=1, keys=("key-a",), routes=None, tenants=None):
     """Return a configuration document.
 
     ``services`` maps the name of each service to the kind of its route.
@@ -267,7 +267,7 @@
             "header_timeout_ms": 2000,
             "idle_timeout_ms": 5000,
         },
-        "tenants": [{"name": "account-a", "api_keys": list(keys)}],
+        "tenants": tenants or [{"name": "account-a", "api_keys": list(keys)}],
     }
 
 
--- a/tests/test_part_crashes.py
+++ b/tests/test_part_crashes.py
@@ -11,11 +11,12 @@
 from gypsumfield.decisions.part_crashes import MAX_RECORDS
 from gypsumfield.decisions.part_crashes import PartCrash
 from gypsumfield.decisions.part_crashes import PartCrashes
+from gypsumfield.decisions.part_crashes import PartRecord
 from gypsumfield.decisions.part_crashes import RECORD_LIFETIME_MS
 from gypsumfield.decisions.part_crashes import Suspicion
 from gypsumfield.decisions.part_crashes import VERDICT_LIFETIME_MS
 
-FIRST, OWN, DEADLY, SOUND = 1, 2, 3, 4
+FIRST, OWN, DEADLY, SOUND, CONTENT = 1, 2, 3, 4, 50
 
 
 def crash(number, at_ms, was_answering=True):
@@ -121,6 +122,94 @@
     assert is_condemned(evidence, [DEADLY], 1_600.0)
 
 
+def record_content(evidence, content, number, at_ms, sent_ms, was_answering=True):
+    engine_crash = PartCrash(number, at_ms, was_answering)
+    evidence.record_content_crash(content, engine_crash, sent_ms, at_ms)
+
+
+def test_a_retry_that_ends_the_next_engine_at_once_counts_as_a_second_crash():
+    evidence = PartCrashes()
+    record_content(evidence, CONTENT, 1, 100.0, 60.0)
+    assert not is_condemned(evidence, [CONTENT], 101.0)
+    record_content(evidence, CONTENT, 2, 140.0, 102.0)
+    assert is_condemned(evidence, [CONTENT], 141.0)
+
+
+def test_a_content_on_two_engines_of_one_rack_counts_once():
+    evidence = PartCrashes()
+    record_content(evidence, CONTENT, 1, 100.0, 60.0)
+    record_content(evidence, CONTENT, 2, 140.0, 70.0)
+    assert not is_condemned(evidence, [CONTENT], 141.0)
+
+
+def test_the_most_specific_explanation_goes_first():
+    evidence = PartCrashes()
+    for number, at_ms in enumerate((100.0, 500.0)):
+        record_content(evidence, CONTENT, number, at_ms, at_ms - 20.0)
+        evidence.record_crash([FIRST, OWN], crash(number, at_ms), at_ms)
+    assert is_condemned(evidence, [CONTENT, FIRST, OWN], 600.0)
+    assert not is_condemned(evidence, [CONTENT + 1, FIRST, OWN], 600.0)
+    assert not is_condemned(evidence, [FIRST, OWN], 600.0)
+
+
+def test_a_deadly_part_is_condemned_although_its_requests_were_repeated():
+    evidence = PartCrashes()
+    for number, content in enumerate((CONTENT, CONTENT, CONTENT + 1)):
+        at_ms = 400.0 * number
+        record_content(evidence, content, number, at_ms, at_ms - 20.0)
+        evidence.record_crash([DEADLY], crash(number, at_ms), at_ms)
+    assert is_condemned(evidence, [CONTENT + 2, DEADLY], 900.0)
+
+
+def test_contents_that_all_explain_the_crashes_are_not_condemned_after_two():
+    evidence = PartCrashes()
+    for number, at_ms in enumerate((100.0, 500.0)):
+        for content in (CONTENT, CONTENT + 1, CONTENT + 2):
+            record_content(evidence, content, number, at_ms, at_ms - 20.0)
+    for content in (CONTENT, CONTENT + 1, CONTENT + 2):
+        assert not is_condemned(evidence, [content], 600.0)
+    # The retries of the others are answered, so that one suspect remains.
+    for content in (CONTENT + 1, CONTENT + 2):
+        evidence.record_content_answer(content, 510.0, 600.0)
+    assert is_condemned(evidence, [CONTENT], 700.0)
+
+
+def test_engines_that_end_together_do_not_condemn_the_content_of_one_of_them():
+    evidence = PartCrashes()
+    for number, at_ms in enumerate((100.0, 900.0, 1_700.0)):
+        record_content(evidence, CONTENT, 10 + number, at_ms, at_ms - 20.0)
+        other = crash(20 + number, at_ms + 5.0)
+        evidence.record_crash([OWN], other, at_ms + 5.0)
+        evidence.record_answer([OWN], at_ms + 50.0, at_ms + 60.0)
+    assert not is_condemned(evidence, [CONTENT], 1_800.0)
+
+
+def test_an_answer_anywhere_clears_a_popular_content_also_if_it_arrives_first():
+    evidence = PartCrashes()
+    evidence.record_content_answer(CONTENT, 450.0, 470.0)
+    record_content(evidence, CONTENT, 1, 400.0, 380.0)
+    record_content(evidence, CONTENT, 2, 440.0, 410.0)
+    assert not is_condemned(evidence, [CONTENT], 480.0)
+
+
+def test_invented_contents_push_out_no_verdict_and_no_answer_of_a_part():
+    evidence = PartCrashes()
+    evidence.record_answer([FIRST], 50.0, 60.0)
+    for number, at_ms in enumerate((100.0, 900.0)):
+        record_content(evidence, CONTENT, number, at_ms, at_ms - 20.0)
+    for number in range(20_000):
+        now_ms = 1_000.0 + number
+        if number % 4:
+            evidence.record_content_answer(10**6 + number, now_ms, now_ms)
+        else:
+            record_content(evidence, 10**6 + number, 100 + number, now_ms, now_ms - 1.0)
+    changed, unchanged = evidence.to_pass_on(21_000.0)
+    assert len(changed) + len(unchanged) <= MAX_RECORDS
+    assert is_condemned(evidence, [CONTENT], 21_000.0)
+    evidence.merge(FIRST, [crash(1, 40.0)], -math.inf, 21_000.0)
+    assert not (evidence.find(FIRST) or PartRecord()).crashes
+
+
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 2**32), st.booleans())
 def test_the_deadly_part_alone_is_condemned_within_five_crashes(seed, sends_head):
@@ -161,3 +250,28 @@
         evidence.merge(part, crashes, answered_ms, 1_100.0)
     assert is_condemned(evidence, [DEADLY], 1_200.0)
     assert not is_condemned(evidence, [FIRST], 1_200.0)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 2**32), st.integers(1, 6))
+def test_servers_that_end_by_overload_condemn_no_request(seed, server_count):
+    """Each request is in flight at one crash after the other, like many others."""
+    rng = random.Random(seed)
+    evidence = PartCrashes()
+    at_ms = 0.0
+    for number in range(3):
+        at_ms += rng.uniform(30.0, 2_000.0)
+        for content in range(20):
+            if rng.random() < 1.0 / server_count:
+                record_content(evidence, content, number, at_ms, at_ms - 25.0)
+    condemned = [c for c in range(20) if is_condemned(evidence, [c], at_ms + 1.0)]
+    holders = [
+        {c for c in range(20) if evidence.find(c) and n in ids(evidence, c)}
+        for n in range(3)
+    ]
+    # Only a request that was alone on two servers when they ended.
+    assert all(sum(h == {c} for h in holders) >= 1 for c in condemned)
+
+
+def ids(evidence, content):
+    return {engine_crash.crash_id for engine_crash in evidence.find(content).crashes}
--- a/tests/test_part_evidence_fleet.py
+++ b/tests/test_part_evidence_fleet.py
@@ -6,6 +6,8 @@
 
 from gypsumfield.decisions.part_crashes import PartCrash
 from gypsumfield.decisions.part_crashes import Suspicion
+from gypsumfield.gateway.host_updates import WirePart
+from gypsumfield.gateway.host_updates import WirePartCrash
 from virtual_fleet import VirtualFleet
 
 FIRST, OWN, DEADLY = 11, 22, 33
@@ -45,6 +47,26 @@
     fleet.run_until(lambda: all(map(knows, fleet.hosts)), CONTACT_MS)
 
 
+def test_all_hosts_know_a_deadly_content_among_many_that_were_in_flight(fleet):
+    content = 10**9
+    reporters = random.Random(4).sample(fleet.hosts, 2)
+    for number, host in enumerate(reporters):
+        in_flight = [content, *range(1000 * number, 1000 * number + 20)]
+        host.part_guard.store_parts(
+            [
+                WirePart(part, [WirePartCrash(number, 0, True)], None, True)
+                for part in in_flight
+            ],
+            "crash",
+        )
+        fleet.run(200.0)
+        for part in in_flight[1:]:
+            host.part_guard.store_parts([WirePart(part, [], 0, True)], "answer")
+    fleet.run_until(
+        lambda: all(knows(host, [content]) for host in fleet.hosts), CONTACT_MS
+    )
+
+
 def test_all_hosts_know_a_deadly_part_although_datagrams_are_lost(fleet):
     fleet.loss_ratio = 0.1
     crash_engines(fleet, random.Random(2).sample(fleet.hosts, 2))
