Reject odd entries of the store one by one, whatever they contain

Here: a nested entry or an odd revision raised an error that nothing caught or rejected the whole listing, so that the host listed again and again and followed nothing; ports of 99999, -1, 0 and 8_0, negative slots and times, a line end in an address and starts above 64 bits were accepted. The class of fault: data from outside are decoded in several places, each with its own list of errors.

One function decodes now what comes from outside, into types with bounds; any error is the rejection of that entry, and the others hold. Items of a listing or a watch are decoded one by one. A rejection is logged once for each key and reason. A page of a listing without a next one, and an era of 5,000 digits, are errors too. A test of the other surface asserted the decoder's own error type, and asserts the new one.

--- a/src/gypsumfield/adapters/callers.py
+++ b/src/gypsumfield/adapters/callers.py
@@ -24,7 +24,9 @@
 from gypsumfield.caller_api import error_body
 from gypsumfield.caller_api import event_encoder
 from gypsumfield.caller_api import retry_after_seconds
+from gypsumfield.decoding import decode
 from gypsumfield.exceptions import CallerGoneError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.request_validation import GenerationRequest
@@ -79,8 +81,8 @@
         data = _read_body(req, self._body_limit_bytes)
         body_type = ChatBody if self._is_chat else CompletionBody
         try:
-            body: Any = msgspec.json.decode(data, type=body_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            body: Any = decode(msgspec.json.Decoder(body_type), data)
+        except InvalidDataError as error:
             raise RefusedError(Refusal(400, "bad_body", f"body: {error}")) from error
         prompt = chat_prompt(body.messages) if self._is_chat else body.prompt
         return GenerationRequest(
--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -13,6 +13,7 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.backends import refusal_error
+from gypsumfield.decoding import decode
 from gypsumfield.engine_api import EngineRefusal
 from gypsumfield.engine_api import Inventory
 from gypsumfield.engine_api import Order
@@ -20,6 +21,7 @@
 from gypsumfield.engine_api import StartGeneration
 from gypsumfield.engine_api import TokenEvent
 from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.verdicts import RunVerdict
 
 REFUSAL_LIMIT_BYTES = 65_536
@@ -33,6 +35,8 @@
 AnswerT = TypeVar("AnswerT")
 
 _token_decoder = msgspec.json.Decoder(TokenEvent)
+_refusal_decoder = msgspec.json.Decoder(EngineRefusal)
+_outcome_decoder = msgspec.json.Decoder(OrderOutcome)
 
 
 class EngineStream:
@@ -66,8 +70,8 @@
 
     def _decode(self, data: str) -> TokenEvent:
         try:
-            event = _token_decoder.decode(data)
-        except msgspec.MsgspecError as error:
+            event = decode(_token_decoder, data.encode())
+        except InvalidDataError as error:
             raise self._stream_error(f"a token event is damaged: {error}") from error
         if event.generation_id != self._generation_id:
             raise self._stream_error("a token event belongs to another generation")
@@ -177,8 +181,8 @@
     if status != STATUS_OK:
         raise BackendError(f"{target} answered {status}", RunVerdict.RAN)
     try:
-        return msgspec.json.decode(body, type=answer_type)
-    except msgspec.MsgspecError as error:
+        return decode(msgspec.json.Decoder(answer_type), body)
+    except InvalidDataError as error:
         raise BackendError(f"{target}: {error}", RunVerdict.RAN) from error
 
 
@@ -205,8 +209,8 @@
 def _refusal_error(status: int, body: bytes) -> BackendError:
     if status in REFUSAL_STATUSES:
         try:
-            error = msgspec.json.decode(body, type=EngineRefusal).error
-        except msgspec.MsgspecError:
+            error = decode(_refusal_decoder, body).error
+        except InvalidDataError:
             # Without the engine's error body, it is unknown whether the request ran.
             return BackendError(f"engine answered {status}", RunVerdict.MAY_HAVE_RUN)
         return refusal_error(error.message, error.code, error.retry_after_ms)
@@ -247,6 +251,6 @@
     if status not in (STATUS_OK, STATUS_CONFLICT):
         raise _refusal_error(status, body)
     try:
-        return msgspec.json.decode(body, type=OrderOutcome)
-    except msgspec.MsgspecError as error:
+        return decode(_outcome_decoder, body)
+    except InvalidDataError as error:
         raise BackendError(f"/v1/orders: {error}", RunVerdict.RAN) from error
--- a/src/gypsumfield/adapters/platform.py
+++ b/src/gypsumfield/adapters/platform.py
@@ -9,6 +9,8 @@
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.configuration import ConfigurationDelta
+from gypsumfield.decoding import decode
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import PlatformError
 from gypsumfield.platform_api import MemberList
 
@@ -73,8 +75,8 @@
 
 def _decode(body: bytes, answer_type: type[AnswerT], target: str) -> AnswerT:
     try:
-        return msgspec.json.decode(body, type=answer_type)
-    except msgspec.MsgspecError as error:
+        return decode(msgspec.json.Decoder(answer_type), body)
+    except InvalidDataError as error:
         raise PlatformError(
             f"invalid answer of the platform to {target}: {error}"
         ) from error
--- a/src/gypsumfield/control_loop.py
+++ b/src/gypsumfield/control_loop.py
@@ -7,7 +7,6 @@
 from typing import TypeVar
 
 import gevent
-import msgspec
 from gevent.event import AsyncResult
 from returns.result import Failure
 from returns.result import Result
@@ -20,6 +19,7 @@
 from gypsumfield.envelopes import decode_envelope
 from gypsumfield.envelopes import encode_message
 from gypsumfield.envelopes import Envelope
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.messages import ControlMessage
 
@@ -244,7 +244,7 @@
         try:
             envelope = decode_envelope(frame)
             message = decode_body(envelope)
-        except msgspec.MsgspecError as error:
+        except InvalidDataError as error:
             self._refuse_frame(f"frame cannot be decoded: {error}")
             return
         if not self._transport.is_peer_key(envelope.sender, public_key):
--- a/src/gypsumfield/envelopes.py
+++ b/src/gypsumfield/envelopes.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from gypsumfield.decoding import decode
 from gypsumfield.messages import AnyMessage
 from gypsumfield.messages import ControlMessage
 
@@ -41,15 +42,15 @@
     """Return the envelope of a frame; its body is still encoded.
 
     Raises:
-        msgspec.MsgspecError: The data is not a valid envelope.
+        InvalidDataError: The data is not a valid envelope.
     """
-    return _ENVELOPE_DECODER.decode(data)
+    return decode(_ENVELOPE_DECODER, data)
 
 
 def decode_body(envelope: Envelope) -> AnyMessage:
     """Return the message in an envelope.
 
     Raises:
-        msgspec.MsgspecError: The message type is unknown or a field is invalid.
+        InvalidDataError: The message type is unknown or a field is invalid.
     """
-    return _BODY_DECODER.decode(envelope.body)
+    return decode(_BODY_DECODER, envelope.body)
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -17,6 +17,10 @@
     """A published value cannot be used; the message names key and field."""
 
 
+class InvalidDataError(GypsumfieldError):
+    """Data from outside the process are malformed or out of bounds."""
+
+
 class CursorError(GypsumfieldError):
     """A cursor is invalid or of another account, or no key can seal a new one."""
 
--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -15,7 +15,6 @@
 from gypsumfield.gateway.events import EvacuationChanged
 from gypsumfield.gateway.events import ItemIgnored
 from gypsumfield.gateway.events import PublicationInForce
-from gypsumfield.gateway.events import PublicationRejected
 from gypsumfield.gateway.events import StoreRestored
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import EngineSpec
@@ -29,6 +28,7 @@
 from gypsumfield.gateway.published_items import PublishedItems
 from gypsumfield.gateway.published_items import Resolution
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.rejections import Rejections
 from gypsumfield.gateway.restoration import is_of_other_era
 from gypsumfield.gateway.restoration import resolve_configuration
 from gypsumfield.gateway.restoration import resolve_copied_item
@@ -56,6 +56,7 @@
         self._decoders = decoders
         self._clock = clock
         self._emit = emit
+        self._rejections = Rejections(emit)
         self._items = PublishedItems(decoders.is_configuration)
         self._records: dict[str, ServerRecord] = {}
         # Wall-clock start of the server and monotonic time of the announcement.
@@ -313,13 +314,8 @@
                     f"version {current_version} in force"
                 )
         except ConfigurationError as error:
-            self._emit(
-                PublicationRejected(
-                    revision=item.revision,
-                    kept_version=current_version,
-                    reason=str(error),
-                    source=source,
-                )
+            self._rejections.record(
+                item.key, str(error), source, item.revision, current_version
             )
             return None
         return publication
@@ -348,14 +344,7 @@
         try:
             server = self._decoders.server(item.key, item.value, item.revision)
         except ConfigurationError as error:
-            self._emit(
-                PublicationRejected(
-                    revision=item.revision,
-                    kept_version=0,
-                    reason=str(error),
-                    source=source,
-                )
-            )
+            self._rejections.record(item.key, str(error), source, item.revision)
             return
         leaving = self._leaving_starts.get(server.server_id)
         if leaving is not None and leaving[0] == server.started_wall_ms:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -2,11 +2,8 @@
 
 import random
 import uuid
-from typing import Any
 from typing import NamedTuple
 
-from gypsumfield.adapters.caller_server import CallerServer
-from gypsumfield.adapters.caller_server import ConnectionLimits
 from gypsumfield.adapters.caller_server import RequestTracker
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import refuses_connections
@@ -24,19 +21,16 @@
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.edge_host import EdgeComponents
 from gypsumfield.gateway.edge_host import EdgeHost
-from gypsumfield.gateway.edge_host import EdgeServers
+from gypsumfield.gateway.edge_servers import build_servers
 from gypsumfield.gateway.engine_reports import EngineReportCache
 from gypsumfield.gateway.engine_reports import EngineReportPoller
 from gypsumfield.gateway.engine_reports import ReportPollerDependencies
 from gypsumfield.gateway.follower import FollowerDependencies
 from gypsumfield.gateway.follower import StoreFollower
-from gypsumfield.gateway.http_endpoints import build_readiness_application
-from gypsumfield.gateway.http_endpoints import build_view_application
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import can_back_up
 from gypsumfield.gateway.model import can_move
-from gypsumfield.gateway.model import DEFAULT_CONNECTION_LIMITS
 from gypsumfield.gateway.model import tokens_per_event
 from gypsumfield.gateway.part_guard import GuardDependencies
 from gypsumfield.gateway.part_guard import PartGuard
@@ -48,6 +42,7 @@
 from gypsumfield.gateway.protection import ProtectionDependencies
 from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.published_items import Decoders
+from gypsumfield.gateway.rejections import Rejections
 from gypsumfield.gateway.run_copies import CopyDependencies
 from gypsumfield.gateway.server_notices import NoticeDependencies
 from gypsumfield.gateway.server_notices import ServerNotices
@@ -127,7 +122,13 @@
     )
     fleet.catalogue.on_change(protector.check_leaving_engines)
     metrics.read_state = lambda: _read_state(fleet, serving)
-    servers = _build_servers(common, fleet, serving)
+    servers = build_servers(
+        settings,
+        fleet.catalogue,
+        serving.request_tracker,
+        metrics,
+        fleet.pull.encode_view,
+    )
     components = EdgeComponents(
         request_tracker=serving.request_tracker,
         servers=servers,
@@ -171,6 +172,7 @@
         clock,
         emit,
     )
+    rejections = Rejections(emit)
     ledger = Ledger()
     report_cache = EngineReportCache(catalogue, clock)
     notices = ServerNotices(NoticeDependencies(catalogue, clock, emit))
@@ -180,7 +182,10 @@
     follower = StoreFollower(
         FOLLOWED_PREFIX,
         FollowerDependencies(
-            source=StoreClient(settings.store_address),
+            source=StoreClient(
+                settings.store_address,
+                lambda reason: rejections.record(reason, reason, "store"),
+            ),
             catalogue=catalogue,
             # ``peers`` is built below; the follower calls it only after its start.
             should_watch=lambda: peers.should_watch_store(),
@@ -352,35 +357,6 @@
     )
 
 
-def _build_servers(
-    common: _CommonParts, fleet: _Fleet, serving: _Serving
-) -> EdgeServers:
-    settings, catalogue = common.settings, fleet.catalogue
-    request_tracker = serving.request_tracker
-
-    def is_ready() -> bool:
-        return catalogue.publication is not None and not request_tracker.is_draining
-
-    def read_limits() -> ConnectionLimits:
-        return (
-            catalogue.publication.limits
-            if catalogue.publication
-            else DEFAULT_CONNECTION_LIMITS
-        )
-
-    pages = build_readiness_application(is_ready, common.metrics.render)
-    return EdgeServers(
-        callers=CallerServer(
-            split_address(settings.caller_address), request_tracker, read_limits
-        ),
-        readiness=_page_server(settings.readiness_address, pages),
-        peers=_page_server(
-            settings.peer_address, build_view_application(fleet.pull.encode_view)
-        ),
-        metrics=_page_server(settings.metrics_address, pages),
-    )
-
-
 def _build_reserve(fleet: _Fleet, placer: Placer) -> Reserve:
     def reserve(server: BackendServer, tokens: int) -> str | None:
         spec = fleet.catalogue.engine_spec(server.service)
@@ -391,7 +367,3 @@
         return fleet.engines.reserve(server, tokens, spec.reservation_ms)
 
     return reserve
-
-
-def _page_server(address: str, application: Any) -> CallerServer:
-    return CallerServer(split_address(address), RequestTracker(application))
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from gypsumfield.decoding import decode
+from gypsumfield.exceptions import InvalidDataError
+
 # Views are mostly JSON with repeated names, so the fastest level compresses them well.
 VIEW_COMPRESSION_LEVEL = 1
 MAX_VIEW_BYTES = 16 * 1_048_576
@@ -295,9 +298,9 @@
     """Return the update in a datagram.
 
     Raises:
-        msgspec.MsgspecError: The datagram holds no update.
+        InvalidDataError: The datagram holds no update.
     """
-    return _UPDATE_DECODER.decode(data)
+    return decode(_UPDATE_DECODER, data)
 
 
 def encode_view(view: View) -> bytes:
@@ -309,13 +312,13 @@
     """Return the view in an answer.
 
     Raises:
-        msgspec.MsgspecError: The data hold no view, or one above ``MAX_VIEW_BYTES``.
+        InvalidDataError: The data hold no view, or one above ``MAX_VIEW_BYTES``.
     """
     decompressor = zlib.decompressobj()
     try:
         payload = decompressor.decompress(data, MAX_VIEW_BYTES)
     except zlib.error as error:
-        raise msgspec.DecodeError(f"view: {error}") from error
+        raise InvalidDataError(f"view: {error}") from error
     if not decompressor.eof:
-        raise msgspec.DecodeError("view: truncated, or larger than the limit")
-    return _VIEW_DECODER.decode(payload)
+        raise InvalidDataError("view: truncated, or larger than the limit")
+    return decode(_VIEW_DECODER, payload)
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -10,7 +10,6 @@
 
 import gevent
 import gevent.socket
-import msgspec
 from gevent.event import Event as Signal
 
 from gypsumfield.clock import Clock
@@ -18,6 +17,7 @@
 from gypsumfield.decisions.fleet_shares import cold_bound_per_s
 from gypsumfield.decisions.fleet_shares import cold_share_per_s
 from gypsumfield.decisions.ownership import rank_hosts
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.gateway.advice import Adviser
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReportCache
@@ -327,7 +327,7 @@
         """Decode and handle one datagram from the network."""
         try:
             update = decode_update(datagram)
-        except msgspec.MsgspecError:
+        except InvalidDataError:
             # Other programs may send to the port; their datagrams are ignored.
             return
         if update.sender.host_id != self._roster.own_card.host_id:
--- a/src/gypsumfield/gateway/view_pull.py
+++ b/src/gypsumfield/gateway/view_pull.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 import gevent
-import msgspec
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
@@ -13,6 +12,7 @@
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.clock import Clock
 from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.events import PullFailed
 from gypsumfield.gateway.events import ViewPulled
@@ -118,7 +118,7 @@
             if after_revision is None:
                 after_revision = self._deps.catalogue.revision
             view = self._fetch(ip, after_revision)
-        except (BackendError, msgspec.MsgspecError) as error:
+        except (BackendError, InvalidDataError) as error:
             # The next update starts another attempt, with this or another peer.
             self._deps.emit(PullFailed(peer=host_id, reason=str(error)))
             return
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -7,7 +7,15 @@
 import msgspec
 
 from gypsumfield.adapters.caller_server import ConnectionLimits
+from gypsumfield.decoding import check_address
+from gypsumfield.decoding import check_name
+from gypsumfield.decoding import decode
+from gypsumfield.decoding import DurationMs
+from gypsumfield.decoding import Name
+from gypsumfield.decoding import PositiveCount
+from gypsumfield.decoding import Timestamp
 from gypsumfield.exceptions import ConfigurationError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.gateway.model import Account
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
@@ -90,13 +98,13 @@
 
 
 class _WireServer(msgspec.Struct):
-    service: str
+    service: Name
     address: str
-    zone: str
+    zone: Name
     state: str
-    slot_count: int = 1
-    cold_remaining_ms: float = 0.0
-    born: int = 0
+    slot_count: PositiveCount = 1
+    cold_remaining_ms: DurationMs = 0.0
+    born: Timestamp = 0
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_WireConfiguration)
@@ -110,9 +118,9 @@
         ConfigurationError: The document is invalid; the message names the field.
     """
     try:
-        wire = _CONFIGURATION_DECODER.decode(data)
+        wire = decode(_CONFIGURATION_DECODER, data)
         routes = tuple(_convert_route(route) for route in wire.routes)
-    except (msgspec.MsgspecError, UnicodeDecodeError, KeyError) as error:
+    except (InvalidDataError, KeyError) as error:
         raise ConfigurationError(f"{CONFIGURATION_KEY}: {error}") from error
     return Publication(
         version=wire.version,
@@ -141,18 +149,16 @@
             expected fields; the message names the key.
     """
     try:
-        wire = _SERVER_DECODER.decode(data)
+        server_id = check_name(key.removeprefix(SERVER_PREFIX))
+        wire = decode(_SERVER_DECODER, data)
         is_leaving = _IS_LEAVING_BY_STATE[wire.state]
-        address, _, port = wire.address.rpartition(":")
-        int(port)
-    except (msgspec.MsgspecError, UnicodeDecodeError, KeyError, ValueError) as error:
-        raise ConfigurationError(f"{key}: {error!r}") from error
-    if not address:
-        raise ConfigurationError(f"{key}: address: the IP address is missing")
+        address = check_address(wire.address)
+    except (InvalidDataError, KeyError) as error:
+        raise ConfigurationError(f"{key}: {error}") from error
     return BackendServer(
-        server_id=key.removeprefix(SERVER_PREFIX),
+        server_id=server_id,
         service=wire.service,
-        address=wire.address,
+        address=address,
         availability_zone=wire.zone,
         slot_count=wire.slot_count,
         is_leaving=is_leaving,
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -14,7 +14,13 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.clock import MS_PER_S
+from gypsumfield.decoding import Count
+from gypsumfield.decoding import decode
+from gypsumfield.decoding import Decoder
+from gypsumfield.decoding import Name
+from gypsumfield.decoding import Timestamp
 from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.gateway.calls import AnswerMetadata
 from gypsumfield.gateway.calls import CopyResult
 from gypsumfield.gateway.calls import EngineRuns
@@ -43,25 +49,31 @@
     # Time until the engine stops, if it knows.
     leaves_ms: float | None = None
     # Requests that wait for a slot at the engine.
-    queued: int = 0
+    queued: Count = 0
     # Key-value cache memory that cannot be evicted; excludes reusable prefixes.
-    kv_used: int = 0
+    kv_used: Count = 0
 
 
 class _WireRuns(msgspec.Struct):
-    born: int = 0
+    born: Timestamp = 0
     # Lists of request id, tokens in memory, events made and priority.
     executions: Any = None
 
 
 class _WireMove(msgspec.Struct):
-    handle: Any = ""
+    handle: Name | Timestamp | None = ""
     # Number of events generated so far, not a timestamp.
-    created: int = 0
+    created: Count = 0
 
 
 class _WireHold(msgspec.Struct):
-    hold: Any
+    hold: Name | Timestamp
+
+
+_REPORT_DECODER = msgspec.json.Decoder(_WireReport)
+_RUNS_DECODER = msgspec.json.Decoder(_WireRuns)
+_MOVE_DECODER = msgspec.json.Decoder(_WireMove)
+_HOLD_DECODER = msgspec.json.Decoder(_WireHold)
 
 
 class _Answer(NamedTuple):
@@ -94,7 +106,7 @@
         Raises:
             BackendError: The engine did not answer, or its answer is invalid.
         """
-        report = self._read_report(server, _WireReport)
+        report = self._read_report(server, _REPORT_DECODER)
         return EngineState(
             is_leaving=report.state == "draining" or report.leaves_ms is not None,
             waiting_count=report.queued,
@@ -107,7 +119,7 @@
         Raises:
             BackendError: The engine did not answer, or its answer is invalid.
         """
-        report = self._read_report(server, _WireRuns)
+        report = self._read_report(server, _RUNS_DECODER)
         entries = report.executions if isinstance(report.executions, list) else []
         return EngineRuns(report.born, dict(_event_counts(entries)))
 
@@ -149,8 +161,8 @@
         answer = self._call(server, "POST", "/-/kv-move", body, timeouts)
         is_complete = answer.status == OK_STATUS
         try:
-            move = msgspec.json.decode(answer.body, type=_WireMove)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            move = decode(_MOVE_DECODER, answer.body)
+        except InvalidDataError:
             # A refusal may have no body.
             move = _WireMove()
             is_complete = False
@@ -180,18 +192,18 @@
                 RunVerdict.NOT_RUN,
             )
         try:
-            return str(msgspec.json.decode(answer.body, type=_WireHold).hold)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return str(decode(_HOLD_DECODER, answer.body).hold)
+        except InvalidDataError as error:
             raise BackendError(f"reservation: {error}", RunVerdict.NOT_RUN) from error
 
     def _read_report(
-        self, server: BackendServer, report_type: type[_ReportT]
+        self, server: BackendServer, decoder: Decoder[_ReportT]
     ) -> _ReportT:
         timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
         answer = self._call(server, "GET", REPORT_TARGET, b"", timeouts)
         try:
-            return msgspec.json.decode(answer.body, type=report_type)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return decode(decoder, answer.body)
+        except InvalidDataError as error:
             raise BackendError(f"report: {error}", RunVerdict.NOT_RUN) from error
 
     def _call(
--- a/src/gypsumfield/platform/headers.py
+++ b/src/gypsumfield/platform/headers.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the headers of requests to servers and of their answers."""
 
+import re
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -41,6 +42,7 @@
 INVALID_HEADER_LOG_LIMIT = 60
 KEY_SCHEME = "Token "
 
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -197,11 +199,7 @@
 
 
 def _parse_number(text: str) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if 0.0 <= value < 1e12 else None
+    return float(text) if _NUMBER.fullmatch(text) else None
 
 
 WIRE_FORMAT = WireFormat(
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -2,6 +2,9 @@
 
 import base64
 import binascii
+import re
+from collections.abc import Callable
+from typing import Annotated
 from typing import NamedTuple
 from typing import TypeVar
 from urllib.parse import quote
@@ -13,10 +16,15 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.decoding import decode
+from gypsumfield.decoding import Decoder
+from gypsumfield.decoding import Name
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import HistoryGoneError
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import PlatformError
 from gypsumfield.gateway.published_items import combine_revision
+from gypsumfield.gateway.published_items import ERA_FACTOR
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import store_revision_of
 from gypsumfield.gateway.published_items import StoreItem
@@ -33,6 +41,8 @@
 _ID_HEADER = "X-Call-Id"
 # Rises by one each time the store has been restored from a copy.
 ERA_HEADER = "Store-Era"
+# Combined revisions fit into 64 bits.
+_ERA_PATTERN = re.compile("[0-9]{1,6}")
 
 
 class Listing(NamedTuple):
@@ -48,26 +58,30 @@
     revision: int
 
 
+StoreRevision = Annotated[int, msgspec.Meta(ge=0, lt=ERA_FACTOR)]
+
+
 class _WireItem(msgspec.Struct):
-    key: str
-    revision: int
+    key: Name
+    revision: StoreRevision
     value: str = ""
     deleted: bool = False
 
 
 class _WirePage(msgspec.Struct):
-    at: int
-    entries: list[_WireItem] = []
+    at: StoreRevision
+    entries: list[msgspec.Raw] = []
     has_more: bool = False
 
 
 class _WireEvents(msgspec.Struct):
-    at: int
-    events: list[_WireItem] = []
+    at: StoreRevision
+    events: list[msgspec.Raw] = []
 
 
 _PAGE_DECODER = msgspec.json.Decoder(_WirePage)
 _EVENTS_DECODER = msgspec.json.Decoder(_WireEvents)
+_ITEM_DECODER = msgspec.json.Decoder(_WireItem)
 _AnswerT = TypeVar("_AnswerT")
 
 
@@ -78,12 +92,18 @@
 
     Args:
         address: ``IP:PORT`` of the store.
+        record_invalid_item: Called with the reason for each entry that is no item.
 
     Attributes:
         era: Highest era that an answer has named, or 0.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        record_invalid_item: Callable[[str], None] = lambda _reason: None,
+    ) -> None:
+        self._record_invalid_item = record_invalid_item
         self._address = address
         self.era = 0
         self._pool = ConnectionPool()
@@ -108,10 +128,14 @@
                 first_revision = combine_revision(first_era, page.at)
             if self.era != first_era:
                 raise PlatformError("store: it was restored during a listing")
-            items.extend(_convert_item(entry, self.era) for entry in page.entries)
+            page_items = self._valid_items(page.entries)
+            items.extend(page_items)
             if not page.has_more or not page.entries:
                 return Listing(items, first_revision)
-            after = page.entries[-1].key
+            last_key = page_items[-1].key if page_items else ""
+            if last_key <= after:
+                raise PlatformError("store: a page of the listing has no next one")
+            after = last_key
 
     def watch(
         self, prefix: str, after_revision: int, wait_ms: int
@@ -142,13 +166,22 @@
             # The new history may already have passed the revision, without a 410.
             raise HistoryGoneError("the store was restored from a copy")
         events = _decode(_EVENTS_DECODER, body)
-        items = [_convert_item(event, self.era) for event in events.events]
-        return items, combine_revision(self.era, events.at)
+        return self._valid_items(events.events), combine_revision(self.era, events.at)
 
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.close()
 
+    def _valid_items(self, entries: list[msgspec.Raw]) -> list[StoreItem]:
+        """Return the items of an answer; others than items are left out."""
+        items = []
+        for entry in entries:
+            try:
+                items.append(_convert_item(decode(_ITEM_DECODER, entry), self.era))
+            except InvalidDataError as error:
+                self._record_invalid_item(str(error))
+        return items
+
     def _call(self, target: str, timeout_ms: float) -> bytes:
         request = OutgoingRequest(
             self._address, "GET", target, {}, b"", "", _ID_HEADER, must_echo_id=False
@@ -183,13 +216,13 @@
 def _decode_era(headers: list[tuple[str, str]]) -> int:
     values = {name.lower(): value.strip() for name, value in headers}
     text = values.get(ERA_HEADER.lower(), "")
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return int(text) if _ERA_PATTERN.fullmatch(text) else 0
 
 
-def _decode(decoder: msgspec.json.Decoder[_AnswerT], body: bytes) -> _AnswerT:
+def _decode(decoder: Decoder[_AnswerT], body: bytes) -> _AnswerT:
     try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode(decoder, body)
+    except InvalidDataError as error:
         raise PlatformError(f"store: the answer is invalid: {error}") from error
 
 
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -18,6 +18,7 @@
 
     Attributes:
         era: Number that each answer names; rises with each restoration.
+        odd_events: Entries that are sent with each answer to a watch.
         forgets_positions: Whether a watch from a revision that a restored store does
             not have gets 410.
     """
@@ -27,6 +28,7 @@
         self.forgets_positions = True
         self.items = {}
         self.history = []
+        self.odd_events = []
         self.revision = 1
         self.is_down = False
         self.oldest_revision = 0
@@ -102,7 +104,8 @@
         )
 
     def _changes_after(self, revision):
-        return [item for item in self.history if item["revision"] > revision]
+        changes = [item for item in self.history if item["revision"] > revision]
+        return changes and [*self.odd_events, *changes]
 
     def _send_json(self, start_response, body):
         headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -4,6 +4,7 @@
 from gypsumfield.envelopes import decode_body
 from gypsumfield.envelopes import decode_envelope
 from gypsumfield.envelopes import encode_message
+from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.messages import Heartbeat
 from gypsumfield.messages import MemberRecord
 from gypsumfield.messages import ValuesDigest
@@ -39,5 +40,5 @@
 @pytest.mark.parametrize("body", [[99, 1], "text", [5, 1, "members", "nine"]])
 def test_unknown_or_invalid_body_is_an_error(body):
     raw = msgspec.msgpack.encode(["a", "b", 1, 0, body])
-    with pytest.raises(msgspec.MsgspecError):
+    with pytest.raises(InvalidDataError):
         decode_body(decode_envelope(raw))
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,180 @@
+"""Odd entries of another writer among those of the servers."""
+
+import json
+
+import pytest
+
+from edge_fleet import EdgeFleet
+from fake_platform import complete_answer
+from fake_platform import registration
+from fake_platform import wait_until
+from gypsumfield.exceptions import ConfigurationError
+from gypsumfield.platform.documents import decode_publication
+from gypsumfield.platform.documents import decode_server
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+SOUND = {
+    "service": "plain",
+    "address": "127.0.0.1:9",
+    "zone": "z1",
+    "state": "ready",
+    "slot_count": 8,
+    "cold_remaining_ms": 0,
+    "born": 7,
+}
+
+
+def entry(**changes):
+    return json.dumps({**SOUND, **changes}).encode()
+
+
+def raw_entry(name, text):
+    """Return an entry whose field has a value that Python's JSON would not write."""
+    return entry(**{name: "@"}).replace(b'"@"', text)
+
+
+ODD_ENTRIES = {
+    "port-99999": entry(address="127.0.0.1:99999"),
+    "port-negative": entry(address="127.0.0.1:-1"),
+    "port-0": entry(address="127.0.0.1:0"),
+    "port-underscore": entry(address="127.0.0.1:8_0"),
+    "port-digits-of-another-script": entry(address="127.0.0.1:٨٠"),
+    "no-port": entry(address="127.0.0.1"),
+    "no-ip": entry(address="engine.example:80"),
+    "line-end": entry(address="127.0.0.1\r\nX-A: 1:80"),
+    "slots-negative": entry(slot_count=-5),
+    "slots-none": entry(slot_count=0),
+    "slots-huge": raw_entry("slot_count", b"1" + b"0" * 400),
+    "cold-negative": entry(cold_remaining_ms=-1e308),
+    "cold-infinite": raw_entry("cold_remaining_ms", b"1e999"),
+    "born-above-64-bits": entry(born=2**70),
+    "born-negative": entry(born=-1),
+    "nested": raw_entry("service", NESTED),
+    "nested-unknown-field": entry()[:-1] + b',"x":' + NESTED + b"}",
+    "nested-whole": NESTED,
+    "no-json": b"\xff\x00",
+    "state-unknown": entry(state="odd"),
+    "service-empty": entry(service=""),
+    "zone-line-end": entry(zone="z\n1"),
+}
+
+
+@pytest.mark.parametrize("data", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_an_odd_registration_is_rejected(data):
+    with pytest.raises(ConfigurationError, match=r"servers/s9"):
+        decode_server("servers/s9", data, 3)
+
+
+@pytest.mark.parametrize(
+    "key", ["servers/", "servers/a\r\nX-B: 1", "servers/" + "x" * 300]
+)
+def test_a_registration_with_an_odd_key_is_rejected(key):
+    with pytest.raises(ConfigurationError):
+        decode_server(key, entry(), 3)
+
+
+def test_a_sound_registration_is_accepted():
+    assert decode_server("servers/s9", entry(), 3).address == "127.0.0.1:9"
+    assert decode_server("servers/s9", entry(born=2**60), 3).started_wall_ms == 2**60
+
+
+@pytest.mark.parametrize("data", [NESTED, b'{"version":' + NESTED + b"}", b"\xff"])
+def test_an_odd_configuration_is_rejected(data):
+    with pytest.raises(ConfigurationError):
+        decode_publication(data)
+
+
+@pytest.fixture
+def fleet():
+    edge_fleet = EdgeFleet({"plain": "idempotent"})
+    edge_fleet.publish()
+    edge_fleet.add_server(
+        "plain", "s1", lambda request, sock: sock.sendall(complete_answer(request))
+    )
+    yield edge_fleet
+    edge_fleet.stop()
+
+
+def put_odd_entries(fleet):
+    for name, data in ODD_ENTRIES.items():
+        fleet.store.put(f"servers/odd-{name}", data)
+
+
+def is_following(fleet):
+    """Return whether a host still learns of new servers and versions."""
+    publication = fleet.host.components.catalogue.publication
+    version = publication.version + 1
+    fleet.publish(version=version)
+    wait_until(
+        lambda: fleet.host.components.catalogue.publication.version == version, 5.0
+    )
+    return fleet.call("/plain/")[0] == 200
+
+
+def test_a_host_that_lists_odd_entries_serves_and_follows_the_store(fleet):
+    put_odd_entries(fleet)
+    fleet.start()
+    assert is_following(fleet)
+    assert len(fleet.host.components.catalogue.servers_of("plain")) == 1
+
+
+def test_a_host_that_watches_odd_entries_serves_and_follows_the_store(fleet):
+    fleet.start()
+    put_odd_entries(fleet)
+    assert is_following(fleet)
+    listings = fleet.store.calls.count("/-/kv-range")
+    assert is_following(fleet)
+    assert fleet.store.calls.count("/-/kv-range") == listings == 1
+
+
+def test_an_entry_that_stays_odd_is_logged_once(fleet):
+    fleet.start()
+    for _ in range(5):
+        fleet.store.put("servers/odd", entry(address="127.0.0.1:99999"))
+        assert is_following(fleet)
+    rejected = fleet.events_named("publication_rejected")
+    assert len([event for event in rejected if "servers/odd" in event.reason]) == 1
+
+
+ODD_ENVELOPES = [
+    {"key": 7, "value": "", "revision": 3},
+    {"key": "servers/x", "value": "", "revision": "new"},
+    {"key": "servers/x", "value": "", "revision": -4},
+    {"key": "servers/x", "value": "", "revision": 10**40},
+    {"key": "servers/x", "value": {"a": []}, "revision": 3},
+    {"key": "k" * 5_000, "value": "", "revision": 3},
+    ["no", "item"],
+    None,
+]
+
+
+@pytest.mark.parametrize("item", ODD_ENVELOPES, ids=range(len(ODD_ENVELOPES)))
+@pytest.mark.parametrize("is_watched", [False, True])
+def test_an_odd_item_of_the_store_is_left_out_and_the_others_hold(
+    fleet, item, is_watched
+):
+    if is_watched:
+        fleet.start()
+    fleet.store.items["odd"] = item
+    fleet.store.odd_events = [item]
+    if not is_watched:
+        fleet.start()
+    assert is_following(fleet)
+    assert is_following(fleet)
+    assert fleet.store.calls.count("/-/kv-range") == 1
+
+
+@pytest.mark.parametrize("era", ["9" * 5_000, "-1", "1_0", "٣"])
+def test_an_odd_era_of_the_store_ends_no_loop(fleet, era):
+    fleet.store.era = era if era.isascii() else "%D9%A3"
+    fleet.start()
+    assert is_following(fleet)
+
+
+def test_an_odd_registration_replaces_no_sound_one_of_another_server(fleet):
+    fleet.start()
+    server = fleet.servers["s1"]
+    fleet.store.put("servers/s2", registration("plain", server))
+    wait_until(lambda: fleet.has_servers(2))
+    fleet.store.put("servers/s2", ODD_ENTRIES["nested"])
+    assert is_following(fleet)
