Let no unexpected error end a loop of a host

What operators of such systems saw: machines that read an odd entry stopped following the list. Cause: a greenlet ends with the first error that nothing catches, and the host goes on without it, with a trace on the standard error alone.

--- a/src/gypsumfield/configuration_spread.py
+++ b/src/gypsumfield/configuration_spread.py
@@ -20,6 +20,7 @@
 from gypsumfield.decisions.spread import SpreadTimes
 from gypsumfield.exceptions import PlatformError
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 from gypsumfield.membership_service import MembershipService
 from gypsumfield.messages import ControlMessage
 from gypsumfield.messages import SpreadChannel
@@ -142,36 +143,36 @@
         answer.map(lambda delta: self._receive_delta(host_id, delta))
 
     def _watch_platform(self) -> None:
-        while True:
-            plan = self.spread.next_fetch(
-                self._zone_hosts(), self._clock.monotonic_ms()
+        run_forever("platform watch", self._watch_once, self._clock, self._emit)
+
+    def _watch_once(self) -> None:
+        plan = self.spread.next_fetch(self._zone_hosts(), self._clock.monotonic_ms())
+        if plan is None:
+            gevent.sleep(IDLE_CHECK_MS / MS_PER_S)
+            return
+        self.platform_call_count += 1
+        try:
+            answer = self._fetch(plan.after_revision, plan.wait_ms)
+        except PlatformError as error:
+            self._record_failure(error)
+            return
+        if answer.revision < plan.after_revision:
+            reason = (
+                f"platform answered with revision {answer.revision}, which is "
+                f"older than the recorded revision {plan.after_revision}"
             )
-            if plan is None:
-                gevent.sleep(IDLE_CHECK_MS / MS_PER_S)
-                continue
-            self.platform_call_count += 1
-            try:
-                answer = self._fetch(plan.after_revision, plan.wait_ms)
-            except PlatformError as error:
-                self._record_failure(error)
-                continue
-            if answer.revision < plan.after_revision:
-                reason = (
-                    f"platform answered with revision {answer.revision}, which is "
-                    f"older than the recorded revision {plan.after_revision}"
-                )
-                self._record_failure(PlatformError(reason))
-                continue
-            self._is_reachable = True
-            self._members.record_platform_contact()
-            self._handle_applied(
-                self.spread.receive_platform_answer(
-                    plan.after_revision,
-                    answer,
-                    self._zone_hosts(),
-                    self._clock.monotonic_ms(),
-                )
+            self._record_failure(PlatformError(reason))
+            return
+        self._is_reachable = True
+        self._members.record_platform_contact()
+        self._handle_applied(
+            self.spread.receive_platform_answer(
+                plan.after_revision,
+                answer,
+                self._zone_hosts(),
+                self._clock.monotonic_ms(),
             )
+        )
 
     def _record_failure(self, error: PlatformError) -> None:
         if self._is_reachable:
--- a/src/gypsumfield/engine_watch.py
+++ b/src/gypsumfield/engine_watch.py
@@ -17,6 +17,7 @@
 from gypsumfield.events import EnginePreempted
 from gypsumfield.exceptions import BackendError
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 from gypsumfield.platform_api import Member
 
 POLL_INTERVAL_MS = 250.0
@@ -100,9 +101,11 @@
         self._pool.join()
 
     def _run(self) -> None:
-        while True:
-            self.poll_once()
-            self._clock.sleep_ms(POLL_INTERVAL_MS)
+        run_forever("engine watch", self._run_round, self._clock, self._deps.emit)
+
+    def _run_round(self) -> None:
+        self.poll_once()
+        self._clock.sleep_ms(POLL_INTERVAL_MS)
 
     def _select_engines(self) -> list[Member]:
         owned: list[Member] = []
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -242,6 +242,18 @@
     trace: str
 
 
+class LoopFailed(Event, frozen=True, kw_only=True, tag="loop_failed"):
+    """A round of one of the host's loops raised an unexpected exception.
+
+    The loop goes on. ``failure_count`` counts its failed rounds since its start.
+    """
+
+    loop: str
+    reason: str
+    trace: str
+    failure_count: int
+
+
 class MessageSent(Event, frozen=True, kw_only=True, tag="message_sent"):
     """A control message was sent to a peer."""
 
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -22,6 +22,7 @@
 from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 
 # The load balancer probes once a second and removes a host after two failures;
 # connections that are being opened at that time still arrive.
@@ -89,6 +90,7 @@
         self._clock = clock
         self._emit = emit
         self._maintenance: gevent.Greenlet | None = None
+        self._maintained_ms = clock.monotonic_ms()
 
     def start(self) -> None:
         """Start the servers, then follow the store and find the peers."""
@@ -166,13 +168,15 @@
         self._emit(SettingsKept(reason=reason))
 
     def _run_maintenance(self) -> None:
-        previous_ms = self._clock.monotonic_ms()
-        while True:
-            gevent.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_S)
-            now_ms = self._clock.monotonic_ms()
-            pause_ms = now_ms - previous_ms - MAINTENANCE_INTERVAL_MS
-            previous_ms = now_ms
-            if pause_ms > PAUSE_THRESHOLD_MS:
-                self._emit(HostPaused(pause_ms=pause_ms))
-                self.components.follower.restart_watch()
-            self.components.catalogue.remove_expired(GONE_SERVER_LIFETIME_MS)
+        self._maintained_ms = self._clock.monotonic_ms()
+        run_forever("maintenance", self._maintain, self._clock, self._emit)
+
+    def _maintain(self) -> None:
+        gevent.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_S)
+        now_ms = self._clock.monotonic_ms()
+        pause_ms = now_ms - self._maintained_ms - MAINTENANCE_INTERVAL_MS
+        self._maintained_ms = now_ms
+        if pause_ms > PAUSE_THRESHOLD_MS:
+            self._emit(HostPaused(pause_ms=pause_ms))
+            self.components.follower.restart_watch()
+        self.components.catalogue.remove_expired(GONE_SERVER_LIFETIME_MS)
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -15,6 +15,7 @@
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 
 # Engines renew their report about twice a second.
 QUERY_INTERVAL_MS = 500.0
@@ -143,11 +144,14 @@
             self._greenlet.kill(block=False)
 
     def _run(self) -> None:
-        while True:
-            gevent.sleep(QUERY_INTERVAL_MS / MS_PER_S)
-            for server in self._servers_to_query():
-                self._pending_ids.add(server.server_id)
-                gevent.spawn(self._query, server)
+        deps = self._deps
+        run_forever("engine reports", self._run_round, deps.clock, deps.emit)
+
+    def _run_round(self) -> None:
+        gevent.sleep(QUERY_INTERVAL_MS / MS_PER_S)
+        for server in self._servers_to_query():
+            self._pending_ids.add(server.server_id)
+            gevent.spawn(self._query, server)
 
     def _servers_to_query(self) -> list[BackendServer]:
         deps = self._deps
--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -16,6 +16,7 @@
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import StoreItem
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 
 # A watch is one call however long it waits; this is the store's usual maximum.
 WATCH_WAIT_MS = 10_000
@@ -103,35 +104,34 @@
         self.start()
 
     def _run(self) -> None:
-        while True:
-            if self._deps.catalogue.publication is not None and not self._is_listed:
-                # A peer's view is as complete as a listing of its revision.
-                is_restored_view = era_of(self._deps.catalogue.revision) > era_of(
-                    self._gone_revision
-                )
-                self._is_listed = not self._is_history_gone or is_restored_view
-            is_call_allowed = (
-                self._deps.should_watch if self._is_listed else self._deps.can_list
+        deps = self._deps
+        run_forever("store follower", self._run_round, deps.clock, deps.emit)
+
+    def _run_round(self) -> None:
+        if self._deps.catalogue.publication is not None and not self._is_listed:
+            # A peer's view is as complete as a listing of its revision.
+            is_restored_view = era_of(self._deps.catalogue.revision) > era_of(
+                self._gone_revision
             )
-            if not is_call_allowed():
-                self._deps.clock.sleep_ms(ROLE_CHECK_MS)
-                continue
-            try:
-                self._list_or_watch()
-            except HistoryGoneError:
-                self._is_listed = False
-                self._is_history_gone = True
-                self._gone_revision = self._deps.catalogue.revision
-                self._deps.clock.sleep_ms(
-                    self._deps.rng.uniform(0.0, RELISTING_SPREAD_MS)
-                )
-            except PlatformError as error:
-                self._record_unreachable(str(error))
-                pause_ms = self._retry_pause_ms * self._deps.rng.uniform(0.5, 1.0)
-                self._retry_pause_ms = min(
-                    MAX_RETRY_PAUSE_MS, self._retry_pause_ms * 2.0
-                )
-                self._deps.clock.sleep_ms(pause_ms)
+            self._is_listed = not self._is_history_gone or is_restored_view
+        is_call_allowed = (
+            self._deps.should_watch if self._is_listed else self._deps.can_list
+        )
+        if not is_call_allowed():
+            self._deps.clock.sleep_ms(ROLE_CHECK_MS)
+            return
+        try:
+            self._list_or_watch()
+        except HistoryGoneError:
+            self._is_listed = False
+            self._is_history_gone = True
+            self._gone_revision = self._deps.catalogue.revision
+            self._deps.clock.sleep_ms(self._deps.rng.uniform(0.0, RELISTING_SPREAD_MS))
+        except PlatformError as error:
+            self._record_unreachable(str(error))
+            pause_ms = self._retry_pause_ms * self._deps.rng.uniform(0.5, 1.0)
+            self._retry_pause_ms = min(MAX_RETRY_PAUSE_MS, self._retry_pause_ms * 2.0)
+            self._deps.clock.sleep_ms(pause_ms)
 
     def _list_or_watch(self) -> None:
         deps = self._deps
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -43,6 +43,7 @@
 from gypsumfield.gateway.update_writer import WriterDependencies
 from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 
 Send = Callable[[str, bytes], None]
 
@@ -165,8 +166,8 @@
         )
         self._socket.bind((settings.ip, settings.news_port))
         self._greenlets = [
-            gevent.spawn(self._receive_loop),
-            gevent.spawn(self._send_loop),
+            gevent.spawn(self._run_forever, "peer receiver", self._receive_round),
+            gevent.spawn(self._run_forever, "peer sender", self._send_round),
         ]
 
     def stop(self) -> None:
@@ -252,10 +253,12 @@
     def _is_store_reachable(self) -> bool:
         return self._deps.is_store_answering() and self.should_watch_store()
 
-    def _send_loop(self) -> None:
-        while True:
-            self._update_pending.wait(self.heartbeat_interval_ms / MS_PER_S)
-            self._deps.clock.sleep_ms(self.send_updates())
+    def _run_forever(self, name: str, run_round: Callable[[], None]) -> None:
+        run_forever(name, run_round, self._deps.clock, self._deps.emit)
+
+    def _send_round(self) -> None:
+        self._update_pending.wait(self.heartbeat_interval_ms / MS_PER_S)
+        self._deps.clock.sleep_ms(self.send_updates())
 
     def send_updates(self) -> float:
         """Send the updates that are due to the other hosts.
@@ -319,9 +322,8 @@
             # A datagram may be lost anywhere; the next one follows shortly.
             return
 
-    def _receive_loop(self) -> None:
-        while True:
-            self.handle_datagram(self._socket.recvfrom(MAX_DATAGRAM_BYTES)[0])
+    def _receive_round(self) -> None:
+        self.handle_datagram(self._socket.recvfrom(MAX_DATAGRAM_BYTES)[0])
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Decode and handle one datagram from the network."""
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -29,6 +29,7 @@
 from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.gateway.streams import Stream
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 
 # One copy takes a few hundred milliseconds and waits on the engine's link for the
 # copies of other hosts.
@@ -120,10 +121,13 @@
                 gevent.spawn(self._copy_runs, record.server, order)
 
     def _run(self) -> None:
-        while True:
-            gevent.sleep(CHECK_INTERVAL_MS / MS_PER_S)
-            self.check_leaving_engines()
-            self._probe_unresponsive()
+        deps = self._deps
+        run_forever("run protection", self._run_round, deps.clock, deps.emit)
+
+    def _run_round(self) -> None:
+        gevent.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+        self.check_leaving_engines()
+        self._probe_unresponsive()
 
     def _exposed_runs(self, server_id: str) -> list[ExposedRun]:
         now_ms = self._deps.clock.monotonic_ms()
--- a/src/gypsumfield/order_service.py
+++ b/src/gypsumfield/order_service.py
@@ -20,6 +20,7 @@
 from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.exceptions import BackendError
 from gypsumfield.interfaces import EmitEvent
+from gypsumfield.loops import run_forever
 from gypsumfield.platform_api import Member
 
 ROUND_INTERVAL_MS = 5_000.0
@@ -117,9 +118,11 @@
         )
 
     def _run(self) -> None:
-        while True:
-            gevent.sleep(ROUND_INTERVAL_MS / MS_PER_S)
-            self.run_round()
+        run_forever("orders", self._run_round, self._clock, self._emit)
+
+    def _run_round(self) -> None:
+        gevent.sleep(ROUND_INTERVAL_MS / MS_PER_S)
+        self.run_round()
 
     def _remove_unlisted(self, names: Iterable[str]) -> None:
         listed_names = set(names)
