Believe a refusal on a kept connection only with the id of its request

What callers of such systems saw: a faulty server wrote an earlier refusal once more on a kept connection, and requests that ran were said not to have run (REFUSED). Here too, for idempotent calls and streams that may be resumed: a refusal without an id counted for whatever request was waiting. Other requests use no kept connections, so that none of them could run twice. Cause: an answer without an id was taken for the answer to the last request, which is sure only on a new connection. Now it counts as an answer that cannot be trusted, after which the request may have run.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -74,6 +74,7 @@
 
     Attributes:
         stage: Stage that the exchange has reached.
+        is_connection_reused: Whether the connection carried an earlier exchange.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         pool: ConnectionPool | None = None,
     ) -> None:
         self.stage = Stage.BEFORE_CONNECT
+        self.is_connection_reused = False
         self._request = request
         self._timeouts = timeouts
         self._abort = abort
@@ -228,6 +230,7 @@
     def _connect(self) -> Any:
         pooled = self._pool.acquire(self._request.address) if self._pool else None
         if pooled is not None:
+            self.is_connection_reused = True
             return pooled
         ip, _, port = self._request.address.rpartition(":")
         sock = gevent.socket.create_connection(
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -153,7 +153,9 @@
         deps.wire.decode_answer(exchange.header_items()),
     )
     deps.notices.record_answer(server, status, answer.metadata, sent_ms)
-    outcome = classify_answer(status, answer.metadata, job.request_id)
+    outcome = classify_answer(
+        status, answer.metadata, job.request_id, exchange.is_connection_reused
+    )
     if outcome is Outcome.NOT_RUN:
         exchange.close()
         raise BackendError(
@@ -171,12 +173,26 @@
     return answer
 
 
-def classify_answer(status: int, metadata: AnswerMetadata, request_id: str) -> Outcome:
-    """Classify an answer by its status and headers."""
+def classify_answer(
+    status: int,
+    metadata: AnswerMetadata,
+    request_id: str,
+    is_connection_reused: bool = False,
+) -> Outcome:
+    """Classify an answer by its status and headers.
+
+    Args:
+        status: HTTP status.
+        metadata: Decoded headers.
+        request_id: Id of the request.
+        is_connection_reused: Whether the answer may be a late or repeated one to an
+            earlier request on its connection.
+    """
     if metadata.request_id and metadata.request_id != request_id:
         return Outcome.SPOILED
     if status == MISDIRECTED_STATUS or metadata.is_not_run:
-        return Outcome.NOT_RUN
+        is_own = bool(metadata.request_id) or not is_connection_reused
+        return Outcome.NOT_RUN if is_own else Outcome.SPOILED
     if metadata.is_encoded:
         return Outcome.SPOILED
     if status in SUCCESS_STATUSES and not (metadata.is_sealed and metadata.request_id):
