Pass on only events that continue the stream after a resumption

Here: the status of the next answer was checked, but not what followed it. Cause: the answer to a resumption was trusted like the first one, and the first one needed no form. The class of fault: what comes after a failure is not checked against what came before it.

Now an event is made of lines with field names; the first event with a number after a resumption must follow the last one, without a gap where the stream counts its events; an empty resumption is no end; a resumption that fails is tried at a further engine within the route's runs, and resumptions without an event are limited to four.

--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -43,6 +43,8 @@
 # Servers that refuse requests or are unreachable are replaced in the store within a
 # few hundred milliseconds.
 RETRY_AFTER_FAILURE_MS = 500.0
+# Answers are held in memory, and the smallest hosts have 128 MB for all their calls.
+ANSWER_LIMIT_BYTES = 8 * 1_048_576
 MISDIRECTED_STATUS = 421
 SUCCESS_STATUSES = range(200, 300)
 
@@ -173,6 +175,20 @@
     return answer
 
 
+def read_whole_body(
+    deps: AttemptDependencies, job: Job, server: BackendServer, answer: OpenAnswer
+) -> bytes:
+    """Return the body of an answer that is no stream.
+
+    Raises:
+        BackendError: The body is too long, or nothing shows that it is complete.
+    """
+    body = answer.exchange.read_body(ANSWER_LIMIT_BYTES, True)
+    if not answer.exchange.has_end_marker:
+        deps.answer_ends.check(job, server)
+    return body
+
+
 def classify_answer(
     status: int,
     metadata: AnswerMetadata,
--- a/src/gypsumfield/gateway/event_stream.py
+++ b/src/gypsumfield/gateway/event_stream.py
@@ -1,5 +1,7 @@
-"""Splits the bytes of a server-sent event stream into complete events."""
+"""Splits the bytes of a server-sent event stream into complete events, in order."""
 
+import re
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from gypsumfield.exceptions import BackendError
@@ -10,6 +12,11 @@
 EVENT_LIMIT_BYTES = 1_048_576
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD = b"id:"
+FIRST_EVENT_NUMBER = 1
+_NUMBER_PATTERN = re.compile(r"[0-9]{1,18}")
+# Lines with a field name, which is empty in comments. The text of an error and the head
+# of another answer have other lines.
+_EVENT_PATTERN = re.compile(rb"(?:[A-Za-z0-9_-]*(?::[^\n]*)?\r?\n)+")
 
 
 class StreamEvent(NamedTuple):
@@ -42,12 +49,22 @@
         """Add received bytes and return the events that they complete.
 
         Raises:
-            BackendError: The incomplete event exceeds ``EVENT_LIMIT_BYTES``.
+            BackendError: The data are no events, or an incomplete event exceeds
+                ``EVENT_LIMIT_BYTES``.
         """
         self._buffer += data
-        events = []
+        events: list[StreamEvent] = []
         while (end := self._find_end()) >= 0:
             event = bytes(self._buffer[:end])
+            if not _EVENT_PATTERN.fullmatch(event):
+                if events:
+                    # The next call raises the error.
+                    break
+                raise BackendError(
+                    "the stream contains something that is no event",
+                    RunVerdict.MAY_HAVE_RUN,
+                    "event_invalid",
+                )
             del self._buffer[:end]
             events.append(StreamEvent(event, _event_id(event)))
         self.event_count += len(events)
@@ -75,6 +92,60 @@
         return min(ends, default=-1)
 
 
+class EventIds:
+    """Ids of the events that a caller has received.
+
+    Servers count events in most streams; then a gap shows that events are missing.
+
+    Args:
+        last_id: Id of the last event that the caller received earlier, or empty.
+    """
+
+    def __init__(self, last_id: str) -> None:
+        self._last = _number(last_id)
+        self._is_counting = self._last == FIRST_EVENT_NUMBER
+
+    def record(self, events: Iterable[StreamEvent]) -> None:
+        """Record events that were received."""
+        for event in events:
+            number = _number(event.event_id)
+            if number is None:
+                continue
+            if self._last is None:
+                self._is_counting = number == FIRST_EVENT_NUMBER
+            else:
+                self._is_counting = number == self._last + 1
+            self._last = number
+
+    def check_join(self, events: Iterable[StreamEvent]) -> bool:
+        """Check that a resumed stream goes on with these events.
+
+        Returns:
+            Whether one of them shows that; false if none has an id.
+
+        Raises:
+            BackendError: The event was received before, or events before it were not.
+        """
+        numbers = (_number(event.event_id) for event in events)
+        number = next((n for n in numbers if n is not None), None)
+        if number is None:
+            return False
+        if self._last is None:
+            return True
+        is_missing = self._is_counting and number > self._last + 1
+        if number <= self._last or is_missing:
+            raise BackendError(
+                f"the stream was resumed at event {number} after {self._last}",
+                RunVerdict.MAY_HAVE_RUN,
+                "resume_misplaced",
+            )
+        return True
+
+
+def _number(event_id: str) -> int | None:
+    return int(event_id) if _NUMBER_PATTERN.fullmatch(event_id) else None
+
+
 def _event_id(event: bytes) -> str:
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -9,6 +9,7 @@
 from gypsumfield.gateway.attempt import AttemptDependencies
 from gypsumfield.gateway.attempt import log_placement
 from gypsumfield.gateway.attempt import open_answer
+from gypsumfield.gateway.attempt import read_whole_body
 from gypsumfield.gateway.attempt import record_failure
 from gypsumfield.gateway.attempt import refusal_after_failure
 from gypsumfield.gateway.attempt import SUCCESS_STATUSES
@@ -21,8 +22,6 @@
 from gypsumfield.gateway.placing import ServerPlacement
 from gypsumfield.verdicts import RunVerdict
 
-# Answers are held in memory, and the smallest hosts have 128 MB for all their calls.
-ANSWER_LIMIT_BYTES = 8 * 1_048_576
 SERVER_ERROR_STATUS = 500
 # Attempts that a server refused before it ran them do not count as runs, but each one
 # costs time and a part of the retry budget that all hosts share.
@@ -143,9 +142,7 @@
     try:
         opened = open_answer(attempts, job, server, options)
         try:
-            body = opened.exchange.read_body(ANSWER_LIMIT_BYTES, True)
-            if not opened.exchange.has_end_marker:
-                attempts.answer_ends.check(job, server)
+            body = read_whole_body(attempts, job, server, opened)
         except BackendError:
             opened.exchange.close()
             raise
--- a/src/gypsumfield/gateway/run_reader.py
+++ b/src/gypsumfield/gateway/run_reader.py
@@ -4,6 +4,7 @@
 
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway.event_stream import EventIds
 from gypsumfield.gateway.event_stream import EventSplitter
 from gypsumfield.gateway.event_stream import StreamEvent
 from gypsumfield.verdicts import RunVerdict
@@ -16,15 +17,22 @@
         exchange: Open exchange, of which only the headers have been read.
         check_unmarked_end: Called when the answer has ended with its connection;
             raises `BackendError` unless it is complete.
+        received_ids: Ids of the events after which the run has to go on; None for a
+            run that was not resumed.
 
     Attributes:
         has_ended: Whether the answer was read to its end and is complete.
     """
 
     def __init__(
-        self, exchange: Exchange, check_unmarked_end: Callable[[], None]
+        self,
+        exchange: Exchange,
+        check_unmarked_end: Callable[[], None],
+        received_ids: EventIds | None,
     ) -> None:
         self.has_ended = False
+        self._received_ids = received_ids
+        self._is_joined = False
         self._exchange = exchange
         self._check_unmarked_end = check_unmarked_end
         self._splitter = EventSplitter()
@@ -37,10 +45,15 @@
         """
         chunk = self._exchange.read_chunk()
         if chunk:
-            return self._splitter.feed(chunk)
+            events = self._splitter.feed(chunk)
+            if self._received_ids and not self._is_joined:
+                self._is_joined = self._received_ids.check_join(events)
+            return events
         reason = ""
         if self._splitter.has_remainder:
             reason = "the stream ended inside an event"
+        elif self._received_ids and not self._splitter.event_count:
+            reason = "the resumption brought no event"
         elif not self._exchange.has_end_marker:
             if self._splitter.event_count:
                 self._check_unmarked_end()
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -13,11 +13,13 @@
 from gypsumfield.gateway.attempt import log_placement
 from gypsumfield.gateway.attempt import open_answer
 from gypsumfield.gateway.attempt import OpenAnswer
+from gypsumfield.gateway.attempt import read_whole_body
 from gypsumfield.gateway.attempt import record_failure
 from gypsumfield.gateway.attempt import refusal_after_failure
 from gypsumfield.gateway.attempt import SUCCESS_STATUSES
 from gypsumfield.gateway.calls import ResumePoint
 from gypsumfield.gateway.calls import SendOptions
+from gypsumfield.gateway.event_stream import EventIds
 from gypsumfield.gateway.event_stream import StreamEvent
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
@@ -25,7 +27,6 @@
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.placing import ServerPlacement
-from gypsumfield.gateway.plain_calls import ANSWER_LIMIT_BYTES
 from gypsumfield.gateway.plain_calls import BufferedAnswer
 from gypsumfield.gateway.run_copies import CopyDependencies
 from gypsumfield.gateway.run_copies import RunCopies
@@ -37,6 +38,8 @@
 
 # Refusals after which a stream may try a further engine: one more than a plain call.
 MAX_REFUSED_ATTEMPTS = 3
+# Resumptions of a stream without a further event.
+MAX_FUTILE_RESUMES = 4
 
 
 class StreamDependencies(NamedTuple):
@@ -87,6 +90,8 @@
         self._deps = deps
         self._answer: OpenAnswer | None = None
         self._unsent: list[StreamEvent] = []
+        self._received_ids = EventIds(job.call.last_event_id)
+        self._futile_resume_count = 0
         self._reader: RunReader | None = None
         self._tried_ids: list[str] = []
         self._run_count = 0
@@ -132,8 +137,7 @@
                 self._read_events()
             except BackendError as error:
                 self._resume_elsewhere(error)
-        remainder = self._reader.remainder() if self._reader else b""
-        if remainder:
+        if self._reader and (remainder := self._reader.remainder()):
             yield remainder
         self._progress.record_complete(self.server.server_id, self._run_count == 1)
 
@@ -231,14 +235,16 @@
             if error.verdict is RunVerdict.NOT_RUN:
                 self._run_count -= 1
             raise
-        exchange = self._answer.exchange
-        self._reader = RunReader(exchange, self._check_unmarked_end)
+        self._reader = RunReader(
+            self._answer.exchange,
+            self._check_unmarked_end,
+            self._received_ids if self.event_count else None,
+        )
         return self._answer
 
     def _planned_tokens(self) -> int:
-        job, generated = self.job, self.generated_tokens
-        prompt = job.call.prompt_tokens
-        return planned_tokens(prompt, generated, job.expected_tokens, is_copy=False)
+        prompt, expected = self.job.call.prompt_tokens, self.job.expected_tokens
+        return planned_tokens(prompt, self.generated_tokens, expected, is_copy=False)
 
     @property
     def can_resume_elsewhere(self) -> bool:
@@ -259,28 +265,33 @@
         ends.check(self.job, self.server, self.event_count)
 
     def _read_failure(self, answer: OpenAnswer) -> BufferedAnswer:
-        body = answer.exchange.read_body(ANSWER_LIMIT_BYTES, True)
-        if not answer.exchange.has_end_marker:
-            self._deps.attempts.answer_ends.check(self.job, self.server)
+        body = read_whole_body(self._deps.attempts, self.job, self.server, answer)
         self._has_ended = True
         headers = self._deps.attempts.wire.answer_headers(answer.headers)
         self.close()
         return BufferedAnswer(answer.status, headers, body)
 
     def _resume_elsewhere(self, error: BackendError) -> None:
-        """Resume on another engine after a failure, or raise the error."""
-        self._record_failure(error)
-        if self.job.abort.reason or self._remaining_ms() <= 0.0:
-            raise error
-        copies = self.copies.resume_points()
-        if copies:
-            self._resume_copy(copies)
-            return
-        if not self.job.route.is_resumable or not self._may_retry(error):
-            raise error
-        placement = self._acquire_placement(self._planned_tokens())
-        resume = ResumePoint(self.last_event_id)
-        self._resume_on(placement.server, resume, placement.reservation)
+        """Resume on another engine after a failure, or raise the last error."""
+        while True:
+            self._record_failure(error)
+            self._futile_resume_count += 1
+            is_futile = self._futile_resume_count > MAX_FUTILE_RESUMES
+            if self.job.abort.reason or self._remaining_ms() <= 0.0 or is_futile:
+                raise error
+            copies = self.copies.resume_points()
+            if copies:
+                self._resume_copy(copies)
+                return
+            if not self.job.route.is_resumable or not self._may_retry(error):
+                raise error
+            placement = self._acquire_placement(self._planned_tokens())
+            resume = ResumePoint(self.last_event_id)
+            try:
+                self._resume_on(placement.server, resume, placement.reservation)
+                return
+            except BackendError as failure:
+                error = failure
 
     def _resume_copy(self, copies: list[tuple[BackendServer, ResumePoint]]) -> None:
         now_ms = self._deps.attempts.clock.monotonic_ms()
@@ -300,10 +311,8 @@
 
     def stop_if_condemned(self, guard: PartGuard) -> None:
         """Take the stream off an engine that it would crash with its first event."""
-        if not self._is_at_engine or self.event_count:
-            return
-        reason = guard.condemned_reason(self.job)
-        if reason:
+        is_unanswered = self._is_at_engine and not self.event_count
+        if is_unanswered and (reason := guard.condemned_reason(self.job)):
             self.job.abort.abort(reason)
 
     def abandon_engine(self) -> None:
@@ -344,13 +353,13 @@
             return False
         if self._deps.attempts.part_guard.is_condemned(self.job):
             return False
+        refused_count = len(self._tried_ids) - self._run_count
+        route = self.job.route
+        max_runs = route.max_attempts if route.is_resumable else 0
         if error.verdict is RunVerdict.NOT_RUN:
-            if len(self._tried_ids) > self._run_count + MAX_REFUSED_ATTEMPTS:
+            if refused_count > MAX_REFUSED_ATTEMPTS:
                 return False
-        elif not (
-            self.job.route.is_resumable
-            and self._run_count < self.job.route.max_attempts
-        ):
+        elif self._run_count >= max_runs:
             return False
         now_ms = self._deps.attempts.clock.monotonic_ms()
         share = self._deps.retry_share(self.job.service)
@@ -380,6 +389,8 @@
             len(batch), self.last_received_ms, self.server.server_id
         )
         self.event_count += len(batch)
+        self._futile_resume_count = 0
+        self._received_ids.record(batch)
         self.last_event_id = batch[-1].event_id or self.last_event_id
         self.run.generated_tokens = self.generated_tokens
         self.copies.record_generated(self.generated_tokens)
