Count the events that a caller had before it resumed its stream

What callers would see: a whole stream without chunks, which its caller had resumed with the id of its last event, broken off. Cause: the engine's report counts all events of the run, and was compared with those of this connection alone; found in reading the change. The number of the last event is compared now, where a stream counts its events. One case of the test failed before (four made, two of them received now), the other, with a fifth event missing, held.

--- a/src/gypsumfield/gateway/event_stream.py
+++ b/src/gypsumfield/gateway/event_stream.py
@@ -105,6 +105,11 @@
         self._last = _number(last_id)
         self._is_counting = self._last == FIRST_EVENT_NUMBER
 
+    @property
+    def count(self) -> int:
+        """Events so far, also before the caller resumed the stream; 0 if unknown."""
+        return self._last if self._is_counting and self._last is not None else 0
+
     def record(self, events: Iterable[StreamEvent]) -> None:
         """Record events that were received."""
         for event in events:
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -261,8 +261,8 @@
             self._deps.ledger.mark_prompt_processed(self.run)
 
     def _check_unmarked_end(self) -> None:
-        ends = self._deps.attempts.answer_ends
-        ends.check(self.job, self.server, self.event_count)
+        received_count = max(self.event_count, self._received_ids.count)
+        self._deps.attempts.answer_ends.check(self.job, self.server, received_count)
 
     def _read_failure(self, answer: OpenAnswer) -> BufferedAnswer:
         body = read_whole_body(self._deps.attempts, self.job, self.server, answer)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -176,6 +176,18 @@
     assert not is_whole(fleet.call("/engine/", headers=PROMPT, attempt="a1"))
 
 
+@pytest.mark.parametrize(("made", "is_complete"), [(4, True), (5, False)])
+def test_a_report_counts_events_that_the_caller_had_before_it_resumed(
+    fleet, made, is_complete
+):
+    server = UnmarkedServer(fleet, "engine", body=b"id: 3\ndata\n\nid: 4\ndata\n\n")
+    server.report = {"executions": [["a1", 1016, made, 5]]}
+    fleet.start()
+    headers = f"{PROMPT}Last-Event-Id: 2\r\n"
+    answer = fleet.call("/engine/", headers=headers, attempt="a1")
+    assert is_whole(answer) == is_complete
+
+
 def test_an_old_report_that_still_lists_a_run_does_not_break_its_stream_off(fleet):
     server = UnmarkedServer(fleet, "engine")
     server.report = {"executions": [["a1", 1004, 1, 5]]}
