Give a test of taking requests off an engine time that a busy machine has

Cause: within 60 ms, a crash had to be seen and three requests taken off engines before these crashed. The requests that an engine has not begun now take a second; the assertions stay, and one is added: no other engine crashes.

--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -130,9 +130,13 @@
     for number in range(4):
         parts = ("first", DEADLY_PART, f"last{number}")
         calls.append(gevent.spawn(fleet.stream, number % 3, f"d{number}", *parts))
-        gevent.sleep(0.02)
+        wait_until(lambda number=number: len(fleet.deadly_arrivals) == number + 2)
+        # The others have not begun when the first one crashes its engine.
+        fleet.run_ms = 1_000.0
     answers = [call.get() for call in calls]
     assert all(status == 502 for status, _, _ in answers)
     assert all(b"may-have-run" in body for _, _, body in answers)
     assert len(fleet.deadly_arrivals) == 5
+    assert len(fleet.crashes) == 2
+    # Those on the crashed engine itself end with it.
     wait_until(lambda: fleet.dropped_count >= 1, 2.0)
