review: read TROUBLE=0 in each case's run.sh

The shared stand-ins read it before, so that a case's own files did not show it. run.sh passes it on now, and record.txt says which of the two was played.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -514,15 +514,19 @@
 
 
 class Rig:
-    """A store, entry hosts and the record of one case; use it as a context manager."""
+    """A store, entry hosts and the record of one case; use it as a context manager.
 
-    def __init__(self, folder):
+    Attributes:
+        has_trouble: Whether the case plays its disruption; false with TROUBLE=0.
+    """
+
+    def __init__(self, folder, has_trouble):
+        self.has_trouble = has_trouble
         self.record = Record(Path(folder) / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store()
         self.hosts = []
         self.runners = []
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self._fleet = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
 
     def __enter__(self):
@@ -678,10 +682,17 @@
 
 
 def main(run_case, folder):
-    """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
+    """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2.
+
+    `run.sh` passes `--without-disruption` if TROUBLE=0 is set.
+    """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     status = COULD_NOT_RUN
-    with Rig(folder) as rig:
+    has_trouble = "--without-disruption" not in sys.argv[1:]
+    with Rig(folder, has_trouble) as rig:
+        rig.record.write(
+            "with the disruption" if has_trouble else "TROUBLE=0: no disruption"
+        )
         try:
             status = run_case(rig)
         except CouldNotRunError as error:
