Measure how long a greenlet holds up the event loop, and name it

Cause: while one greenlet runs without giving way, a host answers nothing, and neither its log nor its metrics say so.

Change: a trace of the switches records the longest time without one in each second. gypsumfield_loop_held_ms is its histogram, and from 200 ms on loop_held in the log names the request or the loop.

--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -48,6 +48,7 @@
     MetricSpec("first_token_ms", ("profile",), "Time from arrival to the first token"),
     MetricSpec("between_tokens_ms", ("profile",), "Time between two tokens"),
     MetricSpec("queue_wait_ms", ("profile",), "Wait for a backend server"),
+    MetricSpec("loop_held_ms", (), "Longest time without a switch, of each second"),
 )
 
 COUNTERS = (
@@ -206,6 +207,10 @@
         """Record how long a request waited for a backend server."""
         self._record("queue_wait_ms", profile, duration_ms)
 
+    def record_loop_held(self, duration_ms: float) -> None:
+        """Record the longest time of a second without a switch of greenlets."""
+        self._durations["loop_held_ms"][""].record(duration_ms)
+
     def observe_event(self, event: events.Event) -> None:
         """Count the event and update the metrics that are derived from it."""
         if not event.IS_HOT:
@@ -286,11 +291,12 @@
             f"{name}_quantile", spec.help_text, labels=(*spec.labels, "quantile")
         )
         for profile, series in sorted(self._durations[spec.name].items()):
+            labels = [profile] if spec.labels else []
             buckets = series.cumulative_buckets()
-            histogram.add_metric([profile], buckets, sum_value=series.sum_ms)
+            histogram.add_metric(labels, buckets, sum_value=series.sum_ms)
             for quantile in QUANTILES:
                 value = series.quantile_ms(quantile)
-                quantiles.add_metric([profile, str(quantile)], value)
+                quantiles.add_metric([*labels, str(quantile)], value)
         yield histogram
         yield quantiles
 
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -349,3 +349,10 @@
     """An order or an inventory query failed. It will be retried."""
 
     reason: str
+
+
+class LoopHeld(Event, frozen=True, kw_only=True, tag="loop_held"):
+    """One greenlet ran for long without giving way; all other work waited for it."""
+
+    held_ms: float
+    holder: str
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -19,6 +19,7 @@
 from gypsumfield.adapters.caller_server import DisconnectWatcher
 from gypsumfield.adapters.caller_server import RAW_HEADERS_KEY
 from gypsumfield.adapters.caller_server import RAW_PATH_KEY
+from gypsumfield.adapters.loop_lag import name_greenlet
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.draining import accepts_call
@@ -114,6 +115,7 @@
             start_response: WSGI callable that takes the status line and the headers.
         """
         request = self._deps.wire.decode_request(environ[RAW_HEADERS_KEY])
+        name_greenlet(f"request {request.request_id}")
         try:
             job = self._admit(environ, request)
         except RefusedError as error:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -1,12 +1,12 @@
 """Assembles one edge host from its settings."""
 
 import random
-import uuid
 from typing import NamedTuple
 
 from gypsumfield.adapters.caller_server import RequestTracker
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import refuses_connections
+from gypsumfield.adapters.loop_lag import LoopLag
 from gypsumfield.adapters.metrics import emit_to_all
 from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
@@ -18,81 +18,37 @@
 from gypsumfield.gateway.application import Gateway
 from gypsumfield.gateway.application import GatewayDependencies
 from gypsumfield.gateway.attempt import AttemptDependencies
-from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.edge_host import EdgeComponents
 from gypsumfield.gateway.edge_host import EdgeHost
 from gypsumfield.gateway.edge_servers import build_servers
-from gypsumfield.gateway.engine_reports import EngineReportCache
 from gypsumfield.gateway.engine_reports import EngineReportPoller
 from gypsumfield.gateway.engine_reports import ReportPollerDependencies
 from gypsumfield.gateway.engine_starts import EngineStarts
 from gypsumfield.gateway.engine_starts import StartDependencies
-from gypsumfield.gateway.follower import FollowerDependencies
-from gypsumfield.gateway.follower import StoreFollower
+from gypsumfield.gateway.fleet_parts import build_fleet
+from gypsumfield.gateway.fleet_parts import CommonParts
+from gypsumfield.gateway.fleet_parts import Fleet
 from gypsumfield.gateway.forwarding import ForwardDependencies
 from gypsumfield.gateway.forwarding import Forwarder
-from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import can_back_up
 from gypsumfield.gateway.model import can_move
 from gypsumfield.gateway.model import tokens_per_event
-from gypsumfield.gateway.part_guard import GuardDependencies
-from gypsumfield.gateway.part_guard import PartGuard
-from gypsumfield.gateway.path_watch import PathDependencies
-from gypsumfield.gateway.path_watch import PathWatch
-from gypsumfield.gateway.peer_dependencies import PeerDependencies
 from gypsumfield.gateway.peers import PeerLink
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.plain_calls import PlainCallDependencies
 from gypsumfield.gateway.protection import ProtectionDependencies
 from gypsumfield.gateway.protection import Protector
-from gypsumfield.gateway.published_items import Decoders
-from gypsumfield.gateway.rejections import Rejections
 from gypsumfield.gateway.reservations import build_reserve
 from gypsumfield.gateway.run_copies import CopyDependencies
-from gypsumfield.gateway.server_notices import NoticeDependencies
-from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
 from gypsumfield.gateway.stream_dependencies import StreamDependencies
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.gateway.stream_registry import StreamRegistry
-from gypsumfield.gateway.view_pull import PullDependencies
-from gypsumfield.gateway.view_pull import ViewPull
 from gypsumfield.interfaces import EmitEvent
-from gypsumfield.platform import documents
 from gypsumfield.platform import headers
 from gypsumfield.platform.engines import can_connect
-from gypsumfield.platform.engines import EngineClient
-from gypsumfield.platform.store import StoreClient
-
-# Every key begins with the empty prefix, so that one watch covers all published items.
-FOLLOWED_PREFIX = ""
-
-
-class _CommonParts(NamedTuple):
-    """Dependencies that nearly every part of the host uses."""
-
-    settings: EdgeSettings
-    clock: Clock
-    rng: random.Random
-    metrics: Metrics
-    emit: EmitEvent
-
-
-class _Fleet(NamedTuple):
-    """Parts that track the configuration, the backend servers and the other hosts."""
-
-    catalogue: Catalogue
-    ledger: Ledger
-    report_cache: EngineReportCache
-    notices: ServerNotices
-    part_guard: PartGuard
-    engines: EngineClient
-    follower: StoreFollower
-    pull: ViewPull
-    paths: PathWatch
-    peers: PeerLink
 
 
 class _Serving(NamedTuple):
@@ -116,8 +72,8 @@
     """
     metrics = Metrics(lambda service: service)
     emit = emit_to_all(log_event, metrics.observe_event)
-    common = _CommonParts(settings, clock, random.Random(), metrics, emit)
-    fleet = _build_fleet(common)
+    common = CommonParts(settings, clock, random.Random(), metrics, emit)
+    fleet = build_fleet(common)
     serving = _build_serving(common, fleet)
     protector = _build_protector(common, fleet, serving)
     fleet.ledger.on_change(serving.queue.wake)
@@ -146,6 +102,7 @@
         protector=protector,
         paths=fleet.paths,
         report_poller=_build_report_poller(common, fleet),
+        loop_lag=LoopLag(metrics.record_loop_held, emit),
     )
     return EdgeHost(settings, components, clock, emit)
 
@@ -155,7 +112,7 @@
     return RetryBounds(limits.retry_ratio, limits.retry_extra, limits.retry_window_ms)
 
 
-def _read_state(fleet: _Fleet, serving: _Serving) -> HostState:
+def _read_state(fleet: Fleet, serving: _Serving) -> HostState:
     pace = serving.placer.mean_pace
     return HostState(
         configuration_revision=fleet.catalogue.revision,
@@ -167,101 +124,7 @@
     )
 
 
-def _build_fleet(common: _CommonParts) -> _Fleet:
-    settings, clock, emit = common.settings, common.clock, common.emit
-    catalogue = Catalogue(
-        Decoders(
-            is_configuration=documents.is_configuration_key,
-            is_server=documents.is_server_key,
-            evacuated_zone=documents.evacuated_zone,
-            publication=documents.decode_publication,
-            server=documents.decode_server,
-        ),
-        clock,
-        emit,
-    )
-    rejections = Rejections(emit)
-    ledger = Ledger()
-    report_cache = EngineReportCache(catalogue, clock)
-    notices = ServerNotices(NoticeDependencies(catalogue, clock, emit))
-    part_guard = PartGuard(
-        GuardDependencies(catalogue, refuses_connections, clock, common.rng, emit)
-    )
-    follower = StoreFollower(
-        FOLLOWED_PREFIX,
-        FollowerDependencies(
-            source=StoreClient(
-                settings.store_address,
-                lambda reason: rejections.record(reason, reason, "store"),
-            ),
-            catalogue=catalogue,
-            # ``peers`` is built below; the follower calls it only after its start.
-            should_watch=lambda: peers.should_watch_store(),
-            can_list=lambda: peers.can_list_store(),
-            clock=clock,
-            rng=common.rng,
-            emit=emit,
-        ),
-    )
-    paths = PathWatch(
-        PathDependencies(
-            catalogue,
-            # ``engines`` is built below; the path watch calls it only after its start.
-            lambda server: engines.read_server_id(
-                server, _health_path(catalogue, server.service)
-            ),
-            clock,
-            emit,
-        )
-    )
-    pull = ViewPull(
-        PullDependencies(
-            catalogue=catalogue,
-            part_guard=part_guard,
-            peer_port=split_address(settings.peer_address)[1],
-            on_pulled=follower.restart_watch,
-            is_large_fleet=lambda: peers.is_large_fleet,
-            rng=common.rng,
-            clock=clock,
-            emit=emit,
-        )
-    )
-    peers = PeerLink(
-        PeerDependencies(
-            settings=settings,
-            boot_id=uuid.uuid4().hex[:8],
-            catalogue=catalogue,
-            ledger=ledger,
-            report_cache=report_cache,
-            notices=notices,
-            part_guard=part_guard,
-            pull=pull,
-            is_store_answering=lambda: follower.is_store_reachable,
-            lost_services=paths.lost_services,
-            clock=clock,
-            emit=emit,
-        )
-    )
-    engines = EngineClient(notices.record_answer, peers.permits.consume)
-    return _Fleet(
-        catalogue,
-        ledger,
-        report_cache,
-        notices,
-        part_guard,
-        engines,
-        follower,
-        pull,
-        paths,
-        peers,
-    )
-
-
-def _health_path(catalogue: Catalogue, service: str) -> str:
-    return spec.health_path if (spec := catalogue.service_spec(service)) else ""
-
-
-def _build_serving(common: _CommonParts, fleet: _Fleet) -> _Serving:
+def _build_serving(common: CommonParts, fleet: Fleet) -> _Serving:
     settings, clock, emit = common.settings, common.clock, common.emit
     catalogue, ledger, peers = fleet.catalogue, fleet.ledger, fleet.peers
     placer = Placer(
@@ -364,9 +227,7 @@
     return _Serving(placer, queue, registry, request_tracker)
 
 
-def _build_protector(
-    common: _CommonParts, fleet: _Fleet, serving: _Serving
-) -> Protector:
+def _build_protector(common: CommonParts, fleet: Fleet, serving: _Serving) -> Protector:
     return Protector(
         ProtectionDependencies(
             registry=serving.registry,
@@ -385,7 +246,7 @@
     )
 
 
-def _build_report_poller(common: _CommonParts, fleet: _Fleet) -> EngineReportPoller:
+def _build_report_poller(common: CommonParts, fleet: Fleet) -> EngineReportPoller:
     return EngineReportPoller(
         ReportPollerDependencies(
             should_track_engine=fleet.peers.should_track_engine,
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -6,6 +6,7 @@
 
 from gypsumfield.adapters.caller_server import CallerServer
 from gypsumfield.adapters.caller_server import RequestTracker
+from gypsumfield.adapters.loop_lag import LoopLag
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.draining import STOP_MARGIN_MS
@@ -60,6 +61,7 @@
         paths: Notices lost paths to servers.
         protector: Copies runs away from engines that leave.
         report_poller: Queries engines for their reports.
+        loop_lag: Measures how long greenlets hold up all others.
     """
 
     request_tracker: RequestTracker
@@ -71,6 +73,7 @@
     paths: PathWatch
     protector: Protector
     report_poller: EngineReportPoller
+    loop_lag: LoopLag
 
 
 class EdgeHost:
@@ -97,6 +100,7 @@
     def start(self) -> None:
         """Start the servers, then follow the store and find the peers."""
         components = self.components
+        components.loop_lag.start()
         for server in components.servers:
             server.start()
         components.follower.start()
@@ -141,6 +145,7 @@
             components.paths,
             components.protector,
             components.report_poller,
+            components.loop_lag,
         ):
             component.stop()
         for server in components.servers:
--- a/src/gypsumfield/loops.py
+++ b/src/gypsumfield/loops.py
@@ -3,6 +3,7 @@
 import traceback
 from collections.abc import Callable
 
+from gypsumfield.adapters.loop_lag import name_greenlet
 from gypsumfield.clock import Clock
 from gypsumfield.events import LoopFailed
 from gypsumfield.interfaces import EmitEvent
@@ -25,6 +26,7 @@
         clock: Monotonic clock, also used to pause.
         emit: Writes an event to the log.
     """
+    name_greenlet(name)
     pause_ms = MIN_FAILURE_PAUSE_MS
     failure_count = 0
     logged_ms: dict[str, float] = {}
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -36,6 +36,7 @@
         metrics.observe_event(filled_event(event_type, **status))
     metrics.record_between_tokens("p", 1.0)
     metrics.record_queue_wait("p", 1.0)
+    metrics.record_loop_held(1.0)
     exposed_labels = {}
     for family in metrics.collect():
         assert family.samples, f"{family.name} has no samples"
