--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -21,6 +21,7 @@
 from gypsumfield.engine_api import OrderOutcome
 from gypsumfield.engine_api import StartGeneration
 from gypsumfield.engine_api import TokenEvent
+from gypsumfield.event_stream import EventSplitter
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.platform_api import Member
@@ -67,8 +68,11 @@
         self._exchange.close()
 
     def _chunks(self) -> Iterator[bytes]:
+        """Yield complete events; the splitter limits them and does linear work."""
+        splitter = EventSplitter()
         while chunk := self._exchange.read_chunk():
-            yield chunk
+            for event in splitter.feed(chunk):
+                yield event.data
 
     def _decode(self, data: str) -> TokenEvent:
         try:
--- a/src/gypsumfield/gateway/event_stream.py
+++ b/src/gypsumfield/event_stream.py
@@ -10,13 +10,16 @@
 # Events have a few hundred bytes. More bytes than this without the end of an event
 # never become a valid one.
 EVENT_LIMIT_BYTES = 1_048_576
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_EVENT_END_PATTERN = re.compile(rb"\n\r?\n")
+# An end of an event that the next bytes complete begins at most this far back.
+_PARTIAL_END_BYTES = 2
 _ID_FIELD = b"id:"
 FIRST_EVENT_NUMBER = 1
 _NUMBER_PATTERN = re.compile(r"[0-9]{1,18}")
 # Lines with a field name, which is empty in comments. The text of an error and the head
-# of another answer have other lines.
-_EVENT_PATTERN = re.compile(rb"(?:[A-Za-z0-9_-]*(?::[^\n]*)?\r?\n)+")
+# of another answer have other lines. Possessive quantifiers rule out backtracking: the
+# bytes come from another party, and a match holds up all other requests.
+_EVENT_PATTERN = re.compile(rb"(?:[A-Za-z0-9_-]*+(?::[^\n]*+|\r?+)\n)++")
 
 
 class StreamEvent(NamedTuple):
@@ -30,7 +33,8 @@
     """Buffers received bytes and returns each event once it is complete.
 
     A server can fail in the middle of an event. Only complete events are sent to
-    the caller, so that another run can resume after the last of them.
+    the caller, so that another run can resume after the last of them. The work is in
+    proportion to the number of bytes, however they are split.
 
     Attributes:
         event_count: Number of complete events so far.
@@ -39,6 +43,8 @@
     def __init__(self) -> None:
         self.event_count = 0
         self._buffer = bytearray()
+        # No event ends before this position.
+        self._searched_bytes = 0
 
     @property
     def has_remainder(self) -> bool:
@@ -54,9 +60,11 @@
         """
         self._buffer += data
         events: list[StreamEvent] = []
-        while (end := self._find_end()) >= 0:
-            event = bytes(self._buffer[:end])
+        begin = 0
+        while end := self._find_end():
+            event = bytes(self._buffer[begin:end])
             if not _EVENT_PATTERN.fullmatch(event):
+                self._searched_bytes = begin
                 if events:
                     # The next call raises the error.
                     break
@@ -65,11 +73,13 @@
                     RunVerdict.MAY_HAVE_RUN,
                     "event_invalid",
                 )
-            del self._buffer[:end]
             events.append(StreamEvent(event, _event_id(event)))
+            begin = end
+        del self._buffer[:begin]
+        self._searched_bytes -= begin
         self.event_count += len(events)
         if len(self._buffer) > EVENT_LIMIT_BYTES:
-            self._buffer.clear()
+            self._clear()
             raise BackendError(
                 f"an event is above {EVENT_LIMIT_BYTES} bytes",
                 RunVerdict.MAY_HAVE_RUN,
@@ -80,16 +90,21 @@
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event and clear the buffer."""
         remainder = bytes(self._buffer)
-        self._buffer.clear()
+        self._clear()
         return remainder
 
+    def _clear(self) -> None:
+        self._buffer.clear()
+        self._searched_bytes = 0
+
     def _find_end(self) -> int:
-        ends = [
-            position + len(terminator)
-            for terminator in _EVENT_TERMINATORS
-            if (position := self._buffer.find(terminator)) >= 0
-        ]
-        return min(ends, default=-1)
+        """Return where the next event ends and search after it next time; 0 if none."""
+        if match := _EVENT_END_PATTERN.search(self._buffer, self._searched_bytes):
+            self._searched_bytes = match.end()
+            return match.end()
+        rest_bytes = len(self._buffer) - self._searched_bytes
+        self._searched_bytes += max(0, rest_bytes - _PARTIAL_END_BYTES)
+        return 0
 
 
 class EventIds:
--- a/src/gypsumfield/gateway/run_reader.py
+++ b/src/gypsumfield/gateway/run_reader.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from gypsumfield.adapters.backends import Exchange
+from gypsumfield.event_stream import EventIds
+from gypsumfield.event_stream import EventSplitter
+from gypsumfield.event_stream import StreamEvent
 from gypsumfield.exceptions import BackendError
-from gypsumfield.gateway.event_stream import EventIds
-from gypsumfield.gateway.event_stream import EventSplitter
-from gypsumfield.gateway.event_stream import StreamEvent
 from gypsumfield.verdicts import RunVerdict
 
 
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 
 from gypsumfield.decisions.placement import planned_tokens
+from gypsumfield.event_stream import EventIds
+from gypsumfield.event_stream import StreamEvent
 from gypsumfield.events import StreamResumed
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
@@ -15,8 +17,6 @@
 from gypsumfield.gateway.attempt import SUCCESS_STATUSES
 from gypsumfield.gateway.calls import ResumePoint
 from gypsumfield.gateway.calls import SendOptions
-from gypsumfield.gateway.event_stream import EventIds
-from gypsumfield.gateway.event_stream import StreamEvent
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
