--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import time
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -95,6 +96,7 @@
         self._is_request_sent = False
         self._is_shut_down = False
         self._timer: gevent.Greenlet | None = None
+        self._ends_s = math.inf
 
     def open(self, check_before_send: Callable[[], str]) -> int:
         """Connect, send and read the answer's headers.
@@ -113,9 +115,9 @@
             self._sock = self._connect()
             self.stage = Stage.CONNECTED
             if self._timeouts.total_ms < math.inf:
-                self._timer = gevent.spawn_later(
-                    self._timeouts.total_ms / MS_PER_S, self.abandon
-                )
+                total_s = self._timeouts.total_ms / MS_PER_S
+                self._timer = gevent.spawn_later(total_s, self.abandon)
+                self._ends_s = time.monotonic() + total_s
             self._abort.attach(self._shut_down)
             reason = check_before_send()
             if reason:
@@ -153,6 +155,9 @@
             raise self._error("silent", "backend_stalled") from error
         except (OSError, HTTPParseError, AttributeError) as error:
             raise self._error(_error_text(error), "answer_truncated") from error
+        if chunk and time.monotonic() > self._ends_s:
+            # The timer may be late, and after it buffered data still arrive.
+            raise self._error("the answer took too long", "backend_stalled")
         if not chunk:
             if self._is_shut_down and not self.has_end_marker:
                 # The end of the data is this host's own shutdown.
--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -15,6 +15,9 @@
 from gevent.pywsgi import WSGIServer
 
 from gypsumfield.aborts import AbortHandle
+from gypsumfield.adapters.fair_reads import open_fair_file
+from gypsumfield.adapters.fair_reads import ReadTurn
+from gypsumfield.adapters.fair_reads import TURN_BYTES
 from gypsumfield.clock import MS_PER_S
 
 HEADER_BLOCK_LIMIT_BYTES = 32_768
@@ -25,7 +28,6 @@
 RAW_HEADERS_KEY = "gypsumfield.raw_headers"
 ABANDON_BODY_KEY = "gypsumfield.abandon_body"
 LINGER_LIMIT_S = 1.0
-LINGER_READ_SIZE_BYTES = 65_536
 PEEK_SIZE_BYTES = 1
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -66,6 +68,9 @@
     This prevents request smuggling through the entry host.
     """
 
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        super().__init__(sock, address, server, open_fair_file(sock))
+
     def read_requestline(self) -> str:
         """Read the next request line, within the idle timeout."""
         idle_ms = self.server.read_limits().idle_timeout_ms
@@ -154,8 +159,9 @@
         """
         with gevent.Timeout(LINGER_LIMIT_S, exception=False):
             self._sock.shutdown(socket.SHUT_WR)
-            while self._sock.recv(LINGER_READ_SIZE_BYTES):
-                continue
+            turn = ReadTurn()
+            while data := self._sock.recv(TURN_BYTES):
+                turn.record(len(data))
 
 
 class RequestTracker:
--- a/src/gypsumfield/adapters/peers.py
+++ b/src/gypsumfield/adapters/peers.py
@@ -15,6 +15,7 @@
 import zmq.green as zmq
 from zmq.utils import z85
 
+from gypsumfield.adapters.fair_reads import ReadTurn
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.exceptions import SettingsError
 
@@ -199,9 +200,12 @@
             peer.socket = None
 
     def _receive_all(self, receive: Callable[[bytes, str], None]) -> None:
+        turn = ReadTurn()
         while True:
             frames = self._router.recv_multipart(copy=False)
-            receive(frames[-1].bytes, _public_key_of(frames[-1]))
+            data = frames[-1].bytes
+            receive(data, _public_key_of(frames[-1]))
+            turn.record(len(data))
 
     def _authenticate(self) -> None:
         socket = self._context.socket(zmq.REP)
--- a/src/gypsumfield/adapters/responses.py
+++ b/src/gypsumfield/adapters/responses.py
@@ -5,7 +5,9 @@
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.response import HTTPSocketResponse
 
-READ_SIZE_BYTES = 65_536
+from gypsumfield.adapters.fair_reads import FairSocket
+from gypsumfield.adapters.fair_reads import TURN_BYTES
+
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
 # Maximum bytes of headers, interim answers, chunk sizes and trailers that may arrive
@@ -26,6 +28,9 @@
     final_status = 0
     _framing_bytes = 0
 
+    def __init__(self, sock: Any, method: str) -> None:
+        super().__init__(FairSocket(sock), method=method)
+
     def feed(self, data: str | bytes) -> None:
         """Parse data; bytes after a complete answer only prevent connection reuse.
 
@@ -73,12 +78,12 @@
         if self.should_close():
             sock.close()
         else:
-            self.idle_sock = sock
+            self.idle_sock = sock.sock
 
     def read_available(self) -> bytes:
         """Wait for body bytes and return them; empty at the end of the answer."""
         while not self._body_buffer and not self.message_complete:
-            self.feed(self._sock.recv(READ_SIZE_BYTES))
+            self.feed(self._sock.recv(TURN_BYTES))
         chunk = bytes(self._body_buffer)
         self._body_buffer.clear()
         return chunk
--- a/src/gypsumfield/event_stream.py
+++ b/src/gypsumfield/event_stream.py
@@ -10,6 +10,9 @@
 # Events have a few hundred bytes. More bytes than this without the end of an event
 # never become a valid one.
 EVENT_LIMIT_BYTES = 1_048_576
+# Bytes between two events that belong to none: blank lines and comments. Servers send a
+# few to keep a connection open.
+FILLER_LIMIT_BYTES = 16_384
 _EVENT_END_PATTERN = re.compile(rb"\n\r?\n")
 # An end of an event that the next bytes complete begins at most this far back.
 _PARTIAL_END_BYTES = 2
@@ -20,13 +23,24 @@
 # of another answer have other lines. Possessive quantifiers rule out backtracking: the
 # bytes come from another party, and a match holds up all other requests.
 _EVENT_PATTERN = re.compile(rb"(?:[A-Za-z0-9_-]*+(?::[^\n]*+|\r?+)\n)++")
+_FILLER_PATTERN = re.compile(rb"(?:(?::[^\n]*+|\r?+)\n)*+")
+# A block without one of these fields tells a client nothing.
+_CONTENT_PATTERN = re.compile(rb"(?:^|\n)(?:data|id)[:\r\n]")
 
 
 class StreamEvent(NamedTuple):
-    """One event with its closing blank line, and its id, which may be empty."""
+    """A piece of a stream.
+
+    Attributes:
+        data: One event with its closing blank line, or bytes that belong to no event.
+        event_id: Id of the event, which may be empty.
+        is_filler: Whether it is no event: blank lines, comments, or fields that carry
+            no data. It is passed on, but shows no progress.
+    """
 
     data: bytes
     event_id: str
+    is_filler: bool = False
 
 
 class EventSplitter:
@@ -45,6 +59,8 @@
         self._buffer = bytearray()
         # No event ends before this position.
         self._searched_bytes = 0
+        self._filler_bytes = 0
+        self._error: BackendError | None = None
 
     @property
     def has_remainder(self) -> bool:
@@ -52,40 +68,33 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes and return the events that they complete.
+        """Add received bytes and return the pieces that they complete, in order.
+
+        An error after complete pieces is raised by the next call.
 
         Raises:
-            BackendError: The data are no events, or an incomplete event exceeds
-                ``EVENT_LIMIT_BYTES``.
+            BackendError: The data are no events, an incomplete event exceeds
+                ``EVENT_LIMIT_BYTES``, or more than ``FILLER_LIMIT_BYTES`` arrived
+                without an event.
         """
+        if self._error is not None:
+            raise self._error
         self._buffer += data
-        events: list[StreamEvent] = []
+        pieces: list[StreamEvent] = []
         begin = 0
-        while end := self._find_end():
-            event = bytes(self._buffer[begin:end])
-            if not _EVENT_PATTERN.fullmatch(event):
-                self._searched_bytes = begin
-                if events:
-                    # The next call raises the error.
-                    break
-                raise BackendError(
-                    "the stream contains something that is no event",
-                    RunVerdict.MAY_HAVE_RUN,
-                    "event_invalid",
-                )
-            events.append(StreamEvent(event, _event_id(event)))
-            begin = end
+        try:
+            # Without the end of a line, nothing becomes complete.
+            while b"\n" in data and (piece := self._next_piece(begin)):
+                begin += len(piece.data)
+                pieces.append(piece)
+            self._check_incomplete(len(self._buffer) - begin)
+        except BackendError as error:
+            if not pieces:
+                raise
+            self._error = error
         del self._buffer[:begin]
-        self._searched_bytes -= begin
-        self.event_count += len(events)
-        if len(self._buffer) > EVENT_LIMIT_BYTES:
-            self._clear()
-            raise BackendError(
-                f"an event is above {EVENT_LIMIT_BYTES} bytes",
-                RunVerdict.MAY_HAVE_RUN,
-                "event_too_large",
-            )
-        return events
+        self._searched_bytes = max(0, self._searched_bytes - begin)
+        return pieces
 
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event and clear the buffer."""
@@ -93,19 +102,48 @@
         self._clear()
         return remainder
 
+    def _next_piece(self, begin: int) -> StreamEvent | None:
+        """Return the piece that begins at a position; None if it is incomplete."""
+        filler = _FILLER_PATTERN.match(self._buffer, begin)
+        if filler and filler.end() > begin:
+            return self._filler(bytes(self._buffer[begin : filler.end()]))
+        searched_bytes = max(begin, self._searched_bytes)
+        end = _EVENT_END_PATTERN.search(self._buffer, searched_bytes)
+        if not end:
+            partial_at = len(self._buffer) - _PARTIAL_END_BYTES
+            self._searched_bytes = max(searched_bytes, partial_at)
+            return None
+        self._searched_bytes = end.end()
+        block = bytes(self._buffer[begin : end.end()])
+        if not _EVENT_PATTERN.fullmatch(block):
+            raise _stream_error(
+                "the stream contains something that is no event", "event_invalid"
+            )
+        if not _CONTENT_PATTERN.search(block):
+            return self._filler(block)
+        self._filler_bytes = 0
+        self.event_count += 1
+        return StreamEvent(block, _event_id(block))
+
+    def _filler(self, data: bytes) -> StreamEvent:
+        self._filler_bytes += len(data)
+        if self._filler_bytes > FILLER_LIMIT_BYTES:
+            raise _stream_error(
+                f"{self._filler_bytes} bytes without an event", "event_missing"
+            )
+        return StreamEvent(data, "", is_filler=True)
+
+    def _check_incomplete(self, size_bytes: int) -> None:
+        if size_bytes > EVENT_LIMIT_BYTES:
+            self._clear()
+            raise _stream_error(
+                f"an event is above {EVENT_LIMIT_BYTES} bytes", "event_too_large"
+            )
+
     def _clear(self) -> None:
         self._buffer.clear()
         self._searched_bytes = 0
 
-    def _find_end(self) -> int:
-        """Return where the next event ends and search after it next time; 0 if none."""
-        if match := _EVENT_END_PATTERN.search(self._buffer, self._searched_bytes):
-            self._searched_bytes = match.end()
-            return match.end()
-        rest_bytes = len(self._buffer) - self._searched_bytes
-        self._searched_bytes += max(0, rest_bytes - _PARTIAL_END_BYTES)
-        return 0
-
 
 class EventIds:
     """Ids of the events that a caller has received.
@@ -162,6 +200,10 @@
         return True
 
 
+def _stream_error(reason: str, code: str) -> BackendError:
+    return BackendError(reason, RunVerdict.MAY_HAVE_RUN, code)
+
+
 def _number(event_id: str) -> int | None:
     return int(event_id) if _NUMBER_PATTERN.fullmatch(event_id) else None
 
--- a/src/gypsumfield/gateway/forwarding.py
+++ b/src/gypsumfield/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.clock import Clock
+from gypsumfield.event_stream import EventSplitter
 from gypsumfield.events import RequestForwarded
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
@@ -86,13 +87,17 @@
         self._log_broken = log_broken
 
     def events(self) -> Iterator[bytes]:
-        """Yield the stream's bytes.
+        """Yield the stream's bytes, in complete events.
 
         Raises:
-            BackendError: The answer was broken off.
+            BackendError: The answer was broken off, or has other bytes than events.
         """
+        splitter = EventSplitter()
         while chunk := self.answer.exchange.read_chunk():
-            yield chunk
+            if pieces := splitter.feed(chunk):
+                yield b"".join(piece.data for piece in pieces)
+        if remainder := splitter.remainder():
+            yield remainder
 
     def close(self) -> None:
         """Close the connection to the other host; it stops serving."""
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -11,6 +11,7 @@
 import gevent.socket
 from gevent.event import Event as Signal
 
+from gypsumfield.adapters.fair_reads import ReadTurn
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.brittle_servers import HostPosition
 from gypsumfield.decisions.fleet_shares import cold_bound_per_s
@@ -121,6 +122,7 @@
         self._last_slow_round_ms = 0.0
         self._greenlets: list[gevent.Greenlet] = []
         self._socket: Any = None
+        self._read_turn = ReadTurn()
         deps.ledger.on_change(self._update_pending.set)
         deps.catalogue.on_change(self._update_pending.set)
         deps.part_guard.on_change(self._update_pending.set)
@@ -302,7 +304,9 @@
             return
 
     def _receive_round(self) -> None:
-        self.handle_datagram(self._socket.recvfrom(MAX_DATAGRAM_BYTES)[0])
+        datagram = self._socket.recvfrom(MAX_DATAGRAM_BYTES)[0]
+        self.handle_datagram(datagram)
+        self._read_turn.record(len(datagram))
 
     def handle_datagram(self, datagram: bytes) -> None:
         """Decode and handle one datagram from the network."""
--- a/src/gypsumfield/gateway/run_reader.py
+++ b/src/gypsumfield/gateway/run_reader.py
@@ -38,7 +38,7 @@
         self._splitter = EventSplitter()
 
     def read(self) -> list[StreamEvent]:
-        """Wait for one chunk and return the events that it completes.
+        """Wait for one chunk and return the pieces that it completes.
 
         Raises:
             BackendError: The engine failed, or broke the stream off.
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -45,7 +45,7 @@
         run: Ledger entry of the run, which counts its load on the engine.
         last_event_id: Id of the last event sent to the caller, or empty.
         event_count: Events sent to the caller.
-        last_received_ms: Monotonic time of the last data received from the engine.
+        last_received_ms: Monotonic time of the last event received from the engine.
         copies: Copies of its key-value cache on other engines.
         version: Software version to which it is bound.
         headers: Headers of the answer for the caller, once it is open.
@@ -143,7 +143,7 @@
                 if answer.status not in SUCCESS_STATUSES:
                     return self._read_failure(answer)
                 self.headers = self._deps.attempts.wire.answer_headers(answer.headers)
-                while not self._unsent and not self._has_ended:
+                while not self._has_unsent_event and not self._has_ended:
                     self._read_events()
             except BackendError as error:
                 self._record_failure(error)
@@ -186,6 +186,7 @@
         self.run = Run(server.server_id, call.prompt_tokens, self.job.expected_tokens)
         self.run.generated_tokens = self.generated_tokens
         self._reader = None
+        self._unsent = []
         self._tried_ids.append(server.server_id)
         self._run_count += 1
         self._is_at_engine = True
@@ -229,15 +230,19 @@
         return self.job.route.is_resumable or self.copies.has_usable_backup
 
     def _read_events(self) -> None:
-        """Read one chunk and store the events that it completes."""
+        """Read one chunk and store what it completes; only events are progress."""
         assert self._reader is not None
-        self._unsent = self._reader.read()
+        self._unsent += self._reader.read()
         self._has_ended = self._reader.has_ended
-        self.last_received_ms = self._deps.attempts.clock.monotonic_ms()
-        if self._unsent:
+        if self._has_unsent_event:
+            self.last_received_ms = self._deps.attempts.clock.monotonic_ms()
             self.version.record_events(self.server)
             self._deps.ledger.mark_prompt_processed(self.run)
 
+    @property
+    def _has_unsent_event(self) -> bool:
+        return any(not piece.is_filler for piece in self._unsent)
+
     def _check_unmarked_end(self) -> None:
         received_count = max(self.event_count, self._received_ids.count)
         self._deps.attempts.answer_ends.check(self.job, self.server, received_count)
@@ -382,16 +387,19 @@
         )
 
     def _record_sent_events(self, batch: list[StreamEvent]) -> None:
+        events = [piece for piece in batch if not piece.is_filler]
+        if not events:
+            return
         if not self.event_count:
             elapsed_ms = self.last_received_ms - self.job.started_ms
             self._deps.attempts.placer.record_success(self.server, elapsed_ms)
         self._progress.record_events(
-            len(batch), self.last_received_ms, self.server.server_id
+            len(events), self.last_received_ms, self.server.server_id
         )
-        self.event_count += len(batch)
+        self.event_count += len(events)
         self._futile_resume_count = 0
-        self._received_ids.record(batch)
-        self.last_event_id = batch[-1].event_id or self.last_event_id
+        self._received_ids.record(events)
+        self.last_event_id = events[-1].event_id or self.last_event_id
         self.run.generated_tokens = self.generated_tokens
         self.copies.record_generated(self.generated_tokens)
 
