--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -143,10 +143,12 @@
     Attributes:
         started_wall_ms: Wall-clock time of its start, as in its registration.
         event_counts: Events that each run has made so far, by request id.
+        lists_runs: Whether the engine lists its runs at all.
     """
 
     started_wall_ms: int
     event_counts: Mapping[str, int]
+    lists_runs: bool = True
 
 
 class CopyResult(NamedTuple):
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -40,6 +40,8 @@
 from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.reservations import build_reserve
 from gypsumfield.gateway.run_copies import CopyDependencies
+from gypsumfield.gateway.run_ends import RunEndDependencies
+from gypsumfield.gateway.run_ends import RunEnds
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
@@ -206,6 +208,17 @@
         registry=registry,
         forward=forwarder.resume,
         takeover=peers.takeover,
+        run_ends=RunEnds(
+            RunEndDependencies(
+                catalogue,
+                peers.permits,
+                fleet.engines.stop_run,
+                fleet.engines.read_runs,
+                lambda service: can_move(catalogue.engine_spec(service)),
+                clock,
+                emit,
+            )
+        ),
     )
     gateway = Gateway(
         GatewayDependencies(
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -158,6 +158,18 @@
     reason: str = ""
 
 
+class RunEnd(Event, frozen=True, kw_only=True, tag="run_end"):
+    """Whether a run has ended, before its stream goes on at the engine ``target``.
+
+    ``proof`` says what shows it and is empty if nothing does; then ``reason`` says why.
+    """
+
+    target: str
+    proof: str
+    reason: str
+    waited_ms: float
+
+
 class ReservationRefused(Event, frozen=True, kw_only=True, tag="reservation_refused"):
     """An engine lacked the memory for a stream that fitted by this host's records."""
 
--- a/src/gypsumfield/gateway/stream_dependencies.py
+++ b/src/gypsumfield/gateway/stream_dependencies.py
@@ -9,6 +9,7 @@
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.run_copies import CopyDependencies
+from gypsumfield.gateway.run_ends import RunEnds
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.gateway.stream_registry import StreamRegistry
 from gypsumfield.gateway.stream_takeover import StreamTakeover
@@ -28,6 +29,7 @@
         registry: Streams that run now; `Protector` copies them off leaving engines.
         forward: Lets a stream go on at another host after an event; None if it can't.
         takeover: Software versions of streams that callers may take up again.
+        run_ends: Makes sure that a run has ended before its stream goes on elsewhere.
     """
 
     attempts: AttemptDependencies
@@ -40,3 +42,4 @@
     registry: StreamRegistry
     forward: Callable[[Job, str], ForwardedStream | None]
     takeover: StreamTakeover
+    run_ends: RunEnds
--- a/src/gypsumfield/gateway/stream_progress.py
+++ b/src/gypsumfield/gateway/stream_progress.py
@@ -3,10 +3,12 @@
 from gypsumfield.events import FirstToken
 from gypsumfield.events import RequestCompleted
 from gypsumfield.events import RequestFailed
+from gypsumfield.events import StreamResumed
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.attempt import AttemptDependencies
 from gypsumfield.gateway.job import Job
+from gypsumfield.gateway.model import BackendServer
 from gypsumfield.verdicts import RunVerdict
 
 # An engine that crashes on a prompt does so before the first event is complete, or
@@ -70,6 +72,22 @@
             )
         )
 
+    def record_resumed(
+        self, server: BackendServer, event_count: int, begun_version: str
+    ) -> None:
+        """Log that the stream goes on at an engine after so many events."""
+        self._deps.emit(
+            StreamResumed(
+                request_id=self._job.request_id,
+                account=self._job.account_name,
+                service=self._job.service,
+                backend_server=server.server_id,
+                after_sequence=event_count,
+                begun_version=begun_version,
+                software_version=server.software_version,
+            )
+        )
+
     def log_broken(self, error: BackendError | RefusedError, server_id: str) -> None:
         """Log that the caller's stream was cut off before its last event."""
         code = error.refusal.code if isinstance(error, RefusedError) else error.code
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -5,7 +5,6 @@
 from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.event_stream import EventIds
 from gypsumfield.event_stream import StreamEvent
-from gypsumfield.events import StreamResumed
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.attempt import log_placement
@@ -23,15 +22,16 @@
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.plain_calls import BufferedAnswer
 from gypsumfield.gateway.run_copies import RunCopies
+from gypsumfield.gateway.run_ends import NOT_ENDED_CODE
+from gypsumfield.gateway.run_ends import PreviousRun
 from gypsumfield.gateway.run_reader import RunReader
 from gypsumfield.gateway.server_placement import ServerPlacement
 from gypsumfield.gateway.stream_dependencies import StreamDependencies
 from gypsumfield.gateway.stream_progress import StreamProgress
+from gypsumfield.gateway.stream_retries import may_retry
 from gypsumfield.gateway.stream_version import StreamVersion
 from gypsumfield.verdicts import RunVerdict
 
-# Refusals after which a stream may try a further engine: one more than a plain call.
-MAX_REFUSED_ATTEMPTS = 3
 # Resumptions of a stream without a further event.
 MAX_FUTILE_RESUMES = 4
 
@@ -72,6 +72,7 @@
         self._has_ended = False
         self._is_at_engine = False
         self._run_error: BackendError | None = None
+        self._previous_run = PreviousRun(deps.run_ends, job)
         self._progress = StreamProgress(
             deps.attempts, job, deps.tokens_per_event(job.service)
         )
@@ -180,7 +181,16 @@
     def _send_to(
         self, server: BackendServer, resume: ResumePoint | None, reservation: str = ""
     ) -> OpenAnswer:
-        """Send the request to an engine and read the headers of its answer."""
+        """Send the request to an engine and read the headers of its answer.
+
+        Raises:
+            BackendError: The attempt failed, or the run before may still go on.
+        """
+        if self._answer is not None:
+            self._answer.exchange.close()
+        if copy := self._previous_run.end(server):
+            resume = copy._replace(last_event_id=self.last_event_id)
+            reservation = ""
         call = self.job.call
         self.server = server
         self.run = Run(server.server_id, call.prompt_tokens, self.job.expected_tokens)
@@ -193,6 +203,7 @@
         self._deps.ledger.begin(self.run)
         self.last_received_ms = self._deps.attempts.clock.monotonic_ms()
         self._progress.sent_ms = self.last_received_ms
+        self._previous_run.begin(server, self.last_received_ms)
         self._deps.registry.add(self)
         if not self.job.route.is_resumable:
             self.copies.select_backup(
@@ -212,6 +223,7 @@
         except BackendError as error:
             if error.verdict is RunVerdict.NOT_RUN:
                 self._run_count -= 1
+                self._previous_run.discard()
             raise
         self._reader = RunReader(
             self._answer.exchange,
@@ -263,6 +275,9 @@
             is_futile = self._futile_resume_count > MAX_FUTILE_RESUMES
             if self.job.abort.reason or self._remaining_ms() <= 0.0 or is_futile:
                 raise error
+            if error.code == NOT_ENDED_CODE:
+                # The caller may take the stream up once the run has ended.
+                raise error
             copies = self.copies.resume_points()
             if copies:
                 self._resume_copy(copies)
@@ -326,13 +341,12 @@
         """
         can_resume = self.job.route.is_resumable or bool(self.copies.resume_points())
         if can_resume and self._answer is not None:
+            self._previous_run.record_unreachable()
             self._answer.exchange.abandon()
 
     def _resume_on(
         self, server: BackendServer, resume: ResumePoint, reservation: str = ""
     ) -> None:
-        if self._answer is not None:
-            self._answer.exchange.close()
         answer = self._send_to(server, resume, reservation)
         self.copies.release_on_demand_copy()
         if answer.status not in SUCCESS_STATUSES:
@@ -341,34 +355,12 @@
                 RunVerdict.MAY_HAVE_RUN,
                 "resume_refused",
             )
-        self._deps.attempts.emit(
-            StreamResumed(
-                request_id=self.job.request_id,
-                account=self.job.account_name,
-                service=self.job.service,
-                backend_server=server.server_id,
-                after_sequence=self.event_count,
-                begun_version=self.version.requirement.version,
-                software_version=server.software_version,
-            )
-        )
+        version = self.version.requirement.version
+        self._progress.record_resumed(server, self.event_count, version)
 
     def _may_retry(self, error: BackendError) -> bool:
-        attempts = self._deps.attempts
-        is_over = bool(self.job.abort.reason) or self._remaining_ms() <= 0.0
-        is_condemned = attempts.part_guard.is_condemned(self.job)
-        if is_over or is_condemned or attempts.placer.should_forward(self.job):
-            return False
         refused_count = len(self._tried_ids) - self._run_count
-        route = self.job.route
-        max_runs = route.max_attempts if route.is_resumable else 0
-        if error.verdict is RunVerdict.NOT_RUN:
-            if refused_count > MAX_REFUSED_ATTEMPTS:
-                return False
-        elif self._run_count >= max_runs:
-            return False
-        share = self._deps.retry_share(self.job.service)
-        return share.take(attempts.clock.monotonic_ms(), self._deps.host_count())
+        return may_retry(self._deps, self.job, error, self._run_count, refused_count)
 
     def _remaining_ms(self) -> float:
         return self.job.remaining_ms(self._deps.attempts.clock)
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -120,8 +120,9 @@
             BackendError: The engine did not answer, or its answer is invalid.
         """
         report = self._read_report(server, _RUNS_DECODER)
-        entries = report.executions if isinstance(report.executions, list) else []
-        return EngineRuns(report.born, dict(_event_counts(entries)))
+        lists_runs = isinstance(report.executions, list)
+        entries = report.executions if lists_runs else []
+        return EngineRuns(report.born, dict(_event_counts(entries)), lists_runs)
 
     def read_server_id(self, server: BackendServer, target: str) -> str:
         """Return the id that the server at an address gives itself, or empty.
@@ -156,7 +157,35 @@
         Raises:
             BackendError: The engine did not answer.
         """
-        body = msgspec.json.encode({"id": request_id, "to": target, "final": False})
+        return self._move_run(server, request_id, target, timeout_ms, is_final=False)
+
+    def stop_run(
+        self, server: BackendServer, request_id: str, target: str, timeout_ms: float
+    ) -> CopyResult:
+        """Stop a run, then copy its key-value cache to another engine.
+
+        The run is stopped even if its copy is refused; the source keeps it then.
+
+        Args:
+            server: Engine that runs the request.
+            request_id: Id of the request whose run is stopped.
+            target: ``IP:PORT`` of the engine that receives the copy.
+            timeout_ms: Time limit of the whole call.
+
+        Raises:
+            BackendError: The engine did not answer.
+        """
+        return self._move_run(server, request_id, target, timeout_ms, is_final=True)
+
+    def _move_run(
+        self,
+        server: BackendServer,
+        request_id: str,
+        target: str,
+        timeout_ms: float,
+        is_final: bool,
+    ) -> CopyResult:
+        body = msgspec.json.encode({"id": request_id, "to": target, "final": is_final})
         timeouts = _timeouts(timeout_ms, timeout_ms)
         answer = self._call(server, "POST", "/-/kv-move", body, timeouts)
         is_complete = answer.status == OK_STATUS
--- a/tests/test_edge_host.py
+++ b/tests/test_edge_host.py
@@ -261,6 +261,10 @@
     engines = {}
 
     def crash_in_stream(request, sock):
+        if "x-attempt-id" not in request["headers"]:
+            # The run has ended with its connection.
+            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return None
         if "kv-from" in request["headers"]:
             return respond_to_resume(request, sock)
         sock.sendall(stream_head(request) + event(1) + event(2) + event(3)[:-9])
