Bound what all requests hold together (report: answers without end)

What callers saw elsewhere: a host ran out of memory over answers without end, and the requests of its other clients ended with it.

Cause: each answer was limited to 8 MiB, their sum was not. 40 calls at once made peaks of 238 to 327 MB on (measured by the users; 38 MB at rest, hosts with 150 MB exist).

Change: held_memory.py counts callers' bodies, heads and framing, bodies of answers until they are sent, incomplete events and the host's own calls to engines. The sum is at most a quarter of memory_mb. When it is used up, the answer that holds most and states no length is dropped (502, a failure of its server), not the next caller; a length above the limit fails before a byte of the body is read. A caller's body that does not fit is refused with 503, which is true.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -8,51 +8,31 @@
 import math
 import time
 from collections.abc import Callable
-from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
 import gevent
 import gevent.select
 import gevent.socket
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import detect_unreachable_peer
 from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import serialize_request
 from gypsumfield.adapters.responses import Response
 from gypsumfield.clock import MS_PER_S
-from gypsumfield.engine_api import REQUEST_ID_HEADER
 from gypsumfield.exceptions import BackendError
+from gypsumfield.exceptions import HeldMemoryError
+from gypsumfield.held_memory import HeldPart
+from gypsumfield.held_memory import Hold
 from gypsumfield.verdicts import RunVerdict
 from gypsumfield.verdicts import Stage
 from gypsumfield.verdicts import verdict_of_stage
 
-
-class OutgoingRequest(NamedTuple):
-    """One request to a backend server.
-
-    Attributes:
-        address: ``IP:PORT`` of the backend server.
-        method: HTTP method.
-        target: Path and query, percent-encoded.
-        headers: Headers to send, without the request id, which is added.
-        body: Complete body, empty for none.
-        request_id: Id that the answer must echo.
-        request_id_header: Header of the request that carries the id.
-        must_echo_id: Whether an answer without the id is rejected.
-    """
-
-    address: str
-    method: str
-    target: str
-    headers: Mapping[str, str]
-    body: bytes
-    request_id: str
-    request_id_header: str = REQUEST_ID_HEADER
-    must_echo_id: bool = True
+DROPPED_CODE = "answer_dropped"
 
 
 class ExchangeTimeouts(NamedTuple):
@@ -73,6 +53,14 @@
 class Exchange:
     """One request and its answer; the request is sent at most once.
 
+    Args:
+        request: The request.
+        timeouts: Time limits.
+        abort: Ends the exchange when the caller has left.
+        pool: Idle connections, for requests that may be retried.
+        hold: Counts the bytes that the answer holds; None for small calls whose number
+            is limited.
+
     Attributes:
         stage: Stage that the exchange has reached.
         is_connection_reused: Whether the connection carried an earlier exchange.
@@ -84,6 +72,7 @@
         timeouts: ExchangeTimeouts,
         abort: AbortHandle,
         pool: ConnectionPool | None = None,
+        hold: Hold | None = None,
     ) -> None:
         self.stage = Stage.BEFORE_CONNECT
         self.is_connection_reused = False
@@ -91,6 +80,8 @@
         self._timeouts = timeouts
         self._abort = abort
         self._pool = pool
+        self._hold = hold
+        self._body = bytearray()
         self._response: Response | None = None
         self._sock: Any = None
         self._is_request_sent = False
@@ -112,6 +103,8 @@
             BackendError: With the verdict of the stage that was reached.
         """
         try:
+            if self._hold:
+                self._hold.begin_answer(self._drop_answer)
             self._sock = self._connect()
             self.stage = Stage.CONNECTED
             if self._timeouts.total_ms < math.inf:
@@ -127,6 +120,9 @@
         except (OSError, HTTPParseError) as error:
             self.close()
             raise self._error(_error_text(error), self._error_code(error)) from error
+        except HeldMemoryError as error:
+            self.close()
+            raise self._error(str(error), DROPPED_CODE) from error
         except BaseException:
             self.close()
             raise
@@ -155,6 +151,10 @@
             raise self._error("silent", "backend_stalled") from error
         except (OSError, HTTPParseError, AttributeError) as error:
             raise self._error(_error_text(error), "answer_truncated") from error
+        except HeldMemoryError as error:
+            raise self._error(str(error), DROPPED_CODE) from error
+        if self._hold and self._hold.is_dropped:
+            raise self._error("the answer was dropped", DROPPED_CODE)
         if chunk and time.monotonic() > self._ends_s:
             # The timer may be late, and after it buffered data still arrive.
             raise self._error("the answer took too long", "backend_stalled")
@@ -177,14 +177,48 @@
         """
         if not may_end_with_close and not self.has_end_marker:
             raise self._error("the answer has no end marker", "answer_truncated")
-        body = bytearray()
-        while chunk := self.read_chunk():
-            body += chunk
-            if len(body) > limit_bytes:
-                raise self._error(
-                    f"the answer is above {limit_bytes} bytes", "answer_too_large"
-                )
-        return bytes(body)
+        response = self._require_response()
+        is_too_large = (response.content_length or 0) > limit_bytes
+        try:
+            while response.message_complete or not is_too_large:
+                chunk = self.read_chunk()
+                if not chunk:
+                    return self._take_body()
+                self._body += chunk
+                self.record_held(HeldPart.ANSWER, len(self._body))
+                is_too_large = len(self._body) > limit_bytes
+            raise self._error(
+                f"the answer is above {limit_bytes} bytes", "answer_too_large"
+            )
+        except BackendError:
+            self._body.clear()
+            self.record_held(HeldPart.ANSWER, 0)
+            raise
+
+    def record_held(self, part: HeldPart, size_bytes: int) -> None:
+        """Record how many bytes a part of the answer holds.
+
+        Raises:
+            BackendError: The host may not hold so many.
+        """
+        if self._hold is None:
+            return
+        try:
+            self._hold.resize(part, size_bytes)
+        except HeldMemoryError as error:
+            raise self._error(str(error), DROPPED_CODE) from error
+
+    def _take_body(self) -> bytes:
+        body = bytes(self._body)
+        self._body.clear()
+        if self._hold:
+            self._hold.end_reading()
+        return body
+
+    def _drop_answer(self) -> None:
+        """Free the body that was read and end the exchange."""
+        self._body.clear()
+        self._shut_down()
 
     def finish(self) -> None:
         """Pool the connection if its answer was read to the end, else close it."""
@@ -214,6 +248,8 @@
     def _detach(self) -> None:
         """Detach from the abort handle and stop the timer of the total time."""
         self._abort.attach(None)
+        if self._hold:
+            self._hold.end_reading()
         if self._timer is not None:
             self._timer.kill(block=False)
             self._timer = None
@@ -246,16 +282,20 @@
 
     def _send(self) -> None:
         try:
-            data = memoryview(_serialize_request(self._request))
+            parts = serialize_request(self._request)
         except ValueError as error:
             raise self._error(str(error), "not_sent") from error
         self._sock.settimeout(self._timeouts.answer_ms / MS_PER_S)
         self.stage = Stage.SENDING
         # A server may answer before it has read the whole body. The rest is then not
         # sent, and the connection is not reused.
-        while data and not self._has_answer_arrived():
-            data = data[self._sock.send(data) :]
-        self._is_request_sent = not data
+        for part in parts:
+            data = memoryview(part)
+            while data and not self._has_answer_arrived():
+                data = data[self._sock.send(data) :]
+            self._is_request_sent = not data
+            if data:
+                break
         self.stage = Stage.SENT
 
     def _has_answer_arrived(self) -> bool:
@@ -268,13 +308,21 @@
         return bool(readable)
 
     def _read_headers(self) -> None:
-        self._response = Response(self._sock, method=self._request.method)
+        self._response = Response(
+            self._sock, self._request.method, self._record_framing
+        )
         self.stage = Stage.ANSWERING
+        if self._hold and "content-length" in self._response:
+            self._hold.record_length()
         self._sock.settimeout(self._timeouts.body_idle_ms / MS_PER_S)
         echoed = self._response.get(self._request.request_id_header)
         if self._request.must_echo_id and echoed != self._request.request_id:
             raise self._error("the answer is to another request", "answer_crossed")
 
+    def _record_framing(self, size_bytes: int) -> None:
+        if self._hold:
+            self._hold.resize(HeldPart.HEAD, size_bytes)
+
     @property
     def has_end_marker(self) -> bool:
         """Whether the end of the answer is marked, not just by a close."""
@@ -309,22 +357,5 @@
     return BackendError(message, RunVerdict.NOT_RUN, code, retry_after_ms)
 
 
-# Used only to serialize requests: it rejects bytes in the method, the target and the
-# headers that a server could interpret as a second request.
-_SERIALIZER = HTTPClient("127.0.0.1", port=0)
-
-
-def _serialize_request(request: OutgoingRequest) -> bytes:
-    headers = {
-        "Host": request.address,
-        **request.headers,
-        request.request_id_header: request.request_id,
-    }
-    head = _SERIALIZER._build_request(
-        request.method, request.target, body=request.body, headers=headers
-    )
-    return bytes(head.encode("latin-1")) + request.body
-
-
 def _error_text(error: BaseException) -> str:
     return str(error) or type(error).__name__
--- a/src/gypsumfield/adapters/engines.py
+++ b/src/gypsumfield/adapters/engines.py
@@ -11,8 +11,8 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.backends import refusal_error
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.decoding import decode
 from gypsumfield.engine_api import EngineRefusal
 from gypsumfield.engine_api import Inventory
--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -93,6 +93,7 @@
         owned_backend_count: Backend servers this host owns.
         in_flight_count: Requests that are being served.
         queue_length: Requests that wait for a backend server.
+        held_bytes: Bytes of callers' requests and of answers that are held.
         shares_held_count: Accounts of whose rate limit this host holds a share.
         shares_held_tokens: Rate tokens in these shares.
         slots_held_count: Slots this host holds at backend servers.
@@ -109,6 +110,7 @@
     owned_backend_count: int = 0
     in_flight_count: int = 0
     queue_length: int = 0
+    held_bytes: int = 0
     shares_held_count: int = 0
     shares_held_tokens: float = 0.0
     slots_held_count: int = 0
@@ -127,6 +129,7 @@
     "owned_backend_count": "Backend servers owned by this host",
     "in_flight_count": "Requests being served",
     "queue_length": "Requests waiting for a backend server",
+    "held_bytes": "Bytes of requests and answers held now",
     "shares_held_count": "Accounts of whose rate this host holds a share",
     "shares_held_tokens": "Rate tokens in these shares now",
     "slots_held_count": "Slots held by this host at backend servers",
--- a/src/gypsumfield/adapters/responses.py
+++ b/src/gypsumfield/adapters/responses.py
@@ -1,5 +1,6 @@
 """Parses one answer of a backend server as it arrives."""
 
+from collections.abc import Callable
 from typing import Any
 
 from geventhttpclient.response import HTTPParseError
@@ -28,7 +29,18 @@
     final_status = 0
     _framing_bytes = 0
 
-    def __init__(self, sock: Any, method: str) -> None:
+    def __init__(
+        self, sock: Any, method: str, record_framing: Callable[[int], None]
+    ) -> None:
+        """Read the headers.
+
+        Args:
+            sock: Connected socket.
+            method: Method of the request.
+            record_framing: Takes the bytes that arrived since the last byte of a
+                body; raises `HeldMemoryError` if they are too many for the host.
+        """
+        self._record_framing = record_framing
         super().__init__(FairSocket(sock), method=method)
 
     def feed(self, data: str | bytes) -> None:
@@ -47,9 +59,12 @@
         except _TrailingBytesError:
             self.has_trailing_bytes = True
         if len(self._body_buffer) > body_bytes:
-            self._framing_bytes = 0
+            if self._framing_bytes:
+                self._framing_bytes = 0
+                self._record_framing(0)
             return
         self._framing_bytes += len(data)
+        self._record_framing(self._framing_bytes)
         if self._framing_bytes > FRAMING_LIMIT_BYTES and not self.has_final_answer:
             raise HTTPParseError(f"{self._framing_bytes} bytes without an answer")
 
--- a/src/gypsumfield/event_stream.py
+++ b/src/gypsumfield/event_stream.py
@@ -67,6 +67,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the pieces that they complete, in order.
 
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -56,6 +56,10 @@
         self.retry_after_ms = retry_after_ms
 
 
+class HeldMemoryError(GypsumfieldError):
+    """The host holds as many bytes of callers and servers as it may."""
+
+
 class CallerGoneError(GypsumfieldError):
     """The caller closed its connection before the answer was complete."""
 
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -5,7 +5,6 @@
 import traceback
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Any
 from typing import NamedTuple
@@ -30,13 +29,16 @@
 from gypsumfield.events import InternalFault
 from gypsumfield.events import RequestCompleted
 from gypsumfield.events import RequestRefused
-from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import Refusal
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.attempt import NO_PATH_CODE
+from gypsumfield.gateway.bodies import HeldAnswer
+from gypsumfield.gateway.bodies import MEMORY_FULL_CODE
+from gypsumfield.gateway.bodies import OpenStream
+from gypsumfield.gateway.bodies import read_body
+from gypsumfield.gateway.bodies import StreamBody
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.catalogue import Catalogue
-from gypsumfield.gateway.forwarding import ForwardedStream
 from gypsumfield.gateway.forwarding import Forwarder
 from gypsumfield.gateway.forwarding import REFUSAL_HEADER
 from gypsumfield.gateway.http_endpoints import FORWARDED_KEY
@@ -56,18 +58,16 @@
 from gypsumfield.gateway.stream_dependencies import StreamDependencies
 from gypsumfield.gateway.streams import Stream
 from gypsumfield.gateway.wire_format import WireFormat
+from gypsumfield.held_memory import HeldMemory
+from gypsumfield.held_memory import Hold
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
 
-BODY_CHUNK_BYTES = 65_536
-# Longest time to receive a request body.
-BODY_TIMEOUT_MS = 10_000.0
 # A call is aborted this long before its time limit ends, so that the refusal still
 # arrives in time.
 DEADLINE_MARGIN_MS = 20.0
 
 StartResponse = Callable[..., Any]
-OpenStream = Stream | ForwardedStream
 
 
 class GatewayDependencies(NamedTuple):
@@ -79,6 +79,7 @@
         plain: Dependencies of calls to plain services.
         streams: Dependencies of streams.
         forwarder: Sends calls through other hosts.
+        memory: Bounds the bytes that all calls hold together.
         draining_ms: Returns the time since the signal to stop, None without one.
         stop_limit_ms: Returns the time between the signal to stop and the kill.
         clock: Monotonic clock, in milliseconds.
@@ -91,6 +92,7 @@
     plain: PlainCallDependencies
     streams: StreamDependencies
     forwarder: Forwarder
+    memory: HeldMemory
     draining_ms: Callable[[], float | None]
     stop_limit_ms: Callable[[], float]
     clock: Clock
@@ -114,10 +116,20 @@
             environ: WSGI environment with the additions of `CallerHandler`.
             start_response: WSGI callable that takes the status line and the headers.
         """
+        hold = self._deps.memory.open()
+        try:
+            return HeldAnswer(self._answer(environ, start_response, hold), hold)
+        except BaseException:
+            hold.release()
+            raise
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: StartResponse, hold: Hold
+    ) -> Iterable[bytes]:
         request = self._deps.wire.decode_request(environ[RAW_HEADERS_KEY])
         name_greenlet(f"request {request.request_id}")
         try:
-            job = self._admit(environ, request)
+            job = self._admit(environ, request, hold)
         except RefusedError as error:
             return self._refuse(environ, start_response, request, error)
         watch = DisconnectWatcher(environ[CALLER_SOCKET_KEY], job.abort)
@@ -137,7 +149,7 @@
                 stop_watching()
                 return self._send_answer(start_response, job, answer)
             start_response("200 OK", answer.headers)
-            return _StreamBody(
+            return StreamBody(
                 answer, lambda: self._end_stream(answer, job, watch, stop_watching)
             )
         except RefusedError as error:
@@ -150,7 +162,7 @@
             self._log_internal_fault(job, error)
             raise
 
-    def _admit(self, environ: dict[str, Any], request: CallHeaders) -> Job:
+    def _admit(self, environ: dict[str, Any], request: CallHeaders, hold: Hold) -> Job:
         started_ms = self._deps.clock.monotonic_ms()
         target = environ[RAW_PATH_KEY]
         if not target.startswith("/"):
@@ -167,7 +179,7 @@
             permit.route.timeout_ms if time_left_ms is None else time_left_ms,
         )
         self._check_draining(permit.route, request, time_limit_ms)
-        body = _read_body(environ, body_limit)
+        body = read_body(environ, body_limit, hold)
         method = environ["REQUEST_METHOD"]
         job = Job(
             call=request,
@@ -182,6 +194,7 @@
             deadline_ms=started_ms + max(0.0, time_limit_ms - DEADLINE_MARGIN_MS),
             abort=AbortHandle(),
             content_id=content_id_of(method, target, permit.account, body),
+            hold=hold,
         )
         if time_left_ms is None:
             return job
@@ -319,7 +332,7 @@
             headers.append((REFUSAL_HEADER, refusal.code))
         if refusal.retry_after_ms is not None:
             headers.append(("Retry-After", f"{refusal.retry_after_ms / MS_PER_S:.2f}"))
-        if refusal.status in (400, 408, 413):
+        if refusal.status in (400, 408, 413) or refusal.code == MEMORY_FULL_CODE:
             environ[ABANDON_BODY_KEY]()
         start_response(_status_line(refusal.status), headers)
         return [
@@ -344,53 +357,6 @@
         )
 
 
-class _StreamBody:
-    """Answer body of a stream; ends without the end marker if the stream breaks."""
-
-    def __init__(self, stream: OpenStream, end: Callable[[], None]) -> None:
-        self._stream = stream
-        self._end = end
-
-    def __iter__(self) -> Iterator[bytes]:
-        try:
-            yield from self._stream.events()
-        except (BackendError, RefusedError) as error:
-            self._stream.log_broken_stream(error)
-            # The WSGI server leaves out the end marker and closes the connection.
-            raise ConnectionResetError(104, "the stream broke") from error
-
-    def close(self) -> None:
-        """End the stream, its deadline and the watch on its caller."""
-        self._end()
-
-
-def _read_body(environ: dict[str, Any], limit_bytes: int) -> bytes:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if int(length) > limit_bytes:
-        raise RefusedError(Refusal(413, "body_too_large", "the body is too large"))
-    body = bytearray()
-    timeout = gevent.Timeout(BODY_TIMEOUT_MS / MS_PER_S)
-    try:
-        with timeout:
-            while chunk := environ["wsgi.input"].read(BODY_CHUNK_BYTES):
-                body += chunk
-                if len(body) > limit_bytes:
-                    raise RefusedError(
-                        Refusal(413, "body_too_large", "the body is too large")
-                    )
-    except gevent.Timeout as expired:
-        if expired is not timeout:
-            raise
-        raise RefusedError(
-            Refusal(408, "body_late", "the body took too long")
-        ) from expired
-    except (OSError, ValueError) as error:
-        raise RefusedError(
-            Refusal(400, "bad_body", "the body is malformed or incomplete")
-        ) from error
-    return bytes(body)
-
-
 def _status_line(status: int) -> str:
     try:
         return f"{status} {HTTPStatus(status).phrase}"
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -5,9 +5,9 @@
 
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import Clock
 from gypsumfield.events import AttemptFailed
 from gypsumfield.exceptions import BackendError
@@ -139,7 +139,8 @@
         if job.route.kind is CallKind.STREAM
         else UNREACHABLE_LIMIT_MS,
     )
-    exchange = Exchange(request, timeouts, job.abort, deps.pool if may_reuse else None)
+    pool = deps.pool if may_reuse else None
+    exchange = Exchange(request, timeouts, job.abort, pool, job.hold)
     sent_ms = deps.clock.monotonic_ms()
 
     def check_before_send() -> str:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -48,6 +48,9 @@
 from gypsumfield.gateway.stream_dependencies import StreamDependencies
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.gateway.stream_registry import StreamRegistry
+from gypsumfield.held_memory import BYTES_PER_MB
+from gypsumfield.held_memory import HELD_SHARE
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.platform import headers
 from gypsumfield.platform.engines import can_connect
@@ -74,7 +77,8 @@
     """
     metrics = Metrics(lambda service: service)
     emit = emit_to_all(log_event, metrics.observe_event)
-    common = CommonParts(settings, clock, random.Random(), metrics, emit)
+    memory = HeldMemory(int(settings.memory_mb * BYTES_PER_MB * HELD_SHARE))
+    common = CommonParts(settings, clock, random.Random(), metrics, memory, emit)
     fleet = build_fleet(common)
     serving = _build_serving(common, fleet)
     protector = _build_protector(common, fleet, serving)
@@ -85,7 +89,7 @@
         lambda: serving.registry.stop_condemned(fleet.part_guard)
     )
     fleet.catalogue.on_change(protector.check_leaving_engines)
-    metrics.read_state = lambda: _read_state(fleet, serving)
+    metrics.read_state = lambda: _read_state(fleet, serving, memory)
     servers = build_servers(
         settings,
         fleet.catalogue,
@@ -105,6 +109,7 @@
         paths=fleet.paths,
         report_poller=_build_report_poller(common, fleet),
         loop_lag=LoopLag(metrics.record_loop_held, emit),
+        held_memory=memory,
     )
     return EdgeHost(settings, components, clock, emit)
 
@@ -114,13 +119,14 @@
     return RetryBounds(limits.retry_ratio, limits.retry_extra, limits.retry_window_ms)
 
 
-def _read_state(fleet: Fleet, serving: _Serving) -> HostState:
+def _read_state(fleet: Fleet, serving: _Serving, memory: HeldMemory) -> HostState:
     pace = serving.placer.mean_pace
     return HostState(
         configuration_revision=fleet.catalogue.revision,
         member_count=fleet.peers.live_count,
         in_flight_count=serving.request_tracker.in_flight_count,
         queue_length=serving.queue.waiting_count,
+        held_bytes=memory.held_bytes,
         engine_step_ms=pace.step_ms,
         engine_prompt_tokens_per_ms=pace.prompt_tokens_per_ms,
     )
@@ -229,6 +235,7 @@
             ),
             streams=streams,
             forwarder=forwarder,
+            memory=common.memory,
             draining_ms=lambda: request_tracker.draining_ms(clock.monotonic_ms()),
             stop_limit_ms=lambda: peers.bounds.stop_limit_ms,
             clock=clock,
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -24,6 +24,7 @@
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.protection import Protector
 from gypsumfield.gateway.settings import EdgeSettings
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.loops import run_forever
 
@@ -62,6 +63,7 @@
         protector: Copies runs away from engines that leave.
         report_poller: Queries engines for their reports.
         loop_lag: Measures how long greenlets hold up all others.
+        held_memory: Bounds what all requests hold together.
     """
 
     request_tracker: RequestTracker
@@ -74,6 +76,7 @@
     protector: Protector
     report_poller: EngineReportPoller
     loop_lag: LoopLag
+    held_memory: HeldMemory
 
 
 class EdgeHost:
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -26,6 +26,7 @@
 from gypsumfield.gateway.settings import split_address
 from gypsumfield.gateway.view_pull import PullDependencies
 from gypsumfield.gateway.view_pull import ViewPull
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.platform import documents
 from gypsumfield.platform.engines import EngineClient
@@ -42,6 +43,7 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
+    memory: HeldMemory
     emit: EmitEvent
 
 
@@ -136,7 +138,7 @@
             emit=emit,
         )
     )
-    engines = EngineClient(notices.record_answer, peers.permits.consume)
+    engines = EngineClient(notices.record_answer, peers.permits.consume, common.memory)
     return Fleet(
         catalogue,
         ledger,
--- a/src/gypsumfield/gateway/forwarding.py
+++ b/src/gypsumfield/gateway/forwarding.py
@@ -11,7 +11,7 @@
 
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import Clock
 from gypsumfield.event_stream import EventSplitter
 from gypsumfield.events import RequestForwarded
@@ -29,6 +29,7 @@
 from gypsumfield.gateway.plain_calls import BufferedAnswer
 from gypsumfield.gateway.roster import Roster
 from gypsumfield.gateway.wire_format import WireFormat
+from gypsumfield.held_memory import HeldPart
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
 
@@ -94,7 +95,9 @@
         """
         splitter = EventSplitter()
         while chunk := self.answer.exchange.read_chunk():
-            if pieces := splitter.feed(chunk):
+            pieces = splitter.feed(chunk)
+            self.answer.exchange.record_held(HeldPart.EVENTS, splitter.buffered_bytes)
+            if pieces:
                 yield b"".join(piece.data for piece in pieces)
         if remainder := splitter.remainder():
             yield remainder
@@ -200,7 +203,7 @@
             remaining_ms,
             HOP_UNREACHABLE_LIMIT_MS,
         )
-        exchange = Exchange(request, timeouts, job.abort)
+        exchange = Exchange(request, timeouts, job.abort, hold=job.hold)
         status = exchange.open(lambda: "")
         headers = exchange.header_items()
         values = {name.lower(): value for name, value in headers}
--- a/src/gypsumfield/gateway/job.py
+++ b/src/gypsumfield/gateway/job.py
@@ -10,6 +10,7 @@
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.model import Account
 from gypsumfield.gateway.model import Route
+from gypsumfield.held_memory import Hold
 
 # Callers estimate the output length correctly at the median. Memory is planned for
 # a longer run, up to the caller's token limit.
@@ -52,6 +53,7 @@
             little before the end of the caller's time limit.
         abort: Cancels the call when its caller disconnects or its deadline passes.
         content_id: Number of its content, which is the same in each repeat; 0 for none.
+        hold: Counts the bytes that the call holds on this host, or None.
         must_serve_here: Whether it may go through no other host: another one has
             forwarded it, or none could take it.
     """
@@ -69,6 +71,7 @@
     abort: AbortHandle
     content_id: int = 0
     must_serve_here: bool = False
+    hold: Hold | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/gypsumfield/gateway/run_reader.py
+++ b/src/gypsumfield/gateway/run_reader.py
@@ -7,6 +7,7 @@
 from gypsumfield.event_stream import EventSplitter
 from gypsumfield.event_stream import StreamEvent
 from gypsumfield.exceptions import BackendError
+from gypsumfield.held_memory import HeldPart
 from gypsumfield.verdicts import RunVerdict
 
 
@@ -46,6 +47,8 @@
         chunk = self._exchange.read_chunk()
         if chunk:
             events = self._splitter.feed(chunk)
+            buffered_bytes = self._splitter.buffered_bytes
+            self._exchange.record_held(HeldPart.EVENTS, buffered_bytes)
             if self._received_ids and not self._is_joined:
                 self._is_joined = self._received_ids.check_join(events)
             return events
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -44,6 +44,7 @@
         capacity: Capacity of the host for work other than serving calls: the smaller
             of its processor in hundredths of a core and its link in Mbit/s.
         availability_zones: All zones of the installation.
+        memory_mb: Memory that the process may use.
     """
 
     host_id: str
@@ -59,6 +60,7 @@
     bounds: EdgeBounds
     capacity: int = 0
     availability_zones: tuple[str, ...] = ()
+    memory_mb: float = 128.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/gypsumfield/gateway/view_pull.py
+++ b/src/gypsumfield/gateway/view_pull.py
@@ -9,7 +9,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import Clock
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import InvalidDataError
--- a/src/gypsumfield/plain_calls.py
+++ b/src/gypsumfield/plain_calls.py
@@ -8,8 +8,8 @@
 from urllib.parse import urlencode
 
 from gypsumfield.adapters.backends import Exchange
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.attempts import Attempt
 from gypsumfield.attempts import AttemptDependencies
 from gypsumfield.attempts import run_attempts
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -12,7 +12,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decoding import Count
 from gypsumfield.decoding import decode
@@ -27,6 +27,7 @@
 from gypsumfield.gateway.calls import EngineState
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.permits import NO_PERMIT_REASON
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.platform.headers import answered_server_id
 from gypsumfield.platform.headers import decode_answer
 from gypsumfield.verdicts import RunVerdict
@@ -90,15 +91,18 @@
             answer, as soon as its headers are read.
         consume_permit: Called right before a call is sent; returns whether the
             engine's limit on requests permits it.
+        memory: Counts the bytes that answers hold.
     """
 
     def __init__(
         self,
         record_metadata: Callable[[BackendServer, int, AnswerMetadata], None],
         consume_permit: Callable[[BackendServer], bool],
+        memory: HeldMemory,
     ) -> None:
         self._record_metadata = record_metadata
         self._consume_permit = consume_permit
+        self._memory = memory
 
     def read_state(self, server: BackendServer) -> EngineState:
         """Request an engine's load and whether it will leave.
@@ -254,7 +258,8 @@
             _ID_HEADER,
             must_echo_id=False,
         )
-        exchange = Exchange(request, timeouts, AbortHandle())
+        hold = self._memory.open()
+        exchange = Exchange(request, timeouts, AbortHandle(), hold=hold)
 
         def check_before_send() -> str:
             return "" if self._consume_permit(server) else NO_PERMIT_REASON
@@ -266,6 +271,7 @@
             return _Answer(status, items, exchange.read_body(ANSWER_LIMIT_BYTES, True))
         finally:
             exchange.close()
+            hold.release()
 
 
 def _timeouts(answer_ms: float, total_ms: float) -> ExchangeTimeouts:
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -76,6 +76,9 @@
             bounds=self._bounds(),
             capacity=self._capacity(),
             availability_zones=self._availability_zones(),
+            memory_mb=self._number(
+                "limits.memory_mb", EdgeSettings._field_defaults["memory_mb"]
+            ),
         )
 
     def _availability_zones(self) -> tuple[str, ...]:
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -14,8 +14,8 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.decoding import decode
 from gypsumfield.decoding import Decoder
 from gypsumfield.decoding import Name
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,8 +8,8 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.exceptions import BackendError
 from gypsumfield.verdicts import RunVerdict
 from gypsumfield.verdicts import Stage
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -15,7 +15,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.exceptions import BackendError
 
 PROMPT = "X-Token-Counts: 1000,800\r\nX-Length-Hint: 800\r\nX-Model: m\r\n"
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,9 +17,10 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import PlatformError
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.platform.documents import decode_server
 from gypsumfield.platform.engines import EngineClient
 from gypsumfield.platform.store import StoreClient
@@ -137,7 +138,9 @@
     with EndlessServer(*ANSWER_PARTS[part]) as server:
         registration_data = json.dumps(registration("engine", server)).encode()
         engine = decode_server("servers/e1", registration_data, 1)
-        client = EngineClient(lambda *metadata: None, lambda server: True)
+        client = EngineClient(
+            lambda *metadata: None, lambda server: True, HeldMemory(MEMORY_LIMIT_BYTES)
+        )
         store = StoreClient(server.address)
         calls = {
             "report": lambda: client.read_state(engine),
--- a/tests/test_fair_reads.py
+++ b/tests/test_fair_reads.py
@@ -18,9 +18,9 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
-from gypsumfield.adapters.backends import OutgoingRequest
 from gypsumfield.adapters.fair_reads import MIN_READ_BYTES
 from gypsumfield.adapters.fair_reads import TURN_BYTES
+from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.exceptions import BackendError
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\n"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from gypsumfield.gateway.calls import SendOptions
 from gypsumfield.gateway.model import CallKind
 from gypsumfield.gateway.routes import find_account
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
 from gypsumfield.platform.engines import EngineClient
@@ -212,6 +213,7 @@
     client = EngineClient(
         lambda *metadata: recorded is None or recorded.append(metadata),
         lambda server: True,
+        HeldMemory(1_000_000),
     )
     registration_data = json.dumps(registration("engine", fake_server)).encode()
     server = decode_server("servers/e1", registration_data, 1)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -11,6 +11,7 @@
 from fake_platform import unframed_head
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.held_memory import HeldMemory
 from gypsumfield.platform.engines import EngineClient
 from gypsumfield.platform.store import StoreClient
 
@@ -105,7 +106,9 @@
 
 
 def engine_client():
-    return EngineClient(lambda *_arguments: None, lambda _server: True)
+    return EngineClient(
+        lambda *_arguments: None, lambda _server: True, HeldMemory(1_000_000)
+    )
 
 
 def engine_record(server):
