--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -97,12 +97,21 @@
 
 
 class OpenAnswer(NamedTuple):
-    """Status and headers of an answer whose body has not been read yet."""
+    """Status and headers of an answer whose body has not been read yet.
+
+    Attributes:
+        exchange: The exchange; its body can be read.
+        status: HTTP status.
+        headers: Headers of the answer, in order.
+        metadata: What they say.
+        connected_ms: Monotonic time at which the connection was open.
+    """
 
     exchange: Exchange
     status: int
     headers: list[tuple[str, str]]
     metadata: AnswerMetadata
+    connected_ms: float = 0.0
 
 
 def open_answer(
@@ -115,11 +124,10 @@
             it reached. Also raised if the answer belongs to another request or
             states that the call did not run.
     """
-    if options.requirement.has_begun:
-        deps.engine_starts.check(job, server)
     is_rescue = options.resume is not None and bool(options.resume.copy_name)
     if is_rescue:
         _acquire_rescue_permit(deps, job, server)
+    is_stream = job.route.kind is CallKind.STREAM
     may_reuse = job.route.is_resumable or job.route.kind is CallKind.IDEMPOTENT
     request = OutgoingRequest(
         address=server.address,
@@ -135,15 +143,18 @@
         min(CONNECT_TIMEOUT_MS, options.time_limit_ms),
         options.time_limit_ms,
         options.time_limit_ms,
-        STREAM_UNREACHABLE_LIMIT_MS
-        if job.route.kind is CallKind.STREAM
-        else UNREACHABLE_LIMIT_MS,
+        STREAM_UNREACHABLE_LIMIT_MS if is_stream else UNREACHABLE_LIMIT_MS,
     )
     pool = deps.pool if may_reuse else None
     exchange = Exchange(request, timeouts, job.abort, pool, job.hold)
-    sent_ms = deps.clock.monotonic_ms()
+    sent_ms = connected_ms = deps.clock.monotonic_ms()
 
     def check_before_send() -> str:
+        nonlocal connected_ms
+        connected_ms = deps.clock.monotonic_ms()
+        if options.requirement.has_begun:
+            # After the connection was opened, which no other start can take over.
+            deps.engine_starts.check(job, server, connected_ms)
         reason = (
             deps.placer.exclusion_reason(server, options.requirement, is_rescue)
             or _revocation_reason(deps, job)
@@ -153,6 +164,8 @@
             reason = NO_PERMIT_REASON
         if not reason:
             deps.placer.record_sent(server)
+            if is_stream and not options.requirement.has_begun:
+                deps.engine_starts.schedule(job, server, connected_ms)
         return reason
 
     status = exchange.open(check_before_send)
@@ -164,6 +177,7 @@
         status,
         exchange.header_items(),
         deps.wire.decode_answer(exchange.header_items()),
+        connected_ms,
     )
     deps.notices.record_answer(server, status, answer.metadata, sent_ms)
     outcome = classify_answer(
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -130,11 +130,13 @@
         is_leaving: Whether the engine announces that it will leave.
         waiting_count: Requests that wait for a slot or for memory.
         used_tokens: Key-value cache memory that cannot be freed, in tokens.
+        started_wall_ms: Wall-clock time of its start; 0 if the report names none.
     """
 
     is_leaving: bool
     waiting_count: int
     used_tokens: int
+    started_wall_ms: int = 0
 
 
 class EngineRuns(NamedTuple):
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -23,8 +23,6 @@
 from gypsumfield.gateway.edge_servers import build_servers
 from gypsumfield.gateway.engine_reports import EngineReportPoller
 from gypsumfield.gateway.engine_reports import ReportPollerDependencies
-from gypsumfield.gateway.engine_starts import EngineStarts
-from gypsumfield.gateway.engine_starts import StartDependencies
 from gypsumfield.gateway.fleet_parts import build_fleet
 from gypsumfield.gateway.fleet_parts import CommonParts
 from gypsumfield.gateway.fleet_parts import Fleet
@@ -180,7 +178,7 @@
                 emit,
             )
         ),
-        EngineStarts(StartDependencies(peers.permits, fleet.engines.read_runs, clock)),
+        fleet.engine_starts,
         ConnectionPool(),
         clock,
         emit,
@@ -274,6 +272,7 @@
             catalogue=fleet.catalogue,
             ledger=fleet.ledger,
             report_cache=fleet.report_cache,
+            record_start=fleet.engine_starts.record,
             notices=fleet.notices,
             clock=common.clock,
             emit=common.emit,
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -110,6 +110,8 @@
         catalogue: Registered engines.
         ledger: Runs in flight; engines without any are not queried.
         report_cache: Receives the reports.
+        record_start: Takes an engine's id, the start that its report names, and the
+            monotonic time at which it was asked.
         notices: Engines that asked for no requests, or that limit them, are not
             queried.
         clock: Monotonic clock.
@@ -121,6 +123,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    record_start: Callable[[str, int, float], None]
     notices: ServerNotices
     clock: Clock
     emit: EmitEvent
@@ -170,6 +173,7 @@
         ]
 
     def _query(self, server: BackendServer) -> None:
+        asked_ms = self._deps.clock.monotonic_ms()
         try:
             state = self._deps.read_state(server)
         except BackendError as error:
@@ -183,4 +187,6 @@
             return
         finally:
             self._pending_ids.discard(server.server_id)
-        self._deps.report_cache.put_queried(server.server_id, state)
+        server_id = server.server_id
+        self._deps.record_start(server_id, state.started_wall_ms, asked_ms)
+        self._deps.report_cache.put_queried(server_id, state)
--- a/src/gypsumfield/gateway/engine_starts.py
+++ b/src/gypsumfield/gateway/engine_starts.py
@@ -1,13 +1,18 @@
-"""Checks that the registered start of an engine is the one that runs.
+"""Proves which start of an engine runs a stream.
 
 An engine may start again under its id with another software version, and answers for a
-while before its registration says so.
+while before its registration says so. A connection does not outlive a start: if the
+registered start still answers after the connection was opened, it accepted the
+connection, and made whatever arrives on it.
 """
 
-import math
 from collections.abc import Callable
 from typing import NamedTuple
 
+import gevent
+from gevent.event import AsyncResult
+
+from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import Clock
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import EngineRuns
@@ -20,8 +25,10 @@
 OTHER_START_CODE = "other_start"
 # With the permit for the request itself, the caller's stream pauses twice as long.
 PERMIT_WAIT_MS = 1_000.0
-# No engine starts again within this time, and after a crash many streams go on at once.
-CHECK_LIFETIME_MS = 500.0
+# Streams that begin at one engine within this time share one question; the first event
+# of a stream mostly takes longer.
+COALESCING_MS = 150.0
+MAX_SEEN_STARTS = 4_096
 
 
 class StartDependencies(NamedTuple):
@@ -38,39 +45,129 @@
     clock: Clock
 
 
+class _SeenStart(NamedTuple):
+    """Start that an engine has named, and when it was asked."""
+
+    started_wall_ms: int
+    asked_ms: float
+
+
 class EngineStarts:
-    """Asks engines for their start before a stream that has begun goes on there."""
+    """Remembers which start of each engine answered last, and asks engines for it."""
 
     def __init__(self, deps: StartDependencies) -> None:
         self._deps = deps
-        self._checked_ms: dict[tuple[str, int], float] = {}
+        # The engine that was asked longest ago first.
+        self._seen: dict[str, _SeenStart] = {}
+        self._asking: dict[str, AsyncResult] = {}
+        # The latest time at which a connection was open that needs a proof.
+        self._scheduled: dict[str, float] = {}
 
-    def check(self, job: Job, server: BackendServer) -> None:
-        """Check that a request reaches the start of an engine that is registered.
+    def record(self, server_id: str, started_wall_ms: int, asked_ms: float) -> None:
+        """Record the start that an engine names in its report.
+
+        Args:
+            server_id: The engine.
+            started_wall_ms: Its start, or 0 if the report names none.
+            asked_ms: Monotonic time at which it was asked.
+        """
+        if not started_wall_ms:
+            return
+        seen = self._seen.pop(server_id, None)
+        if seen is None or seen.asked_ms < asked_ms:
+            seen = _SeenStart(started_wall_ms, asked_ms)
+        self._seen[server_id] = seen
+        while len(self._seen) > MAX_SEEN_STARTS:
+            del self._seen[next(iter(self._seen))]
+
+    def is_proved(self, server: BackendServer, connected_ms: float) -> bool:
+        """Return whether the registered start accepted a connection.
+
+        Args:
+            server: The engine, as it was registered before the connection was opened.
+            connected_ms: Monotonic time at which the connection was open.
+        """
+        seen = self._seen.get(server.server_id)
+        if seen is None or seen.asked_ms < connected_ms:
+            return False
+        return seen.started_wall_ms == server.started_wall_ms
+
+    def check(self, job: Job, server: BackendServer, connected_ms: float) -> None:
+        """Check that the start of an engine that is registered accepted a connection.
 
         Raises:
             BackendError: Another start answers, or none; the request was not sent.
         """
-        start = (server.server_id, server.started_wall_ms)
-        now_ms = self._deps.clock.monotonic_ms()
-        if now_ms - self._checked_ms.get(start, -math.inf) <= CHECK_LIFETIME_MS:
-            return
-        permits = self._deps.permits
-        if not permits.acquire(server, PERMIT_WAIT_MS, job.abort, job.request_id):
-            raise BackendError(NO_PERMIT_REASON, RunVerdict.NOT_RUN, "no_permit")
         try:
-            runs = self._deps.read_runs(server)
+            self._ask_after(job.abort, job.request_id, server, connected_ms)
         except BackendError as error:
             raise BackendError(str(error), RunVerdict.NOT_RUN, error.code) from error
-        if runs.started_wall_ms != server.started_wall_ms:
+        if not self.is_proved(server, connected_ms):
             raise BackendError(
                 "another start of the engine answers",
                 RunVerdict.NOT_RUN,
                 OTHER_START_CODE,
             )
-        self._checked_ms = {
-            other: checked_ms
-            for other, checked_ms in self._checked_ms.items()
-            if now_ms - checked_ms <= CHECK_LIFETIME_MS
-        }
-        self._checked_ms[start] = now_ms
+
+    def prove(self, job: Job, server: BackendServer, connected_ms: float) -> bool:
+        """Ask an engine, unless it is proved, which start accepted a connection."""
+        try:
+            self._ask_after(AbortHandle(), job.request_id, server, connected_ms)
+        except BackendError:
+            # The failure of the stream is in the log; this adds nothing to it.
+            return False
+        return self.is_proved(server, connected_ms)
+
+    def schedule(self, job: Job, server: BackendServer, connected_ms: float) -> None:
+        """Ask an engine soon, for a stream that is sent to it on a connection."""
+        is_scheduled = server.server_id in self._scheduled
+        self._scheduled[server.server_id] = connected_ms
+        if not is_scheduled:
+            gevent.spawn(self._ask_later, job, server)
+
+    def _ask_later(self, job: Job, server: BackendServer) -> None:
+        self._deps.clock.sleep_ms(COALESCING_MS)
+        self.prove(job, server, self._scheduled.pop(server.server_id))
+
+    def _ask_after(
+        self,
+        abort: AbortHandle,
+        request_id: str,
+        server: BackendServer,
+        connected_ms: float,
+    ) -> None:
+        """Make sure that an engine was asked after a time, by whichever stream.
+
+        Raises:
+            BackendError: It did not answer.
+        """
+        while True:
+            seen = self._seen.get(server.server_id)
+            if seen is not None and seen.asked_ms >= connected_ms:
+                return
+            asking = self._asking.get(server.server_id)
+            if asking is None:
+                self._ask(abort, request_id, server)
+                return
+            # It may have been asked before the connection was opened.
+            if asking.get() >= connected_ms:
+                return
+
+    def _ask(self, abort: AbortHandle, request_id: str, server: BackendServer) -> None:
+        result = self._asking[server.server_id] = AsyncResult()
+        asked_ms = self._deps.clock.monotonic_ms()
+        try:
+            permits = self._deps.permits
+            if not permits.acquire(server, PERMIT_WAIT_MS, abort, request_id):
+                raise BackendError(NO_PERMIT_REASON, RunVerdict.NOT_RUN, "no_permit")
+            asked_ms = self._deps.clock.monotonic_ms()
+            runs = self._deps.read_runs(server)
+            self.record(server.server_id, runs.started_wall_ms, asked_ms)
+            result.set(asked_ms)
+        except BackendError as error:
+            result.set_exception(error)
+            raise
+        finally:
+            del self._asking[server.server_id]
+            if not result.ready():
+                result.set(0.0)
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -9,6 +9,8 @@
 from gypsumfield.clock import Clock
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReportCache
+from gypsumfield.gateway.engine_starts import EngineStarts
+from gypsumfield.gateway.engine_starts import StartDependencies
 from gypsumfield.gateway.follower import FollowerDependencies
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.ledger import Ledger
@@ -56,6 +58,7 @@
     notices: ServerNotices
     part_guard: PartGuard
     engines: EngineClient
+    engine_starts: EngineStarts
     follower: StoreFollower
     pull: ViewPull
     paths: PathWatch
@@ -146,6 +149,7 @@
         notices,
         part_guard,
         engines,
+        EngineStarts(StartDependencies(peers.permits, engines.read_runs, clock)),
         follower,
         pull,
         paths,
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -58,7 +58,7 @@
         self.last_received_ms = deps.attempts.clock.monotonic_ms()
         self.copies = RunCopies(deps.copies, job)
         self.headers: list[tuple[str, str]] = []
-        self.version = StreamVersion(job, deps.takeover, deps.attempts.catalogue)
+        self.version = StreamVersion(job, deps.takeover, deps.attempts.engine_starts)
         self.server: BackendServer
         self.run: Run
         self._deps = deps
@@ -243,12 +243,12 @@
 
     def _read_events(self) -> None:
         """Read one chunk and store what it completes; only events are progress."""
-        assert self._reader is not None
+        assert self._reader is not None and self._answer is not None
         self._unsent += self._reader.read()
         self._has_ended = self._reader.has_ended
         if self._has_unsent_event:
             self.last_received_ms = self._deps.attempts.clock.monotonic_ms()
-            self.version.record_events(self.server)
+            self.version.record_events(self.server, self._answer.connected_ms)
             self._deps.ledger.mark_prompt_processed(self.run)
 
     @property
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -53,6 +53,7 @@
     queued: Count = 0
     # Key-value cache memory that cannot be evicted; excludes reusable prefixes.
     kv_used: Count = 0
+    born: Timestamp = 0
 
 
 class _WireRuns(msgspec.Struct):
@@ -115,6 +116,7 @@
             is_leaving=report.state == "draining" or report.leaves_ms is not None,
             waiting_count=report.queued,
             used_tokens=report.kv_used,
+            started_wall_ms=report.born,
         )
 
     def read_runs(self, server: BackendServer) -> EngineRuns:
