A cut plain answer is not complete if its server has started again

The host asked the server for its id alone, and compared starts in its own records.

Change: the start in the health check, or in the report if that has none, must be the registered one.

Test: answered with 200 before, in both forms of the health check.

--- a/src/gypsumfield/gateway/answer_ends.py
+++ b/src/gypsumfield/gateway/answer_ends.py
@@ -11,6 +11,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import EngineRuns
+from gypsumfield.gateway.calls import ServerIdentity
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.events import UnmarkedEnd
 from gypsumfield.gateway.job import Job
@@ -32,15 +33,15 @@
         catalogue: Configuration in force and records of servers.
         permits: Permits for calls to servers that have named a limit.
         read_runs: Asks an engine for its start and its runs; raises `BackendError`.
-        read_server_id: Asks the server at an address for its id, which may be empty;
-            takes the server and the path of its health checks; raises `BackendError`.
+        read_identity: Asks the server at an address for its id and its start; takes
+            the server and the path of its health checks; raises `BackendError`.
         emit: Writes an event to the log.
     """
 
     catalogue: Catalogue
     permits: Permits
     read_runs: Callable[[BackendServer], EngineRuns]
-    read_server_id: Callable[[BackendServer, str], str]
+    read_identity: Callable[[BackendServer, str], ServerIdentity]
     emit: EmitEvent
 
 
@@ -94,13 +95,24 @@
                     server, deps.read_runs(server), job.request_id, event_count
                 )
             health_path = spec.health_path if spec else ""
-            server_id = deps.read_server_id(server, health_path)
+            identity = deps.read_identity(server, health_path)
         except BackendError as error:
             return f"the server does not answer: {error}"
-        if server_id not in ("", server.server_id):
+        started_wall_ms = identity.started_wall_ms or self._reported_start(server)
+        if identity.server_id not in ("", server.server_id):
             return "another server has the address"
+        if started_wall_ms not in (0, server.started_wall_ms):
+            return "another start of the server answers"
         return ""
 
+    def _reported_start(self, server: BackendServer) -> int:
+        """Return the start that a server reports; health checks may lack it."""
+        try:
+            return self._deps.read_identity(server, "").started_wall_ms
+        except BackendError:
+            # The server has answered the health check; it need not have a report.
+            return 0
+
 
 def _missing_reason(
     server: BackendServer, runs: EngineRuns, request_id: str, event_count: int
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -153,6 +153,18 @@
     lists_runs: bool = True
 
 
+class ServerIdentity(NamedTuple):
+    """What a server says of itself.
+
+    Attributes:
+        server_id: Its id, or empty.
+        started_wall_ms: Wall-clock time of its start, as in its registration, or 0.
+    """
+
+    server_id: str
+    started_wall_ms: int
+
+
 class CopyResult(NamedTuple):
     """Result of copying a run's key-value cache to another engine.
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -174,7 +174,7 @@
                 catalogue,
                 peers.permits,
                 fleet.engines.read_runs,
-                fleet.engines.read_server_id,
+                fleet.engines.read_identity,
                 emit,
             )
         ),
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -25,6 +25,7 @@
 from gypsumfield.gateway.calls import CopyResult
 from gypsumfield.gateway.calls import EngineRuns
 from gypsumfield.gateway.calls import EngineState
+from gypsumfield.gateway.calls import ServerIdentity
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.permits import NO_PERMIT_REASON
 from gypsumfield.held_memory import HeldMemory
@@ -62,6 +63,10 @@
     executions: Any = None
 
 
+class _WireStart(msgspec.Struct):
+    born: Timestamp = 0
+
+
 class _WireMove(msgspec.Struct):
     handle: Name | Timestamp | None = ""
     # Number of events generated so far, not a timestamp.
@@ -73,6 +78,7 @@
 
 
 _REPORT_DECODER = msgspec.json.Decoder(_WireReport)
+_START_DECODER = msgspec.json.Decoder(_WireStart)
 _RUNS_DECODER = msgspec.json.Decoder(_WireRuns)
 _MOVE_DECODER = msgspec.json.Decoder(_WireMove)
 _HOLD_DECODER = msgspec.json.Decoder(_WireHold)
@@ -133,6 +139,18 @@
     def read_server_id(self, server: BackendServer, target: str) -> str:
         """Return the id that the server at an address gives itself, or empty.
 
+        Args:
+            server: The server that is expected there.
+            target: Path of the service's health checks, or empty.
+
+        Raises:
+            BackendError: The server did not answer, or is another one.
+        """
+        return self.read_identity(server, target).server_id
+
+    def read_identity(self, server: BackendServer, target: str) -> ServerIdentity:
+        """Return what the server at an address says of its id and its start.
+
         Args:
             server: The server that is expected there.
             target: Path of the service's health checks, or empty.
@@ -144,7 +162,12 @@
         answer = self._call(server, "GET", target or REPORT_TARGET, b"", timeouts)
         if answer.status == MISDIRECTED_STATUS:
             raise BackendError("another server answered", RunVerdict.NOT_RUN)
-        return answered_server_id(answer.headers)
+        try:
+            started_wall_ms = decode(_START_DECODER, answer.body).born
+        except InvalidDataError:
+            # Health checks need no body.
+            started_wall_ms = 0
+        return ServerIdentity(answered_server_id(answer.headers), started_wall_ms)
 
     def copy_run(
         self, server: BackendServer, request_id: str, target: str, timeout_ms: float
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from edge_fleet import EdgeFleet
+from fake_platform import publication
 from fake_platform import SEAL_HEADER
 from fake_platform import unframed_head
 from gypsumfield.exceptions import BackendError
@@ -105,6 +106,33 @@
     assert answer[0] == status
 
 
+# Guards against a cut answer that looks whole because its server is back under its id.
+@pytest.mark.parametrize("is_in_health_check", [True, False])
+def test_a_plain_answer_is_not_complete_if_another_start_answers(
+    fleet, is_in_health_check
+):
+    document = publication(fleet.services, version=2)
+    for service in document["services"]:
+        service["health_path"] = "/healthz"
+    fleet.store.put("op/config", document)
+
+    def respond(request, sock):
+        if "x-attempt-id" in request["headers"]:
+            sock.sendall(unframed_head(request) + b"half of it")
+            return "close"
+        if request["target"] == "/healthz" and not is_in_health_check:
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nX-Instance-Id: s1\r\nContent-Length: 0\r\n\r\n"
+            )
+            return None
+        # The store still has the start before this one.
+        fleet.answer_own_call("s1", sock, born=1_000_000)
+        return None
+
+    status, _, _ = call_one_server(fleet, "plain", respond)
+    assert status == 502
+
+
 def engine_client():
     return EngineClient(
         lambda *_arguments: None, lambda _server: True, HeldMemory(1_000_000)
