Tests: no port drawn twice, kept connections not taken for granted

The addresses of a run depend on its id, so that a second run beside it uses others. - A test took for granted that each server of its zone has a kept connection after four calls; it calls until they have one.

--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+import zlib
 
 from fake_platform import FakeBackendServer
 from fake_platform import FakeStore
@@ -23,9 +24,14 @@
         return sock.getsockname()[1]
 
 
-def free_ports(ip, count):
-    """Return different ports that are free on an address at the same time."""
+def free_ports(ip, count, reserved=None):
+    """Return different ports that are free on an address at the same time.
+
+    A reserved port of the same address is not among them.
+    """
     with contextlib.ExitStack() as stack:
+        if reserved is not None:
+            stack.enter_context(socket.socket()).bind((ip, reserved))
         socks = [stack.enter_context(socket.socket()) for _ in range(count)]
         for sock in socks:
             sock.bind((ip, 0))
@@ -33,9 +39,10 @@
 
 
 def worker_ip(number):
-    """Return a loopback address that no other worker of the test run uses."""
+    """Return a loopback address that no other worker uses, nor one of another run."""
     worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-    return f"127.1.{worker}.{number}"
+    run = os.environ.get("PYTEST_XDIST_TESTRUNUID", str(os.getpid()))
+    return f"127.{2 + zlib.crc32(run.encode()) % 250}.{worker}.{number}"
 
 
 class EdgeFleet:
@@ -93,8 +100,9 @@
         self.host.start()
         wait_until(lambda: self.is_ready() and self.has_servers(len(self.servers)))
 
-    def host_settings(self, host_id, ip, zone, seed_ips=()):
-        caller, readiness, peer, metrics = free_ports(ip, 4)
+    def host_settings(self, host_id, ip, zone, seed_ips=(), peer_port=None):
+        caller, readiness, metrics, other = free_ports(ip, 4, peer_port)
+        peer = other if peer_port is None else peer_port
         return EdgeSettings(
             host_id=host_id,
             availability_zone=zone,
@@ -197,9 +205,9 @@
     def start_host(self, number):
         ip = worker_ip(number + 1)
         seeds = [] if number == 0 else [worker_ip(1)]
-        settings = self.host_settings(f"edge-{number}", ip, f"z{number % 2 + 1}", seeds)
+        zone = f"z{number % 2 + 1}"
         # Hosts find each other's HTTP servers at their own port.
-        settings = settings._replace(peer_address=f"{ip}:{self.peer_port}")
+        settings = self.host_settings(f"edge-{number}", ip, zone, seeds, self.peer_port)
         host = build_edge_host(settings, self.clock, self.events.append)
         host.start()
         self.hosts.append((settings, host))
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -253,7 +253,12 @@
 def test_answers_on_old_connections_do_not_prove_a_path_for_new_ones(make_fleet):
     fleet = make_fleet("plain", host_count=2)
     host = fleet.hosts[0][1]
-    call_many(fleet, 0, count=4)
+    number = 0
+    # Calls go to the servers of the host's own zone.
+    while not all(fleet.servers[name].calls("/plain/") for name in ("s0", "s2")):
+        number += 1
+        assert number <= 200
+        call_many(fleet, 0, count=1, prefix=f"a{number}-")
     server = host.components.catalogue.servers_of("plain")[0].server
     host.components.paths.record_unreachable(server)
     # The call goes over a kept connection of another server.
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -11,6 +11,8 @@
 from fake_platform import wait_until
 
 PROMPT = "X-Token-Counts: 1000,800\r\nX-Length-Hint: 800\r\nX-Model: m\r\n"
+# Higher than the starts that tests register, which are counted from 1.
+OTHER_START = 1_000_000
 EVENT_COUNT = 4
 EVENTS_BEFORE_BREAK = 2
 
@@ -56,7 +58,7 @@
 
     def respond(self, server_id, request, sock):
         if "x-attempt-id" not in request["headers"]:
-            other = {"born": 7} if server_id in self.started_again else {}
+            other = {"born": OTHER_START} if server_id in self.started_again else {}
             self.answer_own_call(server_id, sock, **other)
             return None
         if server_id in self.refusing:
