--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -1,10 +1,15 @@
 """Reload of the settings while a host serves."""
 
 import contextlib
+import signal
+import subprocess
+import sys
+from pathlib import Path
 
 import gevent
 import pytest
 
+import gypsumfield
 from edge_fleet import EdgeFleet
 from edge_fleet import read_answer
 from fake_platform import complete_answer
@@ -12,6 +17,7 @@
 from fake_platform import STREAM_END
 from fake_platform import stream_head
 from fake_platform import wait_until
+from gypsumfield.commands.edge import EXIT_BAD_SETTINGS
 from gypsumfield.commands.edge import SettingsWatch
 from gypsumfield.gateway.settings import EdgeBounds
 from test_platform import SETTINGS
@@ -115,3 +121,24 @@
     path.write_text(SETTINGS.replace("grace_s = 8", "grace_s = 9"))
     watch.reload_if_changed()
     assert [settings.bounds.stop_limit_ms for settings in host.adopted] == [9_000.0]
+
+
+# Guards against a process that a signal ends before it has set its handlers.
+def test_a_signal_during_the_start_does_not_end_the_process():
+    program = Path(gypsumfield.__file__).parent.parent / "edge.py"
+    process = subprocess.Popen(
+        [sys.executable, str(program)], stderr=subprocess.PIPE, env={}
+    )
+    hang_up_bit = 1 << (signal.SIGHUP - 1)
+
+    def ignores_hang_ups():
+        status = Path(f"/proc/{process.pid}/status").read_text()
+        ignored = status.partition("SigIgn:")[2].split()[0]
+        return bool(int(ignored, 16) & hang_up_bit)
+
+    while process.poll() is None and not ignores_hang_ups():
+        continue
+    process.send_signal(signal.SIGHUP)
+    # Without settings, the program ends by itself.
+    assert process.wait(30) == EXIT_BAD_SETTINGS
+    process.stderr.close()
