--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -18,8 +18,10 @@
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.loops import run_forever
 
-# A watch is one call however long it waits; this is the store's usual maximum.
-WATCH_WAIT_MS = 10_000
+# A watch whose answer is lost returns nothing further. With the time-out of the call,
+# it must end before a change can be overdue: 3 s after the store is sound again, and
+# the 2 s in which configurations come into force.
+WATCH_WAIT_MS = 3_000
 MIN_RETRY_PAUSE_MS = 50.0
 MAX_RETRY_PAUSE_MS = 500.0
 # Several servers that leave together do so within some tens of ms; after a change
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -10,6 +10,8 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
+# Longer than any test waits.
+LOST_ANSWER_S = 60.0
 SEAL_HEADER = "X-Response-Seal: s\r\n"
 
 
@@ -21,6 +23,8 @@
         odd_events: Entries that are sent with each answer to a watch.
         forgets_positions: Whether a watch from a revision that a restored store does
             not have gets 410.
+        is_losing_answers: Whether answers to watches never come.
+        lost_count: Answers that never came.
     """
 
     def __init__(self):
@@ -31,6 +35,8 @@
         self.odd_events = []
         self.revision = 1
         self.is_down = False
+        self.is_losing_answers = False
+        self.lost_count = 0
         self.oldest_revision = 0
         self.calls = []
         self.change_event = Event()
@@ -96,6 +102,9 @@
         change_event = self.change_event
         if not self._changes_after(after):
             change_event.wait(int(query["wait_ms"]) / 1000)
+        if self.is_losing_answers:
+            self.lost_count += 1
+            gevent.sleep(LOST_ANSWER_S)
         if self.is_down:
             start_response("503 Service Unavailable", [])
             return [b""]
@@ -197,6 +206,11 @@
     )
 
 
+def no_such_run():
+    """Return the answer to a call about a run that has ended with its connection."""
+    return b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
 def stream_head(request, limit_per_s=None):
     request_id = request["headers"]["x-attempt-id"]
     return (
--- a/tests/test_edge_host.py
+++ b/tests/test_edge_host.py
@@ -9,6 +9,7 @@
 from edge_fleet import read_answer
 from fake_platform import complete_answer
 from fake_platform import event
+from fake_platform import no_such_run
 from fake_platform import publication
 from fake_platform import refused_answer
 from fake_platform import registration
@@ -236,6 +237,23 @@
     wait_until(lambda: fleet.host.components.catalogue.publication.version == 9)
 
 
+# Guards against a watch that waits for a lost answer while configurations change.
+def test_a_configuration_comes_into_force_soon_after_answers_of_the_store_were_lost(
+    fleet,
+):
+    # A machine is in touch 3 s after the store is sound, and has 2 s from then on.
+    in_touch_s, apply_s = 3.0, 2.0
+    fleet.start()
+    store, components = fleet.store, fleet.host.components
+    store.is_losing_answers = True
+    fleet.publish(version=2)
+    wait_until(lambda: store.lost_count)
+    store.is_losing_answers = False
+    gevent.sleep(in_touch_s)
+    fleet.publish(version=3)
+    wait_until(lambda: components.catalogue.publication.version == 3, apply_s)
+
+
 def test_events_of_a_stream_are_forwarded_as_they_arrive(fleet):
     may_continue = gevent.event.Event()
 
@@ -262,8 +280,7 @@
 
     def crash_in_stream(request, sock):
         if "x-attempt-id" not in request["headers"]:
-            # The run has ended with its connection.
-            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            sock.sendall(no_such_run())
             return None
         if "kv-from" in request["headers"]:
             return respond_to_resume(request, sock)
