Prove starts by polled reports; ask an engine about its runs in two ways

And an engine that failed the call to stop a run was not asked for its report.

Change: reports that one host polls carry the engine's start and the time since it was asked, at the end of their wire form, and prove starts on all hosts; not those that may have waited while this host stood still (wake_watch.py). An engine that nobody polls is asked after 1.2 s, one that limits requests not at all: its registration counts after 3 s. The permit of a rescue is taken after the check. Stopping a run and reading the report are two questions that take turns.

Tests: reports of old and new builds are read both ways; datagrams after a standstill prove nothing.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -178,18 +178,17 @@
         if not may_end_with_close and not self.has_end_marker:
             raise self._error("the answer has no end marker", "answer_truncated")
         response = self._require_response()
-        is_too_large = (response.content_length or 0) > limit_bytes
+        # An answer to HEAD states a length, but has no body.
+        has_body = not response.message_complete
         try:
-            while response.message_complete or not is_too_large:
-                chunk = self.read_chunk()
-                if not chunk:
-                    return self._take_body()
+            if has_body and (response.content_length or 0) > limit_bytes:
+                raise self._too_large(limit_bytes)
+            while chunk := self.read_chunk():
                 self._body += chunk
+                if len(self._body) > limit_bytes:
+                    raise self._too_large(limit_bytes)
                 self.record_held(HeldPart.ANSWER, len(self._body))
-                is_too_large = len(self._body) > limit_bytes
-            raise self._error(
-                f"the answer is above {limit_bytes} bytes", "answer_too_large"
-            )
+            return self._take_body()
         except BackendError:
             self._body.clear()
             self.record_held(HeldPart.ANSWER, 0)
@@ -208,6 +207,11 @@
         except HeldMemoryError as error:
             raise self._error(str(error), DROPPED_CODE) from error
 
+    def _too_large(self, limit_bytes: int) -> BackendError:
+        return self._error(
+            f"the answer is above {limit_bytes} bytes", "answer_too_large"
+        )
+
     def _take_body(self) -> bytes:
         body = bytes(self._body)
         self._body.clear()
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -125,8 +125,6 @@
             states that the call did not run.
     """
     is_rescue = options.resume is not None and bool(options.resume.copy_name)
-    if is_rescue:
-        _acquire_rescue_permit(deps, job, server)
     is_stream = job.route.kind is CallKind.STREAM
     may_reuse = job.route.is_resumable or job.route.kind is CallKind.IDEMPOTENT
     request = OutgoingRequest(
@@ -155,6 +153,8 @@
         if options.requirement.has_begun:
             # After the connection was opened, which no other start can take over.
             deps.engine_starts.check(job, server, connected_ms)
+        if is_rescue:
+            _acquire_rescue_permit(deps, job, server)
         reason = (
             deps.placer.exclusion_reason(server, options.requirement, is_rescue)
             or _revocation_reason(deps, job)
@@ -164,8 +164,6 @@
             reason = NO_PERMIT_REASON
         if not reason:
             deps.placer.record_sent(server)
-            if is_stream and not options.requirement.has_begun:
-                deps.engine_starts.schedule(job, server, connected_ms)
         return reason
 
     status = exchange.open(check_before_send)
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -272,7 +272,6 @@
             catalogue=fleet.catalogue,
             ledger=fleet.ledger,
             report_cache=fleet.report_cache,
-            record_start=fleet.engine_starts.record,
             notices=fleet.notices,
             clock=common.clock,
             emit=common.emit,
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -32,18 +32,28 @@
         is_leaving: Whether the engine has announced that it will leave.
         received_ms: When this host or the sending peer received it, on this host's
             monotonic clock.
+        started_wall_ms: Start that the engine names, or 0 if it is not known.
+        asked_ms: When the engine was asked, on this host's monotonic clock.
     """
 
     waiting_count: int
     used_tokens: int
     is_leaving: bool
     received_ms: float
+    started_wall_ms: int = 0
+    asked_ms: float = 0.0
 
 
 class EngineReportCache:
-    """Latest report of each engine, whichever host queried it."""
+    """Latest report of each engine, whichever host queried it.
+
+    Attributes:
+        record_start: Takes an engine's id, the start that its report names, and the
+            monotonic time at which it was asked.
+    """
 
     def __init__(self, catalogue: Catalogue, clock: Clock) -> None:
+        self.record_start: Callable[[str, int, float], None] = lambda *_: None
         self._catalogue = catalogue
         self._clock = clock
         self._reports: dict[str, EngineReport] = {}
@@ -58,16 +68,25 @@
             source: Where the report came from, for the log.
         """
         self._reports[server_id] = report
+        self.record_start(server_id, report.started_wall_ms, report.asked_ms)
         if report.is_leaving:
             self._catalogue.mark_leaving(server_id, source)
 
-    def put_queried(self, server_id: str, state: EngineState) -> None:
-        """Store a report that this host queried, to be sent to its peers."""
+    def put_queried(self, server_id: str, state: EngineState, asked_ms: float) -> None:
+        """Store a report that this host queried, to be sent to its peers.
+
+        Args:
+            server_id: The engine.
+            state: Its answer.
+            asked_ms: Monotonic time at which it was asked.
+        """
         report = EngineReport(
             state.waiting_count,
             state.used_tokens,
             state.is_leaving,
             self._clock.monotonic_ms(),
+            state.started_wall_ms,
+            asked_ms,
         )
         self._queried[server_id] = report
         self.put(server_id, report, "engine report")
@@ -110,8 +129,6 @@
         catalogue: Registered engines.
         ledger: Runs in flight; engines without any are not queried.
         report_cache: Receives the reports.
-        record_start: Takes an engine's id, the start that its report names, and the
-            monotonic time at which it was asked.
         notices: Engines that asked for no requests, or that limit them, are not
             queried.
         clock: Monotonic clock.
@@ -123,7 +140,6 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
-    record_start: Callable[[str, int, float], None]
     notices: ServerNotices
     clock: Clock
     emit: EmitEvent
@@ -187,6 +203,4 @@
             return
         finally:
             self._pending_ids.discard(server.server_id)
-        server_id = server.server_id
-        self._deps.record_start(server_id, state.started_wall_ms, asked_ms)
-        self._deps.report_cache.put_queried(server_id, state)
+        self._deps.report_cache.put_queried(server.server_id, state, asked_ms)
--- a/src/gypsumfield/gateway/engine_starts.py
+++ b/src/gypsumfield/gateway/engine_starts.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import gevent
 from gevent.event import AsyncResult
 
 from gypsumfield.aborts import AbortHandle
@@ -25,10 +24,13 @@
 OTHER_START_CODE = "other_start"
 # With the permit for the request itself, the caller's stream pauses twice as long.
 PERMIT_WAIT_MS = 1_000.0
-# Streams that begin at one engine within this time share one question; the first event
-# of a stream mostly takes longer.
-COALESCING_MS = 150.0
+# Reports are polled twice a second, and reach the other hosts within another half.
+POLL_WAIT_MS = 1_200.0
+PROOF_CHECK_MS = 200.0
 MAX_SEEN_STARTS = 4_096
+# An engine registers within its heartbeat interval, and changes arrive in some hundred
+# milliseconds: by then a start before the connection would be known.
+REGISTRATION_LAG_MS = 3_000.0
 
 
 class StartDependencies(NamedTuple):
@@ -37,11 +39,15 @@
     Attributes:
         permits: Permits for calls to servers that have named a limit.
         read_runs: Asks an engine for its start and its runs; raises `BackendError`.
+        is_limited: Whether a server limits requests, or wants none for now.
+        is_registered: Whether the store is reached and has this start of a server.
         clock: Monotonic clock.
     """
 
     permits: Permits
     read_runs: Callable[[BackendServer], EngineRuns]
+    is_limited: Callable[[BackendServer], bool]
+    is_registered: Callable[[BackendServer], bool]
     clock: Clock
 
 
@@ -60,8 +66,6 @@
         # The engine that was asked longest ago first.
         self._seen: dict[str, _SeenStart] = {}
         self._asking: dict[str, AsyncResult] = {}
-        # The latest time at which a connection was open that needs a proof.
-        self._scheduled: dict[str, float] = {}
 
     def record(self, server_id: str, started_wall_ms: int, asked_ms: float) -> None:
         """Record the start that an engine names in its report.
@@ -118,16 +122,24 @@
             return False
         return self.is_proved(server, connected_ms)
 
-    def schedule(self, job: Job, server: BackendServer, connected_ms: float) -> None:
-        """Ask an engine soon, for a stream that is sent to it on a connection."""
-        is_scheduled = server.server_id in self._scheduled
-        self._scheduled[server.server_id] = connected_ms
-        if not is_scheduled:
-            gevent.spawn(self._ask_later, job, server)
+    def prove_in_time(
+        self, job: Job, server: BackendServer, connected_ms: float
+    ) -> bool:
+        """Wait for a proof that costs nothing, and ask the engine if none comes.
 
-    def _ask_later(self, job: Job, server: BackendServer) -> None:
-        self._deps.clock.sleep_ms(COALESCING_MS)
-        self.prove(job, server, self._scheduled.pop(server.server_id))
+        Hosts poll the reports of busy engines for each other. An engine that limits
+        requests is not asked: its registration counts once another one would have
+        arrived.
+        """
+        while not self.is_proved(server, connected_ms):
+            elapsed_ms = self._deps.clock.monotonic_ms() - connected_ms
+            is_limited = self._deps.is_limited(server)
+            if is_limited and elapsed_ms >= REGISTRATION_LAG_MS:
+                return self._deps.is_registered(server)
+            if not is_limited and elapsed_ms >= POLL_WAIT_MS:
+                return self.prove(job, server, connected_ms)
+            self._deps.clock.sleep_ms(PROOF_CHECK_MS)
+        return True
 
     def _ask_after(
         self,
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -14,6 +14,7 @@
 from gypsumfield.gateway.follower import FollowerDependencies
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.ledger import Ledger
+from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.part_guard import GuardDependencies
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.path_watch import PathDependencies
@@ -142,6 +143,21 @@
         )
     )
     engines = EngineClient(notices.record_answer, peers.permits.consume, common.memory)
+    engine_starts = EngineStarts(
+        StartDependencies(
+            peers.permits,
+            engines.read_runs,
+            lambda server: (
+                notices.limit_per_s(server) is not None
+                or bool(notices.pause_ms(server))
+            ),
+            lambda server: (
+                follower.is_store_reachable and is_registered_start(catalogue, server)
+            ),
+            clock,
+        )
+    )
+    report_cache.record_start = engine_starts.record
     return Fleet(
         catalogue,
         ledger,
@@ -149,7 +165,7 @@
         notices,
         part_guard,
         engines,
-        EngineStarts(StartDependencies(peers.permits, engines.read_runs, clock)),
+        engine_starts,
         follower,
         pull,
         paths,
@@ -157,5 +173,13 @@
     )
 
 
+def is_registered_start(catalogue: Catalogue, server: BackendServer) -> bool:
+    """Return whether a start of a server is the one that is registered."""
+    record = catalogue.find_server(server.server_id)
+    return record is not None and (
+        record.server.started_wall_ms == server.started_wall_ms
+    )
+
+
 def _health_path(catalogue: Catalogue, service: str) -> str:
     return spec.health_path if (spec := catalogue.service_spec(service)) else ""
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -24,13 +24,22 @@
 
 
 class WireReport(msgspec.Struct, frozen=True, array_like=True):
-    """Report of one engine, and its age when it was sent."""
+    """Report of one engine, and its age when it was sent.
+
+    Hosts of earlier builds leave out what follows the age.
+
+    Attributes:
+        started_wall_ms: Start that the engine names, or 0.
+        asked_age_ms: Time since the engine was asked.
+    """
 
     server_id: str
     waiting_count: int
     used_tokens: int
     is_leaving: bool
     age_ms: int
+    started_wall_ms: int = 0
+    asked_age_ms: int = 0
 
 
 class WireItem(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -40,6 +40,7 @@
 from gypsumfield.gateway.update_writer import SendRound
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.gateway.update_writer import WriterDependencies
+from gypsumfield.gateway.wake_watch import WakeWatch
 from gypsumfield.loops import run_forever
 
 # Changes are sent at once; without changes a heartbeat is sent in this interval.
@@ -86,6 +87,7 @@
         self._seeds: list[str] = []
         self.set_seeds(settings.seed_ips)
         self._roster = Roster(own_card, not self._seeds, deps.clock)
+        self._wake_watch = WakeWatch(deps.clock)
         self._writer = UpdateWriter(
             WriterDependencies(
                 roster=self._roster,
@@ -99,6 +101,7 @@
                 lost_services=deps.lost_services,
                 send=deps.send or self._send_datagram,
                 clock=deps.clock,
+                wake_watch=self._wake_watch,
             )
         )
         self._small = SmallFleet(self._writer)
@@ -135,6 +138,7 @@
             gevent.socket.AF_INET, gevent.socket.SOCK_DGRAM
         )
         self._socket.bind((settings.ip, settings.news_port))
+        self._wake_watch.start()
         self._greenlets = [
             gevent.spawn(self._run_forever, "peer receiver", self._receive_round),
             gevent.spawn(self._run_forever, "peer sender", self._send_round),
@@ -142,6 +146,7 @@
 
     def stop(self) -> None:
         """Close the socket."""
+        self._wake_watch.stop()
         gevent.killall(self._greenlets, block=False)
         if self._socket is not None:
             self._socket.close()
--- a/src/gypsumfield/gateway/run_ends.py
+++ b/src/gypsumfield/gateway/run_ends.py
@@ -6,7 +6,10 @@
 asked; its streams go on elsewhere without an answer.
 """
 
+import itertools
 from collections.abc import Callable
+from collections.abc import Iterator
+from enum import Enum
 from typing import NamedTuple
 
 import gevent
@@ -60,6 +63,18 @@
     emit: EmitEvent
 
 
+class _Question(Enum):
+    """What an engine is asked, in this order.
+
+    Attributes:
+        STOP: To stop the run, if it has it.
+        REPORT: For its runs.
+    """
+
+    STOP = "stop"
+    REPORT = "report"
+
+
 class _Answer(NamedTuple):
     """What one question has shown.
 
@@ -99,13 +114,14 @@
             BackendError: Nothing shows within `PATIENCE_MS` that the run has ended.
         """
         asked_ms = self._deps.clock.monotonic_ms()
-        while True:
-            answer = self._ask(job, server, target, begun_ms)
+        for question in self._questions(job.service):
+            answer = self._ask(question, job, server, target, begun_ms)
             waited_ms = self._deps.clock.monotonic_ms() - asked_ms
             is_over = waited_ms >= PATIENCE_MS or bool(job.abort.reason)
             if answer.proof or is_over:
                 break
-            self._deps.clock.sleep_ms(RETRY_INTERVAL_MS)
+            if question is _Question.REPORT:
+                self._deps.clock.sleep_ms(RETRY_INTERVAL_MS)
         self._log(job, server, target, answer, waited_ms)
         if not answer.proof:
             raise BackendError(
@@ -121,14 +137,25 @@
         """Stop a run at an engine that does not answer now, as soon as it does."""
         gevent.spawn(self._stop, job, server, target)
 
+    def _questions(self, service: str) -> Iterator[_Question]:
+        """Yield what to ask an engine, again and again."""
+        can_move = self._deps.can_move(service)
+        return itertools.cycle(_Question if can_move else [_Question.REPORT])
+
     def _stop(self, job: Job, server: BackendServer, target: BackendServer) -> None:
         asked_ms = self._deps.clock.monotonic_ms()
-        answer = self._ask(job, server, target, asked_ms)
+        question = next(self._questions(job.service))
+        answer = self._ask(question, job, server, target, asked_ms)
         waited_ms = self._deps.clock.monotonic_ms() - asked_ms
         self._log(job, server, target, answer, waited_ms)
 
     def _ask(
-        self, job: Job, server: BackendServer, target: BackendServer, begun_ms: float
+        self,
+        question: _Question,
+        job: Job,
+        server: BackendServer,
+        target: BackendServer,
+        begun_ms: float,
     ) -> _Answer:
         deps = self._deps
         record = deps.catalogue.find_server(server.server_id)
@@ -143,13 +170,10 @@
         ):
             return _Answer("", reason="no permit for a question")
         try:
-            if deps.can_move(server.service):
-                answer = self._stop_run(job, server, target)
-                if answer.proof:
-                    return answer
-            return _read_proof(
-                deps.read_runs(server), server, job.request_id, now_ms - begun_ms
-            )
+            if question is _Question.STOP:
+                return self._stop_run(job, server, target)
+            runs = deps.read_runs(server)
+            return _read_proof(runs, server, job.request_id, now_ms - begun_ms)
         except BackendError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 self._record_gone(start, now_ms)
--- a/src/gypsumfield/gateway/stream_version.py
+++ b/src/gypsumfield/gateway/stream_version.py
@@ -1,5 +1,7 @@
 """Software version to which one stream is bound from its first event."""
 
+from collections.abc import Callable
+
 import gevent
 
 from gypsumfield.decisions.software_versions import ANY_VERSION
@@ -32,6 +34,7 @@
         self._connected_ms = 0.0
         self._is_proved = False
         self._has_ended = False
+        self._has_failed = False
 
     def take_up(self) -> None:
         """Bind a stream that the caller takes up again; may block for other hosts."""
@@ -56,7 +59,7 @@
         if self._starts.is_proved(server, connected_ms):
             self._record_proof()
         else:
-            gevent.spawn(self._prove)
+            gevent.spawn(self._prove, self._starts.prove_in_time)
 
     def close(self) -> None:
         """Record that the stream has ended."""
@@ -71,15 +74,17 @@
         """
         if server is not self._first_server or self._is_proved:
             return
-        self._prove()
+        self._prove(self._starts.prove)
+        self._has_failed = True
         if not self._is_proved:
             self.requirement = begun_at("")
 
-    def _prove(self) -> None:
-        server, connected_ms = self._first_server, self._connected_ms
-        if server is None or not self._starts.prove(self._job, server, connected_ms):
+    def _prove(self, prove: Callable[[Job, BackendServer, float], bool]) -> None:
+        server = self._first_server
+        assert server is not None
+        if not prove(self._job, server, self._connected_ms):
             return
-        if not (self._is_proved or self._has_ended):
+        if not (self._is_proved or self._has_failed or self._has_ended):
             self._record_proof()
 
     def _record_proof(self) -> None:
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -29,6 +29,7 @@
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.roster import Roster
 from gypsumfield.gateway.server_notices import ServerNotices
+from gypsumfield.gateway.wake_watch import WakeWatch
 
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
@@ -53,6 +54,10 @@
 NameT = TypeVar("NameT")
 
 
+# Datagrams between hosts arrive within some tens of milliseconds.
+MAX_DATAGRAM_DELAY_MS = 100.0
+
+
 class SendRound(NamedTuple):
     """Which updates are due when `PeerLink` sends.
 
@@ -84,6 +89,7 @@
         lost_services: Returns the services whose servers this host does not reach.
         send: Sends a datagram to an IP.
         clock: Monotonic clock.
+        wake_watch: Tells whether datagrams can have waited while this host stood still.
     """
 
     roster: Roster
@@ -97,6 +103,7 @@
     lost_services: Callable[[], list[str]]
     send: Callable[[str, bytes], None]
     clock: Clock
+    wake_watch: WakeWatch
 
 
 class UpdateWriter:
@@ -169,6 +176,8 @@
                 report.used_tokens,
                 report.is_leaving,
                 int(now_ms - report.received_ms),
+                report.started_wall_ms,
+                math.ceil(now_ms - report.asked_ms),
             )
             for server_id, report in reports.items()
         ]
@@ -289,12 +298,17 @@
     def store_reports(self, update: HostUpdate) -> None:
         """Record the engine reports that another host has sent."""
         now_ms = self.deps.clock.monotonic_ms()
+        is_fresh = self.deps.wake_watch.is_awake()
         for wire_report in update.reports:
+            asked_ms = now_ms - wire_report.asked_age_ms - MAX_DATAGRAM_DELAY_MS
             report = EngineReport(
                 wire_report.waiting_count,
                 wire_report.used_tokens,
                 wire_report.is_leaving,
                 now_ms - wire_report.age_ms,
+                # A datagram may have waited while this host stood still.
+                wire_report.started_wall_ms if is_fresh else 0,
+                asked_ms,
             )
             source = f"peer {update.sender.host_id}"
             self.deps.report_cache.put(wire_report.server_id, report, source)
--- a/tests/test_truncated_heads.py
+++ b/tests/test_truncated_heads.py
@@ -4,6 +4,7 @@
 
 from edge_fleet import EdgeFleet
 from fake_platform import event
+from fake_platform import no_such_run
 from fake_platform import publication
 from fake_platform import STREAM_END
 from fake_platform import wait_until
@@ -43,6 +44,7 @@
 
     def truncate(self, request, sock):
         if "x-attempt-id" not in request["headers"]:
+            sock.sendall(no_such_run())
             return "close"
         self.truncated_count += 1
         answer = self.answer % request["headers"]["x-attempt-id"].encode()
