A wait before a request no longer keeps an abort from its exchange

The wait detached the exchange from it, so that a caller who left, or the deadline, no longer ended it.

Change: the exchange is attached after the check; an abort meanwhile ends it then. Test: failed before by its time limit.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -111,8 +111,9 @@
                 total_s = self._timeouts.total_ms / MS_PER_S
                 self._timer = gevent.spawn_later(total_s, self.abandon)
                 self._ends_s = time.monotonic() + total_s
-            self._abort.attach(self._shut_down)
             reason = check_before_send()
+            # The check may have waited under the same handle.
+            self._abort.attach(self._shut_down)
             if reason:
                 raise self._error(reason, "not_sent")
             self._send()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -122,6 +122,29 @@
     assert caught.value.verdict is RunVerdict.MAY_HAVE_RUN
 
 
+# Guards against a request that goes on after its caller has left.
+def test_a_wait_before_the_request_does_not_keep_an_abort_from_its_exchange():
+    abort = AbortHandle()
+
+    def wait_for_a_permit():
+        abort.attach(lambda: None)
+        abort.attach(None)
+        return ""
+
+    silent = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(20))
+    silent.start()
+    address = f"127.0.0.1:{silent.server_port}"
+    request = OutgoingRequest(address, "GET", "/", {}, b"", REQUEST_ID)
+    exchange = Exchange(request, TIMEOUTS._replace(answer_ms=20_000), abort)
+    gevent.spawn_later(0.05, abort.abort, "the caller has left")
+    try:
+        with gevent.Timeout(10.0), pytest.raises(BackendError) as caught:
+            exchange.open(wait_for_a_permit)
+        assert caught.value.code == "aborted"
+    finally:
+        silent.stop(timeout=0)
+
+
 def test_a_connection_is_pooled_only_after_its_answer_was_read_to_the_end():
     pool = ConnectionPool()
     with ScriptedServer(CHUNKED + b"4\r\nhalf\r\n", COMPLETE, COMPLETE) as server:
