Do not ask engines about streams that have ended

Cause: the wait for a proof of a start outlived short streams and then asked their engine in vain, which is priced as a probe.

Change: the wait ends with the stream, or with its failure. Test: an engine is not asked for a stream that has ended.

--- a/src/gypsumfield/gateway/engine_starts.py
+++ b/src/gypsumfield/gateway/engine_starts.py
@@ -123,15 +123,27 @@
         return self.is_proved(server, connected_ms)
 
     def prove_in_time(
-        self, job: Job, server: BackendServer, connected_ms: float
+        self,
+        job: Job,
+        server: BackendServer,
+        connected_ms: float,
+        is_needed: Callable[[], bool],
     ) -> bool:
         """Wait for a proof that costs nothing, and ask the engine if none comes.
 
         Hosts poll the reports of busy engines for each other. An engine that limits
         requests is not asked: its registration counts once another one would have
         arrived.
+
+        Args:
+            job: The call of the stream.
+            server: The engine.
+            connected_ms: Monotonic time at which the connection was open.
+            is_needed: Whether the stream still needs the proof.
         """
         while not self.is_proved(server, connected_ms):
+            if not is_needed():
+                return False
             elapsed_ms = self._deps.clock.monotonic_ms() - connected_ms
             is_limited = self._deps.is_limited(server)
             if is_limited and elapsed_ms >= REGISTRATION_LAG_MS:
--- a/src/gypsumfield/gateway/stream_version.py
+++ b/src/gypsumfield/gateway/stream_version.py
@@ -1,7 +1,5 @@
 """Software version to which one stream is bound from its first event."""
 
-from collections.abc import Callable
-
 import gevent
 
 from gypsumfield.decisions.software_versions import ANY_VERSION
@@ -59,7 +57,7 @@
         if self._starts.is_proved(server, connected_ms):
             self._record_proof()
         else:
-            gevent.spawn(self._prove, self._starts.prove_in_time)
+            gevent.spawn(self._prove_in_time, server)
 
     def close(self) -> None:
         """Record that the stream has ended."""
@@ -74,17 +72,22 @@
         """
         if server is not self._first_server or self._is_proved:
             return
-        self._prove(self._starts.prove)
+        is_proved = self._starts.prove(self._job, server, self._connected_ms)
+        if is_proved and not self._is_proved:
+            self._record_proof()
         self._has_failed = True
         if not self._is_proved:
             self.requirement = begun_at("")
 
-    def _prove(self, prove: Callable[[Job, BackendServer, float], bool]) -> None:
-        server = self._first_server
-        assert server is not None
-        if not prove(self._job, server, self._connected_ms):
-            return
-        if not (self._is_proved or self._has_failed or self._has_ended):
+    @property
+    def _needs_proof(self) -> bool:
+        return not (self._is_proved or self._has_failed or self._has_ended)
+
+    def _prove_in_time(self, server: BackendServer) -> None:
+        is_proved = self._starts.prove_in_time(
+            self._job, server, self._connected_ms, lambda: self._needs_proof
+        )
+        if is_proved and self._needs_proof:
             self._record_proof()
 
     def _record_proof(self) -> None:
--- a/tests/test_engine_starts.py
+++ b/tests/test_engine_starts.py
@@ -157,7 +157,7 @@
     case = Case()
     connected_ms = case.clock.now_ms
     proof = gevent.spawn(
-        case.starts.prove_in_time, FakeJob(), case.server, connected_ms
+        case.starts.prove_in_time, FakeJob(), case.server, connected_ms, lambda: True
     )
     gevent.sleep(0)
     case.starts.record("e1", 5, connected_ms + 100.0)
@@ -165,9 +165,19 @@
     assert case.ask_count == 0
 
 
+def test_an_engine_is_not_asked_for_a_stream_that_has_ended():
+    case = Case()
+    is_needed = [True, True, False]
+    assert not case.starts.prove_in_time(
+        FakeJob(), case.server, case.clock.now_ms, lambda: is_needed.pop(0)
+    )
+    assert case.ask_count == 0
+
+
 def test_an_engine_that_nobody_polls_is_asked():
     case = Case()
-    assert case.starts.prove_in_time(FakeJob(), case.server, case.clock.now_ms)
+    connected_ms = case.clock.now_ms
+    assert case.starts.prove_in_time(FakeJob(), case.server, connected_ms, lambda: True)
     assert case.ask_count == 1
     assert case.clock.now_ms >= 1_000.0 + POLL_WAIT_MS
 
@@ -176,7 +186,9 @@
 def test_a_limited_engine_is_not_asked_where_a_stream_begins(started):
     case = Case(started)
     case.is_limited = True
-    is_proved = case.starts.prove_in_time(FakeJob(), case.server, case.clock.now_ms)
+    is_proved = case.starts.prove_in_time(
+        FakeJob(), case.server, case.clock.now_ms, lambda: True
+    )
     assert is_proved == (started == 5)
     assert case.clock.now_ms >= 1_000.0 + REGISTRATION_LAG_MS
     assert case.ask_count == 0
