Streams of which the caller lacks the end stay known for a take-up

Cause, found by the whole suite beside load on: a stream that ended before its start was proved was forgotten, so that a caller who takes it up again got 503 (test_broken_answers, version_unknown). Reports that the host reads for other reasons did not count as a proof either.

Change: each report of an engine's runs is remembered as a proof. A stream that was closed before its end is still proved afterwards; only one that the caller got whole is not.

A second failure of that run was one of the test: its engine announced that it leaves under another start.

--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -173,7 +173,7 @@
             EndDependencies(
                 catalogue,
                 peers.permits,
-                fleet.engines.read_runs,
+                fleet.engine_starts.read_runs,
                 fleet.engines.read_identity,
                 emit,
             )
@@ -217,7 +217,7 @@
                 catalogue,
                 peers.permits,
                 fleet.engines.stop_run,
-                fleet.engines.read_runs,
+                fleet.engine_starts.read_runs,
                 lambda service: can_move(catalogue.engine_spec(service)),
                 clock,
                 emit,
--- a/src/gypsumfield/gateway/engine_starts.py
+++ b/src/gypsumfield/gateway/engine_starts.py
@@ -84,6 +84,17 @@
         while len(self._seen) > MAX_SEEN_STARTS:
             del self._seen[next(iter(self._seen))]
 
+    def read_runs(self, server: BackendServer) -> EngineRuns:
+        """Ask an engine for its start and its runs, and remember its start.
+
+        Raises:
+            BackendError: It did not answer.
+        """
+        asked_ms = self._deps.clock.monotonic_ms()
+        runs = self._deps.read_runs(server)
+        self.record(server.server_id, runs.started_wall_ms, asked_ms)
+        return runs
+
     def is_proved(self, server: BackendServer, connected_ms: float) -> bool:
         """Return whether the registered start accepted a connection.
 
@@ -185,8 +196,7 @@
             if not permits.acquire(server, PERMIT_WAIT_MS, abort, request_id):
                 raise BackendError(NO_PERMIT_REASON, RunVerdict.NOT_RUN, "no_permit")
             asked_ms = self._deps.clock.monotonic_ms()
-            runs = self._deps.read_runs(server)
-            self.record(server.server_id, runs.started_wall_ms, asked_ms)
+            self.read_runs(server)
             result.set(asked_ms)
         except BackendError as error:
             result.set_exception(error)
--- a/src/gypsumfield/gateway/stream_version.py
+++ b/src/gypsumfield/gateway/stream_version.py
@@ -31,8 +31,8 @@
         self._first_server: BackendServer | None = None
         self._connected_ms = 0.0
         self._is_proved = False
-        self._has_ended = False
-        self._has_failed = False
+        self._is_given_up = False
+        self._is_closed = False
 
     def take_up(self) -> None:
         """Bind a stream that the caller takes up again; may block for other hosts."""
@@ -59,9 +59,18 @@
         else:
             gevent.spawn(self._prove_in_time, server)
 
-    def close(self) -> None:
-        """Record that the stream has ended."""
-        self._has_ended = True
+    def close(self, is_complete: bool) -> None:
+        """Record that the stream has ended; the caller may take up an incomplete one.
+
+        Args:
+            is_complete: Whether the caller got all of it.
+        """
+        self._is_closed = True
+        server = self._first_server
+        if server and self._needs_proof:
+            if self._starts.is_proved(server, self._connected_ms):
+                self._record_proof()
+            self._is_given_up = is_complete
         if self._is_proved:
             self._takeover.record_ended(self._job)
 
@@ -75,13 +84,13 @@
         is_proved = self._starts.prove(self._job, server, self._connected_ms)
         if is_proved and not self._is_proved:
             self._record_proof()
-        self._has_failed = True
+        self._is_given_up = True
         if not self._is_proved:
             self.requirement = begun_at("")
 
     @property
     def _needs_proof(self) -> bool:
-        return not (self._is_proved or self._has_failed or self._has_ended)
+        return not (self._is_proved or self._is_given_up)
 
     def _prove_in_time(self, server: BackendServer) -> None:
         is_proved = self._starts.prove_in_time(
@@ -89,6 +98,8 @@
         )
         if is_proved and self._needs_proof:
             self._record_proof()
+            if self._is_closed:
+                self._takeover.record_ended(self._job)
 
     def _record_proof(self) -> None:
         self._is_proved = True
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -118,14 +118,13 @@
     def close(self) -> None:
         """End the stream, even if its answer has not been read completely."""
         self._deps.registry.discard(self)
+        is_complete = self._has_ended and not self._unsent
         if self._answer is not None:
-            if self._has_ended and not self._unsent:
-                self._answer.exchange.finish()
-            else:
-                self._answer.exchange.close()
+            exchange = self._answer.exchange
+            (exchange.finish if is_complete else exchange.close)()
             self._answer = None
         self.copies.close()
-        self.version.close()
+        self.version.close(is_complete)
         if hasattr(self, "run"):
             self._deps.ledger.end(self.run)
 
--- a/tests/test_edge_host.py
+++ b/tests/test_edge_host.py
@@ -1,6 +1,7 @@
 """Calls and streams through one edge host, with fakes of store and backend servers."""
 
 import contextlib
+import json
 
 import gevent
 import pytest
@@ -367,8 +368,9 @@
         wait_until(lambda: fleet.events_named("first_token"))
         second = fleet.add_server("engine", "e2", respond)
         wait_until(lambda: fleet.has_servers(2))
-        leaving = registration("engine", first, state="draining")
-        fleet.store.put("servers/e1", leaving)
+        # An engine that leaves does not start again.
+        registered = json.loads(fleet.store_value("servers/e1"))
+        fleet.store.put("servers/e1", {**registered, "state": "draining"})
         wait_until(
             lambda: any(
                 not copied.reason for copied in fleet.events_named("run_copied")
