--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -24,9 +24,7 @@
 
 
 class WireReport(msgspec.Struct, frozen=True, array_like=True):
-    """Report of one engine, and its age when it was sent.
-
-    Hosts of earlier builds leave out what follows the age.
+    """Report of one engine with its age; hosts of earlier builds end with the age.
 
     Attributes:
         started_wall_ms: Start that the engine names, or 0.
