--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -74,3 +74,14 @@
     )
     for name in ("matplotlib", "cleo", "falcon", "gypsumfield.load.driver"):
         assert f"'{name}'" not in process.stdout
+
+
+def test_scheduling_is_imported_only_through_its_package():
+    package = "gypsumfield.gateway.scheduling"
+    offending = [
+        path.relative_to(SOURCES)
+        for path in sorted(SOURCES.rglob("*.py"))
+        if path.parent != SOURCES / "gateway" / "scheduling"
+        and any(name.startswith(f"{package}.") for name in imported_names(path))
+    ]
+    assert not offending
