Serve calls with a body above 1,024 descriptors; stop watches at once

Callers saw calls with a body fail once a host had more than 1,024 descriptors, with a traceback: select() refuses such descriptors. poll() does not. test_descriptors fails before (ValueError) and passes now.

A host process ended by itself with an assertion of libev on an invalid descriptor. Suspected is the only watch that was stopped later than its connection could be closed: DisconnectWatcher stopped through a greenlet. It is stopped at once now, also when the request's greenlet is killed; test_a_stopped_watch_does_not_outlive_its_connection fails before.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -304,13 +304,13 @@
         self.stage = Stage.SENT
 
     def _has_answer_arrived(self) -> bool:
-        timeout_s = self._timeouts.answer_ms / MS_PER_S
-        readable, writable, _ = gevent.select.select(
-            [self._sock], [self._sock], [], timeout_s
-        )
-        if not readable and not writable:
+        # Unlike `select`, `poll` takes descriptors above 1,023.
+        poller = gevent.select.poll()
+        poller.register(self._sock, gevent.select.POLLIN | gevent.select.POLLOUT)
+        ready = poller.poll(self._timeouts.answer_ms)
+        if not ready:
             raise TimeoutError("the request could not be sent in time")
-        return bool(readable)
+        return any(events & ~gevent.select.POLLOUT for _, events in ready)
 
     def _read_headers(self) -> None:
         self._response = Response(
--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -254,6 +254,9 @@
 class DisconnectWatcher:
     """Aborts a request when its caller closes the connection.
 
+    The event loop aborts the process for a watch on a descriptor that has been closed.
+    So nothing but `stop` may come between a watch and the close of its connection.
+
     Attributes:
         has_disconnected: Whether the caller has closed the connection.
     """
@@ -262,26 +265,33 @@
         self.has_disconnected = False
         self._sock = sock
         self._abort = abort
-        self._greenlet = gevent.spawn(self._wait)
+        self._is_stopped = False
+        self._watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
+        self._watcher.start(self._handle_input)
 
     def stop(self) -> None:
-        """Stop watching; the connection may be used for further requests."""
-        self._greenlet.kill(block=False)
+        """Stop watching at once; the connection may be used or closed afterwards."""
+        self._is_stopped = True
+        self._watcher.close()
 
-    def _wait(self) -> None:
-        watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
-        try:
-            gevent.get_hub().wait(watcher)
-        finally:
-            watcher.close()
+    def _handle_input(self) -> None:
+        """Check once for the end; runs in the event loop and must not wait."""
+        self._watcher.stop()
         if _is_closed_by_peer(self._sock):
             self.has_disconnected = True
+            gevent.spawn(self._abort_request)
+
+    def _abort_request(self) -> None:
+        if not self._is_stopped:
             self._abort.abort("the caller has left")
 
 
 def _is_closed_by_peer(sock: Any) -> bool:
+    # The socket of gevent would wait where there is no input.
     try:
-        return not sock.recv(PEEK_SIZE_BYTES, socket.MSG_PEEK)
+        return not sock._sock.recv(PEEK_SIZE_BYTES, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
     except OSError:
         return True
 
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -161,6 +161,10 @@
             stop_watching()
             self._log_internal_fault(job, error)
             raise
+        except BaseException:
+            # The greenlet was killed: the host stops.
+            stop_watching()
+            raise
 
     def _admit(self, environ: dict[str, Any], request: CallHeaders, hold: Hold) -> Job:
         started_ms = self._deps.clock.monotonic_ms()
