Take statuses outside 100 to 599 as failures of their server

Statuses 600 and 999 did reach callers, sealed, from streams, repeatable and other calls alike, and the hop between hosts and /v1 would have passed them on.

--- a/src/gypsumfield/adapters/responses.py
+++ b/src/gypsumfield/adapters/responses.py
@@ -11,6 +11,8 @@
 
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# The parser takes any three digits, and servers in trouble have sent 000.
+HTTP_STATUSES = range(100, 600)
 # Maximum bytes of headers, interim answers, chunk sizes and trailers that may arrive
 # without a byte of the body. Servers commonly limit their headers to an eighth of this.
 FRAMING_LIMIT_BYTES = 131_072
@@ -80,6 +82,8 @@
 
     def _on_headers_complete(self) -> Any:
         status = int(self.get_code())
+        if status not in HTTP_STATUSES:
+            raise HTTPParseError(f"status {status} is none of HTTP")
         if status >= FIRST_FINAL_STATUS:
             self.final_status = status
         return super()._on_headers_complete()
