--- a/src/gypsumfield/gateway/small_fleet.py
+++ b/src/gypsumfield/gateway/small_fleet.py
@@ -8,11 +8,11 @@
 from gypsumfield.decisions.fleet_roles import select_counting_host
 from gypsumfield.gateway.host_updates import HostUpdate
 from gypsumfield.gateway.host_updates import UpdateKind
-from gypsumfield.gateway.host_updates import WireLoad
 from gypsumfield.gateway.update_writer import coarse_loads
 from gypsumfield.gateway.update_writer import loads_by_server
 from gypsumfield.gateway.update_writer import SendRound
 from gypsumfield.gateway.update_writer import UpdateWriter
+from gypsumfield.gateway.wire_loads import WireLoad
 
 # Hosts that an update lists in rotation, in addition to the best ranked of each zone.
 HOSTS_PER_UPDATE = 8
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -20,16 +20,16 @@
 from gypsumfield.gateway.host_updates import UpdateKind
 from gypsumfield.gateway.host_updates import WireItem
 from gypsumfield.gateway.host_updates import WireLimit
-from gypsumfield.gateway.host_updates import WireLoad
 from gypsumfield.gateway.host_updates import WirePart
 from gypsumfield.gateway.host_updates import WireRefusal
-from gypsumfield.gateway.host_updates import WireReport
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.roster import Roster
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.wake_watch import WakeWatch
+from gypsumfield.gateway.wire_loads import WireLoad
+from gypsumfield.gateway.wire_loads import WireReport
 
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
--- a/tests/test_engine_starts.py
+++ b/tests/test_engine_starts.py
@@ -22,11 +22,11 @@
 from gypsumfield.gateway.host_updates import HostCard
 from gypsumfield.gateway.host_updates import HostUpdate
 from gypsumfield.gateway.host_updates import UpdateKind
-from gypsumfield.gateway.host_updates import WireReport
 from gypsumfield.gateway.update_writer import MAX_DATAGRAM_DELAY_MS
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.gateway.wake_watch import TICK_MS
 from gypsumfield.gateway.wake_watch import WakeWatch
+from gypsumfield.gateway.wire_loads import WireReport
 from gypsumfield.platform.documents import decode_server
 from gypsumfield.verdicts import RunVerdict
 from version_fleet import is_complete
