Prefer engines where a prompt makes no stream exceed its longest gap

Each engine start has a current and a usual time per event, learnt from the gaps of all hosts' streams (appended to WireLoad) and from the event counts of runs between two reports, and passed on in WireReport. Streams go to engines whose predicted gap stays below the limit; long streams cost more on engines that are usually slow.

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -17,6 +17,8 @@
 from gypsumfield.decisions.pace import FIRST_EVENT_OVERHEAD_MS
 from gypsumfield.decisions.pace import INITIAL_PACE
 from gypsumfield.decisions.pace import Pace
+from gypsumfield.decisions.pause_budget import prefer_short_gaps
+from gypsumfield.decisions.pause_budget import slow_engine_cost
 
 # Share of an engine's memory that may be planned; the rest absorbs the error of the
 # predicted lengths.
@@ -82,6 +84,9 @@
         is_cold: Whether it is in its cold start and accepts only little load.
         waiting_count: Requests that wait on it, by its own report.
         is_recently_started: Whether it was started recently.
+        longest_gap_ms: Longest gap that its streams will have while a prompt is read;
+            0 if unknown.
+        slow_factor: How much slower than others it usually is, at least 1.
     """
 
     server_id: str
@@ -94,6 +99,8 @@
     is_cold: bool = False
     waiting_count: int = 0
     is_recently_started: bool = False
+    longest_gap_ms: float = 0.0
+    slow_factor: float = 1.0
 
 
 class SampleSize(NamedTuple):
@@ -159,6 +166,7 @@
         sample_size: Number of engines to compare; None compares all.
         pace: Observed speed of the engines.
         is_reserved: Whether the engine reserves the memory before the stream starts.
+        max_pause_ms: Longest gap that streams of the service may have.
     """
 
     peak_tokens: int
@@ -168,6 +176,12 @@
     sample_size: SampleSize | None = None
     pace: Pace = INITIAL_PACE
     is_reserved: bool = False
+    max_pause_ms: float = math.inf
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the stream runs long enough to meet a slow spell of its engine."""
+        return self.peak_tokens - self.prompt_tokens >= GROWTH_TOKENS
 
 
 def select_engine(
@@ -176,7 +190,8 @@
     """Return the engine with the lowest cost for a stream, or None when none fits.
 
     An engine must have free capacity and be expected to send the first event in
-    time. Cold engines are considered only when no warm engine fits.
+    time. Cold engines are considered only when no warm engine fits. Of these, engines
+    are preferred on which the prompt makes no stream exceed its longest gap.
     """
     fitting = [
         engine
@@ -185,12 +200,17 @@
         and expected_start_ms(engine, demand) <= demand.time_left_ms
     ]
     warm = [engine for engine in fitting if not engine.is_cold]
-    candidates = warm or fitting
+    candidates = prefer_short_gaps(
+        warm or fitting, lambda engine: engine.longest_gap_ms, demand.max_pause_ms
+    )
     if not candidates:
         return None
     return min(
         _sample(candidates, demand, rng),
-        key=lambda engine: (_cost(engine, demand), rng.random()),
+        key=lambda engine: (
+            _cost(engine, demand) + _pause_cost(engine, demand),
+            rng.random(),
+        ),
     )
 
 
@@ -291,6 +311,12 @@
     )
 
 
+def _pause_cost(engine: EngineLoad, demand: StreamDemand) -> float:
+    if demand.max_pause_ms == math.inf or not demand.is_long:
+        return 0.0
+    return slow_engine_cost(engine.slow_factor)
+
+
 class PlainLoad(NamedTuple):
     """Load of one plain server; ``active_count`` counts the calls of this host."""
 
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -147,12 +147,16 @@
 
 
 class RequestCompleted(Event, frozen=True, kw_only=True, tag="request_completed"):
-    """A caller received its complete answer, with the status of the server."""
+    """A caller received its complete answer, with the status of the server.
+
+    ``max_pause_ms`` is the longest gap that the route allows, or 0.
+    """
 
     elapsed_ms: float
     token_count: int = 0
     longest_gap_ms: float = 0.0
     status: int = 200
+    max_pause_ms: float = 0.0
 
 
 class RequestFailed(Event, frozen=True, kw_only=True, tag="request_failed"):
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -268,6 +268,8 @@
             prompt_parts=job.shared_parts,
             content_id=f"{job.content_id:x}",
             software_version=placement.server.software_version,
+            predicted_gap_ms=placement.predicted_gap_ms,
+            avoided_count=placement.avoided_count,
         )
     )
 
--- a/src/gypsumfield/gateway/calls.py
+++ b/src/gypsumfield/gateway/calls.py
@@ -131,12 +131,14 @@
         waiting_count: Requests that wait for a slot or for memory.
         used_tokens: Key-value cache memory that cannot be freed, in tokens.
         started_wall_ms: Wall-clock time of its start; 0 if the report names none.
+        event_counts: Events that each run has made so far, by request id.
     """
 
     is_leaving: bool
     waiting_count: int
     used_tokens: int
     started_wall_ms: int = 0
+    event_counts: Mapping[str, int] = {}
 
 
 class EngineRuns(NamedTuple):
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -139,6 +139,7 @@
             catalogue=catalogue,
             ledger=ledger,
             report_cache=fleet.report_cache,
+            engine_paces=fleet.engine_paces,
             notices=fleet.notices,
             permit_wait_ms=peers.permits.wait_ms,
             cold_rate_limit=peers.cold_rate_limit,
--- a/src/gypsumfield/gateway/engine_loads.py
+++ b/src/gypsumfield/gateway/engine_loads.py
@@ -1,5 +1,7 @@
 """Estimated load of one engine, from own runs, peers' reports and engine reports."""
 
+from typing import TYPE_CHECKING
+
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.gateway.catalogue import Catalogue
@@ -7,6 +9,9 @@
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.model import ServerRecord
 
+if TYPE_CHECKING:
+    from gypsumfield.gateway.scheduling import EnginePaces
+
 # An engine is slow for this time after its start.
 SLOW_START_MS = 3_000.0
 # Wall clocks of two machines differ by less than this, unless one was stepped.
@@ -20,6 +25,7 @@
         catalogue: Registrations of engines and the capacity of their services.
         ledger: Runs in flight on each engine, over all hosts.
         report_cache: Latest report of each engine.
+        engine_paces: Time per event of each engine.
         clock: Monotonic and wall clock, in milliseconds.
     """
 
@@ -28,11 +34,13 @@
         catalogue: Catalogue,
         ledger: Ledger,
         report_cache: EngineReportCache,
+        engine_paces: "EnginePaces",
         clock: Clock,
     ) -> None:
         self._catalogue = catalogue
         self._ledger = ledger
         self._report_cache = report_cache
+        self._engine_paces = engine_paces
         self._clock = clock
 
     def load(self, record: ServerRecord) -> EngineLoad:
@@ -47,6 +55,7 @@
         committed_tokens = max(
             load.committed_tokens, reported_tokens + load.waiting_prompt_tokens
         )
+        outlook = self._engine_paces.outlook(server)
         return EngineLoad(
             server_id=server.server_id,
             availability_zone=server.availability_zone,
@@ -58,6 +67,8 @@
             waiting_prompt_tokens=load.waiting_prompt_tokens,
             is_cold=self.is_cold(record),
             is_recently_started=self._is_recently_started(record),
+            longest_gap_ms=outlook.longest_gap_ms,
+            slow_factor=outlook.slow_factor,
         )
 
     def is_cold(self, record: ServerRecord) -> bool:
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -50,10 +50,12 @@
     Attributes:
         record_start: Takes an engine's id, the start that its report names, and the
             monotonic time at which it was asked.
+        record_state: Takes an engine's id and the state that this host queried.
     """
 
     def __init__(self, catalogue: Catalogue, clock: Clock) -> None:
         self.record_start: Callable[[str, int, float], None] = lambda *_: None
+        self.record_state: Callable[[str, EngineState], None] = lambda *_: None
         self._catalogue = catalogue
         self._clock = clock
         self._reports: dict[str, EngineReport] = {}
@@ -89,6 +91,7 @@
             asked_ms,
         )
         self._queried[server_id] = report
+        self.record_state(server_id, state)
         self.put(server_id, report, "engine report")
 
     def queried_reports(self) -> dict[str, EngineReport]:
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -101,7 +101,9 @@
     ``committed_tokens`` and ``stream_count`` are the recorded load that the selection
     was based on: this host's own runs and those that its peers reported.
     ``prompt_parts`` are the ids of the parts that other requests may share, and
-    ``content_id`` is the same in each repeat of a request.
+    ``content_id`` is the same in each repeat of a request. ``predicted_gap_ms`` is the
+    longest gap between events that the prompt is expected to cause on the engine, and
+    ``avoided_count`` is the number of engines avoided because of longer ones.
     """
 
     attempt: int
@@ -117,6 +119,8 @@
     prompt_parts: tuple[str, ...] = ()
     content_id: str = ""
     software_version: str = ""
+    predicted_gap_ms: float = 0.0
+    avoided_count: int = 0
 
 
 class PartEvidence(Event, frozen=True, kw_only=True, tag="part_evidence"):
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -23,6 +23,7 @@
 from gypsumfield.gateway.peers import PeerLink
 from gypsumfield.gateway.published_items import Decoders
 from gypsumfield.gateway.rejections import Rejections
+from gypsumfield.gateway.scheduling import EnginePaces
 from gypsumfield.gateway.server_notices import NoticeDependencies
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.settings import EdgeSettings
@@ -56,6 +57,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    engine_paces: EnginePaces
     notices: ServerNotices
     part_guard: PartGuard
     engines: EngineClient
@@ -83,6 +85,8 @@
     rejections = Rejections(emit)
     ledger = Ledger()
     report_cache = EngineReportCache(catalogue, clock)
+    engine_paces = EnginePaces(catalogue, clock)
+    report_cache.record_state = engine_paces.record_state
     notices = ServerNotices(NoticeDependencies(catalogue, clock, emit))
     part_guard = PartGuard(
         GuardDependencies(catalogue, refuses_connections, clock, common.rng, emit)
@@ -133,6 +137,7 @@
             catalogue=catalogue,
             ledger=ledger,
             report_cache=report_cache,
+            engine_paces=engine_paces,
             notices=notices,
             part_guard=part_guard,
             pull=pull,
@@ -162,6 +167,7 @@
         catalogue,
         ledger,
         report_cache,
+        engine_paces,
         notices,
         part_guard,
         engines,
--- a/src/gypsumfield/gateway/large_fleet.py
+++ b/src/gypsumfield/gateway/large_fleet.py
@@ -124,6 +124,7 @@
         if update.kind is UpdateKind.MEMBER and is_local:
             loads = loads_by_server(update.own_loads)
             deps.ledger.update_peer_loads(update.sender.host_id, loads, now_ms)
+            deps.engine_paces.record_peer_loads(update.sender.host_id, update.own_loads)
             if not roster.is_delegate:
                 # The sender regards this host as a delegate; the hello lists hosts
                 # that rank higher.
@@ -159,7 +160,7 @@
         """Send the loads of this host's runs to the delegates of its zone."""
         writer = self._writer
         loads = writer.deps.ledger.own_loads()
-        wire_own_loads = wire_loads(loads)
+        wire_own_loads = writer.own_wire_loads(loads)
         leaving = writer.leaving()
         unsent_leaving = {server.server_id for server in leaving} - self._sent_leaving
         has_changed = coarse_loads(wire_own_loads) != coarse_loads(
--- a/src/gypsumfield/gateway/model.py
+++ b/src/gypsumfield/gateway/model.py
@@ -42,6 +42,8 @@
         max_attempts: Largest number of backend servers that may run one call.
         is_open: Whether calls are served without a key.
         is_resumable: Whether a broken stream may be resumed by another run.
+        max_pause_ms: Longest gap between two events of a stream; with a longer one the
+            stream has less value for the caller. None for no limit.
     """
 
     name: str
@@ -55,6 +57,7 @@
     max_attempts: int
     is_open: bool
     is_resumable: bool
+    max_pause_ms: float | None = None
 
 
 def may_repeat(route: Route) -> bool:
--- a/src/gypsumfield/gateway/peer_dependencies.py
+++ b/src/gypsumfield/gateway/peer_dependencies.py
@@ -8,6 +8,7 @@
 from gypsumfield.gateway.engine_reports import EngineReportCache
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.part_guard import PartGuard
+from gypsumfield.gateway.scheduling import EnginePaces
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.view_pull import ViewPull
@@ -23,6 +24,7 @@
         catalogue: The published view.
         ledger: Runs in flight, by server.
         report_cache: Latest reports of engines.
+        engine_paces: Time per event of each engine.
         notices: Limits that servers have named.
         part_guard: Evidence on parts of prompts that crash engines.
         pull: Fetches the view of a peer that is ahead of this host.
@@ -38,6 +40,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    engine_paces: EnginePaces
     notices: ServerNotices
     part_guard: PartGuard
     pull: ViewPull
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -94,6 +94,7 @@
                 catalogue=deps.catalogue,
                 ledger=deps.ledger,
                 report_cache=deps.report_cache,
+                engine_paces=deps.engine_paces,
                 notices=deps.notices,
                 part_guard=deps.part_guard,
                 is_store_reachable=self._is_store_reachable,
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Collection
+from typing import TYPE_CHECKING
 
 from gypsumfield.decisions.fleet_shares import ColdShare
 from gypsumfield.decisions.pace import mean_pace
@@ -30,6 +31,9 @@
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.server_placement import ServerPlacement
 
+if TYPE_CHECKING:
+    from gypsumfield.gateway.scheduling import EnginePaces
+
 # A host that received advice reports the resulting run within this time.
 ADVISED_LOAD_LIFETIME_MS = 200.0
 
@@ -41,6 +45,11 @@
         super().__init__(deps)
         self._estimators: defaultdict[str, PaceEstimator] = defaultdict(PaceEstimator)
 
+    @property
+    def engine_paces(self) -> "EnginePaces":
+        """Time per event of each engine."""
+        return self._deps.engine_paces
+
     def place_plain(
         self, service: str, tried: Collection[str]
     ) -> ServerPlacement | None:
@@ -97,6 +106,8 @@
         is_unreachable = self._avoidance.is_unreachable(server_id, now_ms)
         if is_unreachable or self._has_no_room(record.server):
             return None
+        if self._exceeds_pause_by_own_streams(record.server):
+            return None
         load = self._loads.load(record)
         count = len(self._deps.catalogue.servers_of(record.server.service))
         return ServerPlacement(
@@ -106,6 +117,7 @@
             load.committed_tokens,
             is_advised=True,
             is_pace_sample=shows_prefill_rate(load),
+            predicted_gap_ms=load.longest_gap_ms,
         )
 
     def _select_best(
@@ -119,6 +131,7 @@
             sample_size,
             self.pace(query.service),
             self.has_reservations(query.service),
+            self.engine_paces.limit_ms(query.service),
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
         best = select_engine(loads, demand, self._deps.rng)
@@ -127,7 +140,18 @@
         placement = self._placement_on(
             best.server_id, len(loads), best.stream_count, best.committed_tokens
         )
-        return placement and placement._replace(is_pace_sample=shows_prefill_rate(best))
+        is_within_limit = best.longest_gap_ms <= demand.max_pause_ms
+        return placement and placement._replace(
+            is_pace_sample=shows_prefill_rate(best),
+            predicted_gap_ms=best.longest_gap_ms,
+            avoided_count=is_within_limit
+            * sum(load.longest_gap_ms > demand.max_pause_ms for load in loads),
+        )
+
+    def _exceeds_pause_by_own_streams(self, server: BackendServer) -> bool:
+        """Return whether this host has seen a slow spell that the adviser may miss."""
+        limit_ms = self.engine_paces.limit_ms(server.service)
+        return self.engine_paces.own_gap_ms(server) > limit_ms
 
     def place_copy(
         self, run: Run, source: BackendServer, tried: Collection[str]
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -1,1 +1,6 @@
 """Scheduling under hard load; other packages import only from this module."""
+
+from gypsumfield.gateway.scheduling.engine_paces import EnginePaces
+from gypsumfield.gateway.scheduling.engine_paces import PauseOutlook
+
+__all__ = ["EnginePaces", "PauseOutlook"]
--- a/src/gypsumfield/gateway/server_eligibility.py
+++ b/src/gypsumfield/gateway/server_eligibility.py
@@ -25,7 +25,11 @@
         self._avoidance = Avoidance(deps.availability_zone)
         self._cold_shares: dict[str, ColdShare] = {}
         self._loads = EngineLoads(
-            deps.catalogue, deps.ledger, deps.report_cache, deps.clock
+            deps.catalogue,
+            deps.ledger,
+            deps.report_cache,
+            deps.engine_paces,
+            deps.clock,
         )
 
     def candidates(
--- a/src/gypsumfield/gateway/server_placement.py
+++ b/src/gypsumfield/gateway/server_placement.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.brittle_servers import HostPosition
@@ -14,6 +15,9 @@
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.interfaces import EmitEvent
 
+if TYPE_CHECKING:
+    from gypsumfield.gateway.scheduling import EnginePaces
+
 
 class PlacementDependencies(NamedTuple):
     """Dependencies of `Placer`.
@@ -23,6 +27,7 @@
         catalogue: Records of servers and zones.
         ledger: Runs in flight.
         report_cache: Load reports of engines.
+        engine_paces: Time per event of each engine.
         notices: Announcements of servers that they are leaving or full.
         permit_wait_ms: Returns the time for which a server's limit is used up.
         cold_rate_limit: Returns this host's limit for a cold server, in requests/s.
@@ -39,6 +44,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    engine_paces: "EnginePaces"
     notices: ServerNotices
     permit_wait_ms: Callable[[BackendServer], float]
     cold_rate_limit: Callable[[BackendServer], int]
@@ -61,6 +67,10 @@
         reservation: Name of the engine's memory reservation, or empty.
         is_advised: Whether the zone's first delegate advised this server.
         is_pace_sample: Whether the time to the first event shows the engine's speed.
+        predicted_gap_ms: Longest gap that its streams will have while a prompt is
+            read, or 0 if unknown.
+        avoided_count: Servers that were avoided, because the prompt would make streams
+            exceed their longest gap.
     """
 
     server: BackendServer
@@ -70,3 +80,5 @@
     reservation: str = ""
     is_advised: bool = False
     is_pace_sample: bool = False
+    predicted_gap_ms: float = 0.0
+    avoided_count: int = 0
--- a/src/gypsumfield/gateway/small_fleet.py
+++ b/src/gypsumfield/gateway/small_fleet.py
@@ -103,6 +103,7 @@
         deps.ledger.update_peer_loads(
             update.sender.host_id, loads_by_server(update.own_loads), now_ms
         )
+        deps.engine_paces.record_peer_loads(update.sender.host_id, update.own_loads)
         for server_id, load in loads_by_server(update.shared_loads or []).items():
             deps.ledger.set_other_hosts_load(server_id, load, now_ms)
         self._writer.store_reports(update)
@@ -127,13 +128,13 @@
         """Return this host's runs by the host that counts the runs of their engine."""
         deps = self._writer.deps
         loads: dict[str, list[WireLoad]] = {}
-        for server_id, load in deps.ledger.own_loads().items():
-            record = deps.catalogue.find_server(server_id)
+        for load in self._writer.own_wire_loads(deps.ledger.own_loads()):
+            record = deps.catalogue.find_server(load.server_id)
             if record is None:
                 continue
             zone = record.server.availability_zone
-            host_id = self._counting_host(server_id, zone)
-            loads.setdefault(host_id, []).append(WireLoad(server_id, *load))
+            host_id = self._counting_host(load.server_id, zone)
+            loads.setdefault(host_id, []).append(load)
         return loads
 
     def _counted_servers(self) -> list[str]:
--- a/src/gypsumfield/gateway/stream_progress.py
+++ b/src/gypsumfield/gateway/stream_progress.py
@@ -36,6 +36,7 @@
         self._is_answer_recorded = False
         self._first_event_ms = 0.0
         self._last_event_ms = 0.0
+        self._last_server_id = ""
         self._longest_gap_ms = 0.0
 
     def record_events(self, count: int, received_ms: float, server_id: str) -> None:
@@ -45,7 +46,12 @@
         else:
             gap_ms = received_ms - self._last_event_ms
             self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+            if server_id == self._last_server_id:
+                paces = self._deps.placer.engine_paces
+                # Events that arrive together were delayed together.
+                paces.record_gap(server_id, gap_ms / count)
         self._last_event_ms = received_ms
+        self._last_server_id = server_id
         self._event_count += count
         if received_ms - self._first_event_ms >= ANSWER_CONFIRMATION_MS:
             self._record_answer(is_complete=False)
@@ -69,6 +75,7 @@
                 elapsed_ms=deps.clock.monotonic_ms() - job.started_ms,
                 token_count=token_count,
                 longest_gap_ms=self._longest_gap_ms,
+                max_pause_ms=job.route.max_pause_ms or 0.0,
             )
         )
 
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 from typing import TypeVar
 
 from gypsumfield.clock import Clock
@@ -31,6 +32,9 @@
 from gypsumfield.gateway.wire_loads import WireLoad
 from gypsumfield.gateway.wire_loads import WireReport
 
+if TYPE_CHECKING:
+    from gypsumfield.gateway.scheduling import EnginePaces
+
 # Changes up to this size are sent within an update; larger ones are pulled by peers.
 MAX_INLINE_CHANGES_BYTES = 900
 # Limits of servers in one update: those that changed lately in every round, the others
@@ -81,6 +85,7 @@
         catalogue: The published view.
         ledger: Runs in flight, by server.
         report_cache: Latest reports of engines.
+        engine_paces: Time per event of each engine.
         notices: Limits that servers have named.
         part_guard: Evidence on parts of prompts that crash engines.
         is_store_reachable: Whether this host watches the store and gets answers.
@@ -96,6 +101,7 @@
     catalogue: Catalogue
     ledger: Ledger
     report_cache: EngineReportCache
+    engine_paces: "EnginePaces"
     notices: ServerNotices
     part_guard: PartGuard
     is_store_reachable: Callable[[], bool]
@@ -178,10 +184,19 @@
                 int(now_ms - report.received_ms),
                 report.started_wall_ms,
                 math.ceil(now_ms - report.asked_ms),
+                *self.deps.engine_paces.shared_times(server_id),
             )
             for server_id, report in reports.items()
         ]
 
+    def own_wire_loads(self, loads: Mapping[str, ServerLoad]) -> list[WireLoad]:
+        """Return the wire form of this host's loads, with the pace it observes."""
+        paces = self.deps.engine_paces
+        return [
+            WireLoad(server_id, *load, paces.own_event_ms(server_id))
+            for server_id, load in loads.items()
+        ]
+
     def wire_limits(self, server_ids: Iterable[str]) -> list[WireLimit]:
         """Return the wire form of what servers said about their limits."""
         return self._wire_statements(self.deps.notices.limits, server_ids)
@@ -312,6 +327,14 @@
             )
             source = f"peer {update.sender.host_id}"
             self.deps.report_cache.put(wire_report.server_id, report, source)
+            if is_fresh:
+                self.deps.engine_paces.record_shared(
+                    wire_report.server_id,
+                    report.started_wall_ms,
+                    wire_report.event_ms,
+                    wire_report.usual_event_ms,
+                    report.received_ms,
+                )
 
 
 def _take_turns(names: list[NameT], round_number: int, count: int) -> list[NameT]:
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -4,6 +4,8 @@
 field. The caller then continues with the last valid document.
 """
 
+from typing import Any
+
 import msgspec
 
 from gypsumfield.adapters.caller_server import ConnectionLimits
@@ -11,6 +13,7 @@
 from gypsumfield.decoding import check_name
 from gypsumfield.decoding import decode
 from gypsumfield.decoding import DurationMs
+from gypsumfield.decoding import MAX_DURATION_MS
 from gypsumfield.decoding import Name
 from gypsumfield.decoding import PositiveCount
 from gypsumfield.decoding import Timestamp
@@ -57,6 +60,9 @@
     max_attempts: int = 1
     allow_anonymous: bool = False
     stream_resume: bool = False
+    # Longest gap between two events of a stream; an invalid one counts as none, so
+    # that it does not keep a whole version of the configuration out of force.
+    gap_aim_ms: Any = None
 
 
 class _WireEngine(msgspec.Struct):
@@ -209,9 +215,15 @@
         max_attempts=max(1, wire.max_attempts),
         is_open=wire.allow_anonymous,
         is_resumable=wire.stream_resume,
+        max_pause_ms=_max_pause_ms(wire.gap_aim_ms),
     )
 
 
+def _max_pause_ms(value: Any) -> float | None:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and 0.0 < value <= MAX_DURATION_MS else None
+
+
 def _convert_service(wire: _WireService) -> ServiceSpec:
     return ServiceSpec(
         name=wire.name,
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -55,6 +55,8 @@
     # Key-value cache memory that cannot be evicted; excludes reusable prefixes.
     kv_used: Count = 0
     born: Timestamp = 0
+    # Lists of request id, tokens in memory, events made and priority.
+    executions: Any = None
 
 
 class _WireRuns(msgspec.Struct):
@@ -123,6 +125,7 @@
             waiting_count=report.queued,
             used_tokens=report.kv_used,
             started_wall_ms=report.born,
+            event_counts=dict(_event_counts(report.executions)),
         )
 
     def read_runs(self, server: BackendServer) -> EngineRuns:
@@ -133,8 +136,8 @@
         """
         report = self._read_report(server, _RUNS_DECODER)
         lists_runs = isinstance(report.executions, list)
-        entries = report.executions if lists_runs else []
-        return EngineRuns(report.born, dict(_event_counts(entries)), lists_runs)
+        event_counts = dict(_event_counts(report.executions))
+        return EngineRuns(report.born, event_counts, lists_runs)
 
     def read_server_id(self, server: BackendServer, target: str) -> str:
         """Return the id that the server at an address gives itself, or empty.
@@ -303,9 +306,9 @@
     return ExchangeTimeouts(CONNECT_TIMEOUT_MS, answer_ms, answer_ms, total_ms=total_ms)
 
 
-def _event_counts(entries: list[Any]) -> Iterator[tuple[str, int]]:
+def _event_counts(entries: Any) -> Iterator[tuple[str, int]]:
     """Yield request id and number of events of each valid entry of a report."""
-    for entry in entries:
+    for entry in entries if isinstance(entries, list) else []:
         match entry:
             case [str(request_id), _, int(event_count), *_]:
                 yield request_id, event_count
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -17,6 +17,7 @@
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.published_items import Decoders
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.scheduling import EnginePaces
 from gypsumfield.gateway.server_notices import NoticeDependencies
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.server_placement import PlacementDependencies
@@ -70,6 +71,7 @@
                 catalogue=self.catalogue,
                 ledger=self.ledger,
                 report_cache=EngineReportCache(self.catalogue, clock),
+                engine_paces=EnginePaces(self.catalogue, clock),
                 notices=self.notices,
                 permit_wait_ms=lambda server: self.permit_waits_ms.get(
                     server.server_id, 0.0
--- a/tests/test_engine_starts.py
+++ b/tests/test_engine_starts.py
@@ -22,6 +22,7 @@
 from gypsumfield.gateway.host_updates import HostCard
 from gypsumfield.gateway.host_updates import HostUpdate
 from gypsumfield.gateway.host_updates import UpdateKind
+from gypsumfield.gateway.scheduling import EnginePaces
 from gypsumfield.gateway.update_writer import MAX_DATAGRAM_DELAY_MS
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.gateway.wake_watch import TICK_MS
@@ -29,6 +30,7 @@
 from gypsumfield.gateway.wire_loads import WireReport
 from gypsumfield.platform.documents import decode_server
 from gypsumfield.verdicts import RunVerdict
+from placing_fleet import make_catalogue
 from version_fleet import is_complete
 from version_fleet import VersionFleet
 from version_fleet import versions_in
@@ -274,6 +276,7 @@
         self.clock = FakeClock()
         self.wake_watch = WakeWatch(self.clock)
         self.report_cache = EngineReportCache(None, self.clock)
+        self.engine_paces = EnginePaces(make_catalogue(self.clock), self.clock)
         self.starts = []
         self.report_cache.record_start = lambda *start: self.starts.append(start)
         self.deps = self
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -23,6 +23,7 @@
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import store_revision_of
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.scheduling import EnginePaces
 from gypsumfield.gateway.server_notices import NoticeDependencies
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.settings import EdgeBounds
@@ -104,6 +105,7 @@
                 catalogue=self.catalogue,
                 ledger=self.ledger,
                 report_cache=EngineReportCache(self.catalogue, clock),
+                engine_paces=EnginePaces(self.catalogue, clock),
                 notices=self.notices,
                 part_guard=self.part_guard,
                 pull=self,
