Reuse connections to servers as long as they permit

The pool keeps a connection for the time in "Keep-Alive: timeout=N" minus 1 s, or 2 s without the header, at most 8 for each server and 256 in all, and closes those to servers that leave. Calls to plain services that may run once, resumable streams at their start, polled reports and reservations use a connection that carried a complete answer less than 1 s ago. Streams that may run once, and checks of a server's identity, start and runs, open a new one. A call that may run once and fails on a reused connection may have run and is not repeated. An attempt that is aborted before it was sent is not sent.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -19,6 +19,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import detect_unreachable_peer
+from gypsumfield.adapters.connections import idle_limit_s
 from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.adapters.outgoing_requests import serialize_request
@@ -57,9 +58,11 @@
         request: The request.
         timeouts: Time limits.
         abort: Ends the exchange when the caller has left.
-        pool: Idle connections, for requests that may be retried.
+        pool: Idle connections; the connection is added to them after the answer.
         hold: Counts the bytes that the answer holds; None for small calls whose number
             is limited.
+        max_idle_s: Time after its last answer from which an idle connection is not
+            used; 0 for a new connection.
 
     Attributes:
         stage: Stage that the exchange has reached.
@@ -73,6 +76,7 @@
         abort: AbortHandle,
         pool: ConnectionPool | None = None,
         hold: Hold | None = None,
+        max_idle_s: float = math.inf,
     ) -> None:
         self.stage = Stage.BEFORE_CONNECT
         self.is_connection_reused = False
@@ -81,6 +85,7 @@
         self._abort = abort
         self._pool = pool
         self._hold = hold
+        self._max_idle_s = max_idle_s
         self._body = bytearray()
         self._response: Response | None = None
         self._sock: Any = None
@@ -114,7 +119,7 @@
             reason = check_before_send()
             # The check may have waited under the same handle.
             self._abort.attach(self._shut_down)
-            if reason:
+            if reason or self._abort.reason:
                 raise self._error(reason, "not_sent")
             self._send()
             self._read_headers()
@@ -241,7 +246,8 @@
         sock = response.idle_sock
         response.idle_sock = None
         self._sock = None
-        self._pool.release(self._request.address, sock)
+        limit_s = idle_limit_s(_joined(response.get("keep-alive")))
+        self._pool.release(self._request.address, sock, limit_s)
 
     def close(self) -> None:
         """Close the connection, even if the answer is incomplete."""
@@ -274,10 +280,16 @@
             return
 
     def _connect(self) -> Any:
-        pooled = self._pool.acquire(self._request.address) if self._pool else None
-        if pooled is not None:
-            self.is_connection_reused = True
-            return pooled
+        if self._pool is None:
+            return self._open_connection()
+        sock = self._pool.acquire(self._request.address, self._max_idle_s)
+        self.is_connection_reused = sock is not None
+        if sock is None:
+            sock = self._open_connection()
+        self._pool.record_connection(self.is_connection_reused)
+        return sock
+
+    def _open_connection(self) -> Any:
         ip, _, port = self._request.address.rpartition(":")
         sock = gevent.socket.create_connection(
             (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
@@ -362,5 +374,10 @@
     return BackendError(message, RunVerdict.NOT_RUN, code, retry_after_ms)
 
 
+def _joined(value: str | list[str] | None) -> str:
+    """Return the values of a header that may be absent or repeated."""
+    return ", ".join(value) if isinstance(value, list) else value or ""
+
+
 def _error_text(error: BaseException) -> str:
     return str(error) or type(error).__name__
--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -78,6 +78,9 @@
     MetricSpec("shares_moved_tokens", (), "Rate tokens moved between entry hosts"),
     MetricSpec("platform_failures", (), "Times the platform stopped answering"),
     MetricSpec("configuration_rejections", (), "Published values that do not fit"),
+    MetricSpec(
+        "server_connections", ("kind",), "Connections used for requests to servers"
+    ),
     MetricSpec("host_pauses", (), "Times the process found itself paused"),
 )
 
@@ -214,6 +217,10 @@
         """Record the longest time of a second without a switch of greenlets."""
         self._durations["loop_held_ms"][""].record(duration_ms)
 
+    def record_server_connection(self, is_reused: bool) -> None:
+        """Count a connection that a request to a server uses, new or reused."""
+        self._count("server_connections", kind="reused" if is_reused else "new")
+
     def observe_event(self, event: events.Event) -> None:
         """Count the event and update the metrics that are derived from it."""
         if not event.IS_HOT:
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -1,11 +1,13 @@
 """Sends one request to one backend server and classifies its answer."""
 
+import math
 from enum import Enum
 from typing import NamedTuple
 
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.connections import FRESH_LIMIT_S
 from gypsumfield.adapters.connections import UNREACHABLE_LIMIT_MS
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import Clock
@@ -126,7 +128,6 @@
     """
     is_rescue = options.resume is not None and bool(options.resume.copy_name)
     is_stream = job.route.kind is CallKind.STREAM
-    may_reuse = job.route.is_resumable or job.route.kind is CallKind.IDEMPOTENT
     request = OutgoingRequest(
         address=server.address,
         method=job.method,
@@ -143,8 +144,8 @@
         options.time_limit_ms,
         STREAM_UNREACHABLE_LIMIT_MS if is_stream else UNREACHABLE_LIMIT_MS,
     )
-    pool = deps.pool if may_reuse else None
-    exchange = Exchange(request, timeouts, job.abort, pool, job.hold)
+    max_idle_s = _max_idle_s(deps, job, server, options)
+    exchange = Exchange(request, timeouts, job.abort, deps.pool, job.hold, max_idle_s)
     sent_ms = connected_ms = deps.clock.monotonic_ms()
 
     def check_before_send() -> str:
@@ -178,6 +179,8 @@
         connected_ms,
     )
     deps.notices.record_answer(server, status, answer.metadata, sent_ms)
+    if answer.metadata.is_not_run and not answer.metadata.request_id:
+        deps.pool.record_anonymous_refusal(server.address)
     outcome = classify_answer(
         status, answer.metadata, job.request_id, exchange.is_connection_reused
     )
@@ -198,6 +201,24 @@
     return answer
 
 
+def _max_idle_s(
+    deps: AttemptDependencies, job: Job, server: BackendServer, options: SendOptions
+) -> float:
+    """Return the idle time up to which a call may use an idle connection; 0 for none.
+
+    A request that must not be sent twice is lost if its connection turns out to be
+    closed or silent. A call to a plain service takes a connection that has just worked.
+    A stream that cannot be resumed is worth more than a connection, and one that has
+    begun needs a connection that was opened after its engine's start was known.
+    """
+    if job.route.kind is CallKind.IDEMPOTENT:
+        return math.inf
+    is_begun = options.resume is not None or options.requirement.has_begun
+    if job.route.kind is CallKind.STREAM:
+        return FRESH_LIMIT_S if job.route.is_resumable and not is_begun else 0.0
+    return 0.0 if deps.pool.refuses_anonymously(server.address) else FRESH_LIMIT_S
+
+
 def read_whole_body(
     deps: AttemptDependencies, job: Job, server: BackendServer, answer: OpenAnswer
 ) -> bytes:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -76,7 +76,8 @@
     metrics = Metrics(lambda service: service)
     emit = emit_to_all(log_event, metrics.observe_event)
     memory = HeldMemory(int(settings.memory_mb * BYTES_PER_MB * HELD_SHARE))
-    common = CommonParts(settings, clock, random.Random(), metrics, memory, emit)
+    pool = ConnectionPool(metrics.record_server_connection)
+    common = CommonParts(settings, clock, random.Random(), metrics, memory, pool, emit)
     fleet = build_fleet(common)
     serving = _build_serving(common, fleet)
     protector = _build_protector(common, fleet, serving)
@@ -108,6 +109,7 @@
         report_poller=_build_report_poller(common, fleet),
         loop_lag=LoopLag(metrics.record_loop_held, emit),
         held_memory=memory,
+        connections=pool,
     )
     return EdgeHost(settings, components, clock, emit)
 
@@ -179,7 +181,7 @@
             )
         ),
         fleet.engine_starts,
-        ConnectionPool(),
+        common.pool,
         clock,
         emit,
     )
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -6,6 +6,7 @@
 
 from gypsumfield.adapters.caller_server import CallerServer
 from gypsumfield.adapters.caller_server import RequestTracker
+from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.loop_lag import LoopLag
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
@@ -64,6 +65,7 @@
         report_poller: Queries engines for their reports.
         loop_lag: Measures how long greenlets hold up all others.
         held_memory: Bounds what all requests hold together.
+        connections: Idle connections to backend servers.
     """
 
     request_tracker: RequestTracker
@@ -77,6 +79,7 @@
     report_poller: EngineReportPoller
     loop_lag: LoopLag
     held_memory: HeldMemory
+    connections: ConnectionPool
 
 
 class EdgeHost:
@@ -153,6 +156,7 @@
             component.stop()
         for server in components.servers:
             server.stop(timeout=0)
+        components.connections.close()
 
     def reload(self, settings: EdgeSettings) -> None:
         """Adopt the settings that may change while the host runs: seeds and bounds.
@@ -191,4 +195,12 @@
         if pause_ms > PAUSE_THRESHOLD_MS:
             self._emit(HostPaused(pause_ms=pause_ms))
             self.components.follower.restart_watch()
-        self.components.catalogue.remove_expired(GONE_SERVER_LIFETIME_MS)
+        catalogue = self.components.catalogue
+        catalogue.remove_expired(GONE_SERVER_LIFETIME_MS)
+        self.components.connections.close_unused(
+            {
+                record.server.address
+                for record in catalogue.servers()
+                if not catalogue.is_leaving(record)
+            }
+        )
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -4,6 +4,7 @@
 import uuid
 from typing import NamedTuple
 
+from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import refuses_connections
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.clock import Clock
@@ -47,6 +48,7 @@
     rng: random.Random
     metrics: Metrics
     memory: HeldMemory
+    pool: ConnectionPool
     emit: EmitEvent
 
 
@@ -142,7 +144,9 @@
             emit=emit,
         )
     )
-    engines = EngineClient(notices.record_answer, peers.permits.consume, common.memory)
+    engines = EngineClient(
+        notices.record_answer, peers.permits.consume, common.memory, common.pool
+    )
     engine_starts = EngineStarts(
         StartDependencies(
             peers.permits,
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -1,4 +1,9 @@
-"""Calls of this host itself to backend servers, most of them to engines."""
+"""Calls of this host itself to backend servers, most of them to engines.
+
+Polled reports and reservations use idle connections. All other calls open a new one:
+they find out which process accepts connections at an address now, or whether any does,
+or stop and copy runs, which must not fail on a connection that has gone silent.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -12,6 +17,8 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.connections import FRESH_LIMIT_S
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decoding import Count
@@ -99,6 +106,7 @@
         consume_permit: Called right before a call is sent; returns whether the
             engine's limit on requests permits it.
         memory: Counts the bytes that answers hold.
+        pool: Idle connections to servers, or None to use each connection once.
     """
 
     def __init__(
@@ -106,18 +114,23 @@
         record_metadata: Callable[[BackendServer, int, AnswerMetadata], None],
         consume_permit: Callable[[BackendServer], bool],
         memory: HeldMemory,
+        pool: ConnectionPool | None = None,
     ) -> None:
         self._record_metadata = record_metadata
         self._consume_permit = consume_permit
         self._memory = memory
+        self._pool = pool
 
     def read_state(self, server: BackendServer) -> EngineState:
         """Request an engine's load and whether it will leave.
 
+        It may use an idle connection: a report that is lost on a silent one is made up
+        for by the next, and a connection does not outlive the start that accepted it.
+
         Raises:
             BackendError: The engine did not answer, or its answer is invalid.
         """
-        report = self._read_report(server, _REPORT_DECODER)
+        report = self._read_report(server, _REPORT_DECODER, FRESH_LIMIT_S)
         return EngineState(
             is_leaving=report.state == "draining" or report.leaves_ms is not None,
             waiting_count=report.queued,
@@ -241,7 +254,9 @@
         """
         body = msgspec.json.encode({"tokens": tokens, "ttl_ms": int(lifetime_ms)})
         timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
-        answer = self._call(server, "POST", "/-/hold-take", body, timeouts)
+        answer = self._call(
+            server, "POST", "/-/hold-take", body, timeouts, FRESH_LIMIT_S
+        )
         if answer.status == UNAVAILABLE_STATUS:
             return None
         if answer.status != OK_STATUS:
@@ -255,10 +270,13 @@
             raise BackendError(f"reservation: {error}", RunVerdict.NOT_RUN) from error
 
     def _read_report(
-        self, server: BackendServer, decoder: Decoder[_ReportT]
+        self,
+        server: BackendServer,
+        decoder: Decoder[_ReportT],
+        max_idle_s: float = 0.0,
     ) -> _ReportT:
         timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
-        answer = self._call(server, "GET", REPORT_TARGET, b"", timeouts)
+        answer = self._call(server, "GET", REPORT_TARGET, b"", timeouts, max_idle_s)
         try:
             return decode(decoder, answer.body)
         except InvalidDataError as error:
@@ -271,6 +289,7 @@
         target: str,
         body: bytes,
         timeouts: ExchangeTimeouts,
+        max_idle_s: float = 0.0,
     ) -> _Answer:
         headers = {"Content-Type": "application/json"} if body else {}
         request = OutgoingRequest(
@@ -284,7 +303,9 @@
             must_echo_id=False,
         )
         hold = self._memory.open()
-        exchange = Exchange(request, timeouts, AbortHandle(), hold=hold)
+        exchange = Exchange(
+            request, timeouts, AbortHandle(), self._pool, hold, max_idle_s
+        )
 
         def check_before_send() -> str:
             return "" if self._consume_permit(server) else NO_PERMIT_REASON
@@ -293,7 +314,11 @@
             status = exchange.open(check_before_send)
             items = exchange.header_items()
             self._record_metadata(server, status, decode_answer(items))
-            return _Answer(status, items, exchange.read_body(ANSWER_LIMIT_BYTES, True))
+            answer = _Answer(
+                status, items, exchange.read_body(ANSWER_LIMIT_BYTES, True)
+            )
+            exchange.finish()
+            return answer
         finally:
             exchange.close()
             hold.release()
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,361 @@
+"""Reused connections to servers: lifetimes, bounds, and calls that may run once."""
+
+import json
+from urllib.request import urlopen
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from edge_fleet import EdgeFleet
+from fake_platform import complete_answer
+from fake_platform import event
+from fake_platform import FakeBackendServer
+from fake_platform import registration
+from fake_platform import STREAM_END
+from fake_platform import stream_head
+from fake_platform import wait_until
+from gypsumfield.adapters import connections
+from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.connections import DEFAULT_IDLE_LIMIT_S
+from gypsumfield.adapters.connections import FRESH_LIMIT_S
+from gypsumfield.adapters.connections import IDLE_CONNECTIONS_PER_SERVER
+from gypsumfield.adapters.connections import idle_limit_s
+from gypsumfield.exceptions import BackendError
+from gypsumfield.gateway import attempt
+from gypsumfield.held_memory import HeldMemory
+from gypsumfield.platform.documents import decode_server
+from gypsumfield.platform.engines import EngineClient
+from gypsumfield.platform.engines import REPORT_TARGET
+
+KINDS = {"plain": "idempotent", "once": "non_idempotent", "engine": "streaming"}
+PROMPT = "X-Token-Counts: 1000,8\r\nX-Length-Hint: 8\r\nX-Model: m\r\n"
+KEEP_ALIVE = "Keep-Alive: timeout=60\r\n"
+# Longer than the test waits for an answer on a silent connection.
+SILENT_S = 5.0
+
+
+class StandInSocket:
+    """Socket that only records whether it was closed; it never has input."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+@pytest.fixture
+def now_s(monkeypatch):
+    """Let a test set the time that the pool sees."""
+    now = [1_000.0]
+    monkeypatch.setattr(connections.time, "monotonic", lambda: now[0])
+    monkeypatch.setattr(connections, "_has_no_input", lambda _sock: True)
+    return now
+
+
+@pytest.fixture
+def fleet():
+    edge_fleet = EdgeFleet(KINDS)
+    edge_fleet.publish()
+    yield edge_fleet
+    edge_fleet.stop()
+
+
+@pytest.mark.parametrize(
+    ("header", "limit_s"),
+    [
+        ("", DEFAULT_IDLE_LIMIT_S),
+        ("timeout=5", 4.0),
+        ("timeout=5, max=100", 4.0),
+        ("max=100, Timeout = 30", 29.0),
+        ("timeout=5, timeout=3", 2.0),
+        ("timeout=1", 0.0),
+        ("timeout=0", 0.0),
+        ("timeout=soon", DEFAULT_IDLE_LIMIT_S),
+        ("x-timeout=9", DEFAULT_IDLE_LIMIT_S),
+    ],
+)
+def test_the_server_states_how_long_a_connection_may_be_idle(header, limit_s):
+    assert idle_limit_s(header) == limit_s
+
+
+def test_a_connection_expires_at_its_own_limit(now_s):
+    pool = ConnectionPool()
+    short, long = StandInSocket(), StandInSocket()
+    pool.release("a:1", long, 9.0)
+    pool.release("a:1", short, 1.0)
+    now_s[0] += 1.0
+    assert pool.acquire("a:1") is long
+    assert short.is_closed
+    pool.release("a:1", long, 9.0)
+    now_s[0] += 9.0
+    assert pool.acquire("a:1") is None
+    assert long.is_closed
+
+
+def test_a_call_that_may_run_once_takes_only_a_fresh_connection(now_s):
+    pool = ConnectionPool()
+    sock = StandInSocket()
+    pool.release("a:1", sock, 9.0)
+    now_s[0] += FRESH_LIMIT_S - 0.01
+    assert pool.acquire("a:1", FRESH_LIMIT_S) is sock
+    pool.release("a:1", sock, 9.0)
+    now_s[0] += FRESH_LIMIT_S
+    assert pool.acquire("a:1", FRESH_LIMIT_S) is None
+    assert pool.acquire("a:1", 0.0) is None
+    assert pool.acquire("a:1") is sock
+
+
+def test_idle_connections_are_bounded_for_each_server_and_in_total(now_s, monkeypatch):
+    """Guards against descriptors that run out on hosts with many engines."""
+    monkeypatch.setattr(connections, "IDLE_CONNECTIONS_TOTAL", 20)
+    pool = ConnectionPool()
+    socks = []
+    for number in range(50):
+        now_s[0] += 0.01
+        socks.append(StandInSocket())
+        pool.release(f"a:{number % 5}", socks[-1], 9.0)
+        assert pool.idle_count <= 20
+    assert [sock.is_closed for sock in socks] == [True] * 30 + [False] * 20
+    pool = ConnectionPool()
+    for _ in range(IDLE_CONNECTIONS_PER_SERVER + 3):
+        pool.release("a:1", StandInSocket(), 9.0)
+    assert pool.idle_count == IDLE_CONNECTIONS_PER_SERVER
+
+
+def test_connections_to_servers_that_left_are_closed(now_s):
+    pool = ConnectionPool()
+    kept, left, expired = StandInSocket(), StandInSocket(), StandInSocket()
+    pool.release("a:1", kept, 9.0)
+    pool.release("a:2", left, 9.0)
+    pool.release("a:1", expired, 0.5)
+    now_s[0] += 0.5
+    pool.close_unused({"a:1"})
+    assert (kept.is_closed, left.is_closed, expired.is_closed) == (False, True, True)
+    assert pool.idle_count == 1
+
+
+def test_a_host_closes_idle_connections_to_a_server_that_leaves(fleet):
+    server = fleet.add_server(
+        "plain",
+        "s1",
+        lambda request, sock: sock.sendall(complete_answer(request, extra=KEEP_ALIVE)),
+    )
+    fleet.start()
+    assert fleet.call("/plain/")[0] == 200
+    pool = fleet.host.components.connections
+    assert pool.idle_count == len(server.sockets) == 1
+    entry = registration("plain", server, state="draining")
+    fleet.store.put("servers/s1", entry)
+    wait_until(lambda: not pool.idle_count and not server.sockets)
+
+
+def test_a_call_that_may_run_once_reuses_a_connection_that_has_just_worked(
+    fleet, monkeypatch
+):
+    used = []
+
+    def respond(request, sock):
+        used.append(sock)
+        sock.sendall(complete_answer(request, extra=KEEP_ALIVE))
+
+    fleet.add_server("once", "s1", respond)
+    fleet.start()
+    assert attempt.FRESH_LIMIT_S <= 1.0
+    # A busy machine may take longer than the limit between two calls.
+    monkeypatch.setattr(attempt, "FRESH_LIMIT_S", 30.0)
+    for number in range(3):
+        assert fleet.call("/once/", attempt=f"a{number}")[0] == 200
+    assert len(set(used)) == 1
+    monkeypatch.setattr(attempt, "FRESH_LIMIT_S", 0.05)
+    gevent.sleep(0.1)
+    assert fleet.call("/once/", attempt="late")[0] == 200
+    assert used[-1] not in used[:-1]
+
+
+def read_metrics(fleet):
+    url = f"http://{fleet.settings.metrics_address}/metrics"
+    return gevent.get_hub().threadpool.apply(lambda: urlopen(url).read().decode())
+
+
+def test_a_metric_counts_new_and_reused_connections(fleet):
+    fleet.add_server(
+        "plain",
+        "s1",
+        lambda request, sock: sock.sendall(complete_answer(request, extra=KEEP_ALIVE)),
+    )
+    fleet.start()
+    for number in range(3):
+        assert fleet.call("/plain/", attempt=f"a{number}")[0] == 200
+    page = read_metrics(fleet)
+    assert 'gypsumfield_server_connections_total{kind="new"} 1.0' in page
+    assert 'gypsumfield_server_connections_total{kind="reused"} 2.0' in page
+
+
+@pytest.mark.parametrize("failure", ["silent", "closes after reading"])
+def test_a_call_that_may_run_once_is_not_repeated_after_a_reused_connection_fails(
+    fleet, monkeypatch, failure
+):
+    """The server may have run it; the other server and a new connection would work."""
+    runs, used = [], set()
+
+    def respond(request, sock):
+        request_id = request["headers"]["x-attempt-id"]
+        if request_id != "a2":
+            used.add(sock)
+            sock.sendall(complete_answer(request, extra=KEEP_ALIVE))
+            return None
+        runs.append(sock)
+        if failure == "silent":
+            gevent.sleep(SILENT_S)
+        return "close"
+
+    monkeypatch.setattr(attempt, "FRESH_LIMIT_S", 30.0)
+    for server_id in ("s1", "s2"):
+        fleet.add_server("once", server_id, respond)
+    fleet.start()
+    number = 0
+    while not all(server.requests for server in fleet.servers.values()):
+        number += 1
+        assert fleet.call("/once/", attempt=f"w{number}")[0] == 200
+    status, _, body = fleet.call("/once/", attempt="a2", limit_ms=600)
+    assert status in (502, 504)
+    assert b"may-have-run" in body
+    gevent.sleep(0.2)
+    assert len(runs) == 1
+    assert runs[0] in used
+
+
+def test_a_connection_that_the_server_closed_meanwhile_costs_no_call(fleet):
+    """A call that may run once must not be lost to a close before it was sent."""
+    runs = []
+
+    def respond(request, sock):
+        runs.append(request["headers"]["x-attempt-id"])
+        sock.sendall(complete_answer(request))
+        return "close"
+
+    server = fleet.add_server("once", "s1", respond)
+    fleet.start()
+    for number in range(3):
+        assert fleet.call("/once/", attempt=f"a{number}")[0] == 200
+        wait_until(lambda: not server.sockets)
+    assert runs == ["a0", "a1", "a2"]
+
+
+def test_a_stream_that_may_run_once_opens_a_new_connection(fleet):
+    """A silent connection would cost a whole stream, a new one a millisecond."""
+    used = []
+
+    def respond(request, sock):
+        if "x-token-counts" not in request["headers"]:
+            fleet.answer_own_call("s1", sock)
+            return
+        used.append(sock)
+        sock.sendall(stream_head(request) + event(1) + STREAM_END)
+
+    fleet.add_server("engine", "s1", respond)
+    fleet.start()
+    for number in range(3):
+        path = "/engine/"
+        assert fleet.call(path, attempt=f"a{number}", headers=PROMPT)[0] == 200
+    assert len(set(used)) == 3
+
+
+class OwnCalls:
+    """Engine that answers the calls of a host itself, and the client for them.
+
+    Attributes:
+        used: Socket of each call, by target.
+    """
+
+    def __init__(self):
+        self.used = []
+        self.is_silent = False
+        self.server = FakeBackendServer(self.respond)
+        self.server.start()
+        value = json.dumps(registration("engine", self.server)).encode()
+        self.record = decode_server("servers/e1", value, 1)
+        self.pool = ConnectionPool()
+        memory = HeldMemory(1_000_000)
+        self.client = EngineClient(
+            lambda *_: None, lambda _server: True, memory, self.pool
+        )
+
+    def respond(self, request, sock):
+        self.used.append(sock)
+        if self.is_silent:
+            gevent.sleep(SILENT_S)
+        is_report = request["target"] == REPORT_TARGET
+        body = b'{"state": "ready", "born": 1}' if is_report else b'{"hold": "h1"}'
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
+
+
+@pytest.fixture
+def own_calls():
+    calls = OwnCalls()
+    yield calls
+    calls.pool.close()
+    calls.server.crash()
+
+
+def test_reports_and_reservations_reuse_connections(own_calls):
+    own_calls.client.read_state(own_calls.record)
+    own_calls.client.read_state(own_calls.record)
+    assert own_calls.client.reserve(own_calls.record, 100, 1_000.0) == "h1"
+    assert len(set(own_calls.used)) == 1
+
+
+def test_checks_of_a_server_open_a_new_connection(own_calls):
+    """An old connection may outlive the path, and the process, that new ones find."""
+    client, record = own_calls.client, own_calls.record
+    client.read_state(record)
+    for check in (
+        lambda: client.read_runs(record),
+        lambda: client.read_identity(record, ""),
+        lambda: client.copy_run(record, "a1", "10.0.0.1:1", 500.0),
+        lambda: client.stop_run(record, "a1", "10.0.0.1:1", 500.0),
+    ):
+        before = set(own_calls.used)
+        check()
+        assert own_calls.used[-1] not in before
+
+
+def test_a_report_lost_on_a_silent_connection_does_not_stop_the_next(own_calls):
+    client, record = own_calls.client, own_calls.record
+    client.read_state(record)
+    own_calls.is_silent = True
+    with pytest.raises(BackendError):
+        client.read_state(record)
+    own_calls.is_silent = False
+    client.read_state(record)
+    assert own_calls.used[1] is own_calls.used[0]
+    assert own_calls.used[2] is not own_calls.used[0]
+
+
+def test_an_unread_answer_leaves_no_connection_in_the_pool():
+    """The rest of an answer would be read as that to the next request."""
+    server = StreamServer(
+        ("127.0.0.1", 0),
+        lambda sock, _: (
+            sock.recv(4096),
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf"),
+            gevent.sleep(SILENT_S),
+        ),
+    )
+    server.start()
+    pool = ConnectionPool()
+    client = EngineClient(
+        lambda *_: None, lambda _server: True, HeldMemory(1_000_000), pool
+    )
+    address = f"127.0.0.1:{server.server_port}"
+    fake = type("Fake", (), {"address": address})
+    value = json.dumps(registration("engine", fake)).encode()
+    record = decode_server("servers/e1", value, 1)
+    with pytest.raises(BackendError):
+        client.read_state(record)
+    assert not pool.idle_count
+    server.stop(timeout=0)
