Tell refused callers when the fleet has room for them

Cause: hosts that refused streams at the same moment all stated 0.5 s; their callers came back together and were refused for good. Change: each host promises its part of the rate at which the fleet's engines release capacity, one caller after the other, at random points, within a third of the caller's remaining time. Without live peers the host uses its own figures as before.

--- a/src/gypsumfield/decisions/queue_waits.py
+++ b/src/gypsumfield/decisions/queue_waits.py
@@ -37,12 +37,14 @@
 
 def remaining_wait_ms(stream: QueuedStream) -> float:
     """Return how much longer a stream may wait, in ms; 0 to refuse it now."""
-    start_ms = (
-        FIRST_EVENT_OVERHEAD_MS
-        + stream.prompt_tokens / stream.pace.prompt_tokens_per_ms
-    )
     limit_ms = min(time_left_ms(stream), stream.remaining_ms)
-    return max(0.0, limit_ms - start_ms)
+    return max(0.0, limit_ms - start_ms(stream))
+
+
+def start_ms(stream: QueuedStream) -> float:
+    """Return the time from the placement of a stream to its first event, in ms."""
+    read_ms = stream.prompt_tokens / stream.pace.prompt_tokens_per_ms
+    return FIRST_EVENT_OVERHEAD_MS + read_ms
 
 
 def time_left_ms(stream: QueuedStream) -> float:
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -40,6 +40,7 @@
 from gypsumfield.gateway.run_copies import CopyDependencies
 from gypsumfield.gateway.run_ends import RunEndDependencies
 from gypsumfield.gateway.run_ends import RunEnds
+from gypsumfield.gateway.scheduling import Shortage
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
@@ -158,6 +159,9 @@
         peers.adviser.request_engine,
         peers.permits.acquire_for_job,
         fleet.part_guard.refuse_condemned,
+        Shortage(
+            placer.run_count, placer.pace, peers.supplying_hosts, clock, common.rng
+        ),
         clock,
         emit,
     )
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -174,6 +174,11 @@
         """Return how many hosts may exist, or None while too little is known."""
         return self._roster.host_count if self._roster.is_settled else None
 
+    def supplying_hosts(self) -> int | None:
+        """Return how many hosts share the engines, or None without their figures."""
+        is_cut_off = self._roster.host_count > 1 and self.live_count == 1
+        return None if is_cut_off else self.host_count()
+
     def cold_rate_limit(self, server: BackendServer) -> int:
         """Return how many requests a second this host may send to a cold server."""
         roster = self._roster
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -1,1 +1,5 @@
-"""Scheduling under hard load; other packages import only from this module."""
+"""Decisions for streams that involve the state of other hosts."""
+
+from gypsumfield.gateway.scheduling.shortage import Shortage
+
+__all__ = ["Shortage"]
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -10,7 +10,6 @@
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.avoidance import ENGINE_FULL_MS
 from gypsumfield.decisions.permits import wait_limit_ms
-from gypsumfield.decisions.queue_waits import estimated_retry_after_ms
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import remaining_wait_ms
 from gypsumfield.decisions.queue_waits import time_left_ms
@@ -25,6 +24,7 @@
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Placer
+from gypsumfield.gateway.scheduling import Shortage
 from gypsumfield.gateway.server_placement import ServerPlacement
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
@@ -64,6 +64,7 @@
         advise: Advise,
         acquire_permit: AcquirePermit,
         refuse_condemned: RefuseCondemned,
+        shortage: Shortage,
         clock: Clock,
         emit: EmitEvent,
     ) -> None:
@@ -81,6 +82,7 @@
                 named a limit, out of a number of candidates. Returns whether it was
                 granted.
             refuse_condemned: Raises `RefusedError` for a stream that must not be sent.
+            shortage: Decides for streams that lack memory.
             clock: Monotonic clock.
             emit: Writes an event to the log.
         """
@@ -89,6 +91,7 @@
         self._advise = advise
         self._acquire_permit = acquire_permit
         self._refuse_condemned = refuse_condemned
+        self._shortage = shortage
         self._clock = clock
         self._emit = emit
         self._queued: list[_QueueEntry] = []
@@ -98,6 +101,9 @@
         """Number of queued streams."""
         return len(self._queued)
 
+    def _waiting_for(self, service: str) -> int:
+        return sum(entry.job.service == service for entry in self._queued)
+
     def wake(self) -> None:
         """Let every queued stream retry its placement: memory may have become free."""
         for entry in self._queued:
@@ -137,15 +143,15 @@
             placement = self._try_place(entry, peak_tokens, tried, math.inf)
         if placement is None:
             self._refuse_if_paused(job)
-            runs = self._placer.run_count(job.service)
-            run_ms = self._placer.pace(job.service).run_ms
             raise RefusedError(
                 Refusal(
                     503,
                     "engines_full",
                     "no engine has room in time",
-                    retry_after_ms=estimated_retry_after_ms(
-                        runs, self.waiting_count, run_ms
+                    retry_after_ms=self._shortage.retry_after_ms(
+                        job.service,
+                        self._queued_stream(job),
+                        self._waiting_for(job.service),
                     ),
                 )
             )
--- /dev/null
+++ b/tests/shortage_load.py
@@ -0,0 +1,186 @@
+"""A crowd on engines that are short of memory, played with the hosts' own decisions."""
+
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from gypsumfield.decisions.placement import EngineLoad
+from gypsumfield.decisions.placement import SampleSize
+from gypsumfield.decisions.placement import select_engine
+from gypsumfield.decisions.placement import StreamDemand
+from gypsumfield.decisions.queue_waits import QueuedStream
+from gypsumfield.decisions.queue_waits import remaining_wait_ms
+from gypsumfield.decisions.retry_times import CALLER_WAIT_SHARE
+
+HOSTS, ENGINES, MEMORY_TOKENS, SLOTS = 76, 23, 26_855, 24
+STEP_MS, RETRY_STEP_MS, VIEW_STEP_MS = 10.0, 250.0, 1_000.0
+CROWD_FROM_MS, CROWD_TO_MS, END_MS = 15_000.0, 20_000.0, 40_000.0
+# Engines in a slow spell; it takes the crowd to fill their memory.
+TOKEN_MS = 14.0
+RUN_MS = 752 * TOKEN_MS
+
+
+class Kind(NamedTuple):
+    """A kind of request; see docs/design/hard-load.md."""
+
+    priority: int
+    per_second: float
+    prompt_tokens: int
+    output_tokens: int
+    target_ms: float
+    caller_ms: float
+
+    @property
+    def run_ms(self):
+        return self.prompt_tokens / 14.0 + self.output_tokens * TOKEN_MS
+
+    @property
+    def peak_tokens(self):
+        return self.prompt_tokens + min(350, self.output_tokens)
+
+
+SUMMARY = Kind(0, 12.4, 3_079, 752, 4_013.0, 39_126.0)
+VERDICT = Kind(1, 13.9, 2_550, 8, 1_509.0, 6_037.0)
+
+
+class Stream:
+    def __init__(self, kind, host, now_ms):
+        self.kind = kind
+        self.host = host
+        self.first_ms = self.started_ms = now_ms
+        self.try_ms = now_ms
+        self.deadline_ms = now_ms + kind.caller_ms
+        self.is_second = False
+        self.draw = 0.0
+
+    def queued(self, now_ms):
+        return QueuedStream(
+            now_ms - self.started_ms,
+            self.kind.target_ms,
+            self.deadline_ms - now_ms,
+            self.kind.prompt_tokens,
+        )
+
+
+class Load:
+    """Plays the crowd; ``retry_after`` and ``memory_share`` are the decisions."""
+
+    def __init__(self, retry_after, memory_share, crowd_kind, seed):
+        self.rng = random.Random(seed)
+        # The same crowd for each decision that is compared.
+        self.arrivals_rng = random.Random(seed)
+        self.retry_after = retry_after
+        self.memory_share = memory_share
+        self.crowd_kind = crowd_kind
+        self.now_ms = 0.0
+        self.runs = [[] for _ in range(ENGINES)]
+        self.views = []
+        self.queues = [[] for _ in range(HOSTS)]
+        self.returning = []
+        self.refused_at = []
+        self.counts = Counter()
+        self.told = []
+
+    def run_count(self):
+        return sum(map(len, self.runs))
+
+    def play(self):
+        while self.now_ms < END_MS:
+            self.now_ms += STEP_MS
+            for runs in self.runs:
+                runs[:] = [run for run in runs if run[0] > self.now_ms]
+            if self.now_ms % VIEW_STEP_MS < STEP_MS:
+                self.views = [
+                    EngineLoad(f"e{n}", "z", SLOTS, MEMORY_TOKENS, len(r), _used(r), 0)
+                    for n, r in enumerate(self.runs)
+                ]
+                self.shared = self.shortage()
+            self._arrive()
+            for queue in self.queues:
+                queue.sort(key=lambda s: (s.kind.priority, s.started_ms))
+                for stream in list(queue):
+                    self._serve(stream, queue)
+        return self
+
+    def shortage(self):
+        """Return the waiting and the recently refused streams by kind."""
+        waiting = Counter(s.kind for queue in self.queues for s in queue)
+        recent = [k for at_ms, k in self.refused_at if at_ms > self.now_ms - 1_000.0]
+        return waiting + Counter(recent)
+
+    def _arrive(self):
+        is_crowd = CROWD_FROM_MS < self.now_ms <= CROWD_TO_MS
+        for kind in (SUMMARY, VERDICT):
+            factor = 2.0 if is_crowd and kind is self.crowd_kind else 1.0
+            if (
+                self.arrivals_rng.random()
+                < kind.per_second * factor * STEP_MS / 1_000.0
+            ):
+                stream = Stream(kind, self.arrivals_rng.randrange(HOSTS), self.now_ms)
+                stream.draw = self.arrivals_rng.random()
+                self.queues[stream.host].append(stream)
+                self.counts["sent", kind] += 1
+        for stream in [s for s in self.returning if s.started_ms <= self.now_ms]:
+            self.returning.remove(stream)
+            stream.host = self.rng.randrange(HOSTS)
+            stream.try_ms = self.now_ms
+            self.queues[stream.host].append(stream)
+
+    def _serve(self, stream, queue):
+        may_wait = remaining_wait_ms(stream.queued(self.now_ms)) > 0.0
+        is_next = stream.try_ms <= self.now_ms and queue[0] is stream
+        if may_wait and not is_next:
+            return
+        stream.try_ms = self.now_ms + RETRY_STEP_MS
+        if self._place(stream):
+            queue.remove(stream)
+            self.counts["served", stream.kind] += 1
+            late_ms = self.now_ms - stream.first_ms + stream.kind.prompt_tokens / 14.0
+            self.counts["in time", stream.kind] += late_ms <= stream.kind.target_ms
+        elif remaining_wait_ms(stream.queued(self.now_ms)) <= 0.0:
+            queue.remove(stream)
+            self._refuse(stream)
+
+    def _place(self, stream):
+        full = set()
+        kind = stream.kind
+        share = self.memory_share(self, stream) if self.memory_share else 1.0
+        extra = {} if share == 1.0 else {"memory_share": share}
+        demand = StreamDemand(
+            kind.peak_tokens,
+            "z",
+            sample_size=SampleSize(3, 2),
+            is_reserved=True,
+            **extra,
+        )
+        for _ in range(3):
+            engines = [e for e in self.views if e.server_id not in full]
+            best = select_engine(engines, demand, self.rng)
+            if best is None:
+                return False
+            runs = self.runs[int(best.server_id[1:])]
+            if _used(runs) + kind.prompt_tokens + kind.output_tokens <= MEMORY_TOKENS:
+                tokens = kind.prompt_tokens + kind.output_tokens
+                runs.append((self.now_ms + kind.run_ms, tokens))
+                return True
+            full.add(best.server_id)
+        return False
+
+    def _refuse(self, stream):
+        self.refused_at.append((self.now_ms, stream.kind))
+        if stream.is_second:
+            self.counts["refused twice", stream.kind] += 1
+            return
+        remaining_ms = stream.deadline_ms - self.now_ms
+        retry_ms = self.retry_after(self, stream, remaining_ms)
+        self.told.append(retry_ms / remaining_ms)
+        self.counts["refused", stream.kind] += 1
+        stream.started_ms = self.now_ms + min(
+            retry_ms, CALLER_WAIT_SHARE * remaining_ms
+        )
+        stream.is_second = True
+        self.returning.append(stream)
+
+
+def _used(runs):
+    return sum(tokens for _, tokens in runs)
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -1,4 +1,5 @@
 import contextlib
+import random
 
 import gevent
 import pytest
@@ -6,12 +7,14 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.avoidance import ENGINE_FULL_MS
+from gypsumfield.decisions.queue_waits import estimated_retry_after_ms
 from gypsumfield.decisions.software_versions import ANY_VERSION
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.calls import CallHeaders
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import Account
+from gypsumfield.gateway.scheduling import Shortage
 from gypsumfield.gateway.stream_queue import MAX_RESERVATION_ATTEMPTS
 from gypsumfield.gateway.stream_queue import StreamQueue
 from gypsumfield.verdicts import RunVerdict
@@ -50,7 +53,7 @@
         ticker.kill()
 
 
-def make_queue(fleet, answer):
+def make_queue(fleet, answer, host_count=1):
     engines = Engines(fleet, answer)
     events = []
     clock = fleet.clock.as_clock()
@@ -61,6 +64,13 @@
             lambda _query: None,
             lambda _job, _server, _candidate_count: True,
             lambda _job: None,
+            Shortage(
+                fleet.placer.run_count,
+                fleet.placer.pace,
+                lambda: host_count,
+                clock,
+                random.Random(1),
+            ),
             clock,
             events.append,
         ),
@@ -170,3 +180,34 @@
     queue.wake()
     gevent.joinall([first, second], timeout=10)
     assert served == ["urgent", "usual"]
+
+
+def refused_after(queue, job, fleet):
+    with running_clock(fleet), pytest.raises(RefusedError) as caught:
+        queue.acquire(job, ANY_VERSION, 160, [])
+    return caught.value.refusal.retry_after_ms
+
+
+def test_callers_refused_one_after_the_other_get_different_times():
+    # Guards against callers that come back together and are refused for good.
+    fleet = Fleet(["z1"])
+    queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=20)
+    patient = make_job(fleet)._replace(deadline_ms=fleet.clock.now_ms + 60_000.0)
+    times = [refused_after(queue, patient, fleet) for _ in range(3)]
+    assert len(set(times)) == 3
+
+
+def test_a_refused_caller_is_told_at_most_a_third_of_its_time():
+    fleet = Fleet(["z1"])
+    queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=76)
+    job = make_job(fleet)
+    retry_ms = refused_after(queue, job, fleet)
+    assert retry_ms <= job.remaining_ms(fleet.clock.as_clock()) / 3.0
+
+
+def test_a_host_without_the_figures_of_the_fleet_uses_its_own():
+    # Failure: no update of another host arrives.
+    fleet = Fleet(["z1"])
+    queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=None)
+    retry_ms = refused_after(queue, make_job(fleet), fleet)
+    assert retry_ms == estimated_retry_after_ms(0, 0)
