--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -2,5 +2,10 @@
 
 from gypsumfield.gateway.scheduling.engine_paces import EnginePaces
 from gypsumfield.gateway.scheduling.engine_paces import PauseOutlook
+from gypsumfield.gateway.scheduling.shortage import Shortage
 
-__all__ = ["EnginePaces", "PauseOutlook"]
+__all__ = [
+    "EnginePaces",
+    "PauseOutlook",
+    "Shortage",
+]
