Spread copies of runs on leaving engines over the engines that fit

Cause: hosts that do not know of each other's copies within the last second all chose the emptiest of three engines of the zone; the targets refused most copies, and after two refusals a run waited for the next round. Change: targets are drawn at random, weighted by the copies that fit, among engines that are not short of memory, then of the source's zone; engines that just received or refused a copy of this host come last. A refused copy tries up to six targets while the notice lasts. Two copies per engine and host run at once. Where leaving waves repeat, a large fleet plans 0.06 less memory for new streams of services whose engines can move runs. The announcement of an engine is logged once per start, no longer once per id.

--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -28,9 +28,6 @@
 RECENT_START_READING_FACTOR = 3.0
 # Cost added to a recently started engine, in shares of its memory.
 RECENT_START_COST = 0.2
-# Share of an engine's memory that may be planned when a copy saves a run: the engine
-# refuses the copy when the memory is not free.
-RESCUE_MEMORY_RATIO = 1.15
 # Backup copies may fill an engine up to this share; beyond it the memory is better
 # used for runs.
 BACKUP_MEMORY_RATIO = 0.6
@@ -159,6 +156,7 @@
         sample_size: Number of engines to compare; None compares all.
         pace: Observed speed of the engines.
         is_reserved: Whether the engine reserves the memory before the stream starts.
+        copy_room_ratio: Share of an engine's memory that is left free for copies.
     """
 
     peak_tokens: int
@@ -168,6 +166,7 @@
     sample_size: SampleSize | None = None
     pace: Pace = INITIAL_PACE
     is_reserved: bool = False
+    copy_room_ratio: float = 0.0
 
 
 def select_engine(
@@ -194,24 +193,6 @@
     )
 
 
-def select_rescue_engine(
-    engines: Sequence[EngineLoad], demand: StreamDemand, rng: random.Random
-) -> EngineLoad | None:
-    """Return the engine that receives a copy of a run on a leaving engine, or None."""
-    fitting = [
-        engine
-        for engine in engines
-        if engine.stream_count < engine.slot_count
-        and engine.committed_tokens + demand.peak_tokens
-        <= engine.memory_tokens * RESCUE_MEMORY_RATIO
-    ]
-    return min(
-        _sample(fitting, demand, rng),
-        key=lambda engine: (_cost(engine, demand), rng.random()),
-        default=None,
-    )
-
-
 def select_backup_engine(
     engines: Sequence[EngineLoad], demand: StreamDemand, rng: random.Random
 ) -> EngineLoad | None:
@@ -253,7 +234,7 @@
     if engine.stream_count == 0:
         return True
     ratio = RESERVED_MEMORY_RATIO if demand.is_reserved else PLANNED_MEMORY_RATIO
-    limit_tokens = engine.memory_tokens * ratio
+    limit_tokens = engine.memory_tokens * (ratio - demand.copy_room_ratio)
     return engine.committed_tokens + demand.peak_tokens <= limit_tokens
 
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -16,7 +16,6 @@
 from gypsumfield.decisions.placement import select_backup_engine
 from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import select_plain_server
-from gypsumfield.decisions.placement import select_rescue_engine
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
 from gypsumfield.decisions.software_versions import ANY_VERSION
@@ -31,6 +30,7 @@
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import ServerRecord
+from gypsumfield.gateway.scheduling import Rescues
 from gypsumfield.gateway.server_health import ServerHealth
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.server_placement import ServerPlacement
@@ -52,6 +52,7 @@
             deps.catalogue, deps.ledger, deps.report_cache, deps.clock
         )
         self._estimators: defaultdict[str, PaceEstimator] = defaultdict(PaceEstimator)
+        self.rescues = Rescues(deps)
 
     def place_plain(
         self, service: str, tried: Collection[str]
@@ -131,6 +132,7 @@
             sample_size,
             self.pace(query.service),
             self.has_reservations(query.service),
+            self.rescues.room_ratio(query.service, query.time_left_ms),
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
         best = select_engine(loads, demand, self._deps.rng)
@@ -145,14 +147,11 @@
         self, run: Run, source: BackendServer, tried: Collection[str]
     ) -> BackendServer | None:
         """Return an engine for a copy of a run on ``source``, or None."""
-        # Copying between zones takes twice as long, so the source's zone is preferred.
         requirement = begun_at(source.software_version)
         loads = self._engine_loads(source.service, tried, requirement, False)
-        size = self._sample_size()
-        demand = StreamDemand(
-            run.planned_tokens, source.availability_zone, sample_size=size
-        )
-        return self._server_of(select_rescue_engine(loads, demand, self._deps.rng))
+        zone, size = source.availability_zone, self._sample_size()
+        demand = StreamDemand(run.planned_tokens, zone, sample_size=size)
+        return self._server_of(self.rescues.select(loads, demand))
 
     def place_backup(
         self, source: BackendServer, peak_tokens: int
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 import gevent
+from gevent.pool import Pool
 
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.clock import Clock
@@ -11,6 +12,7 @@
 from gypsumfield.decisions.protection import ASSUMED_NOTICE_MS
 from gypsumfield.decisions.protection import ExposedRun
 from gypsumfield.decisions.protection import order_copies
+from gypsumfield.decisions.rescue_targets import should_try_target
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import CopyResult
 from gypsumfield.gateway.calls import ResumePoint
@@ -34,7 +36,11 @@
 # One copy takes a few hundred milliseconds and waits on the engine's link for the
 # copies of other hosts.
 COPY_TIMEOUT_MS = 2_000.0
-MAX_COPY_TARGETS = 2
+# Copies queue on the engine's link. A second one asks for memory meanwhile, so that the
+# link is not idle while a target refuses.
+MAX_PARALLEL_COPIES = 2
+# The target of a copy lacks free memory.
+MEMORY_REFUSED_STATUS = 503
 # The other runs of a leaving engine wait behind the one that waits for a permit.
 COPY_PERMIT_WAIT_MS = 300.0
 CHECK_INTERVAL_MS = 100.0
@@ -85,7 +91,8 @@
 
     def __init__(self, deps: ProtectionDependencies) -> None:
         self._deps = deps
-        self._logged_leaving: set[str] = set()
+        # Start of each leaving engine, and when this host learned that it leaves.
+        self._leaving: dict[str, tuple[int, float]] = {}
         self._copying: set[str] = set()
         self._last_probe_ms: dict[str, float] = {}
         self._unreachable_since_ms: dict[str, float] = {}
@@ -115,8 +122,7 @@
                 continue
             if not self._deps.catalogue.is_leaving(record):
                 continue
-            if server_id not in self._logged_leaving:
-                self._log_leaving(record.server)
+            self._record_leaving(record.server)
             if self._deps.notices.pause_ms(record.server):
                 continue
             step_ms = self._deps.placer.pace(record.server.service).step_ms
@@ -160,11 +166,16 @@
         return exposed
 
     def _copy_runs(self, source: BackendServer, order: list[str]) -> None:
+        def copy(request_id: str) -> None:
+            stream = self._find_stream(source, request_id)
+            if stream is not None:
+                self._copy_run(stream, source)
+
+        pool = Pool(MAX_PARALLEL_COPIES)
         try:
             for request_id in order:
-                stream = self._find_stream(source, request_id)
-                if stream is not None:
-                    self._copy_run(stream, source)
+                pool.spawn(copy, request_id)
+            pool.join()
         finally:
             self._copying.discard(source.server_id)
 
@@ -182,7 +193,7 @@
             self._copy_to(stream, source, on_demand_copy.server)
             return
         tried = [source.server_id]
-        for _ in range(MAX_COPY_TARGETS):
+        while should_try_target(len(tried) - 1, self._notice_left_ms(source)):
             target = self._deps.placer.place_copy(stream.run, source, tried)
             if target is None:
                 break
@@ -193,6 +204,11 @@
             self._log_copy(stream, source, "", 0.0, "no engine has enough free memory")
         stream.copies.refused_at_ms = self._deps.clock.monotonic_ms()
 
+    def _notice_left_ms(self, source: BackendServer) -> float:
+        now_ms = self._deps.clock.monotonic_ms()
+        _, since_ms = self._leaving.get(source.server_id, (0, now_ms))
+        return since_ms + ASSUMED_NOTICE_MS - now_ms
+
     def _copy_to(
         self, stream: Stream, source: BackendServer, target: BackendServer
     ) -> bool:
@@ -211,6 +227,7 @@
         )
         run.generated_tokens = stream.generated_tokens
         self._deps.ledger.begin(run)
+        self._deps.placer.rescues.record_copy(target.server_id)
         reason = ""
         result = None
         try:
@@ -230,8 +247,12 @@
             or stream.server.server_id != source.server_id
         ):
             self._deps.ledger.end(run)
+            if result is not None and result.status == MEMORY_REFUSED_STATUS:
+                self._deps.placer.rescues.record_refusal(target.server_id)
             # 404: the run has ended. 409: another copy of it is in progress.
-            return is_complete or (result is not None and result.status != 503)
+            return is_complete or (
+                result is not None and result.status != MEMORY_REFUSED_STATUS
+            )
         resume = ResumePoint("", source.address, result.copy_name)
         stream.copies.replace_on_demand_copy(
             OnDemandCopy(target, resume, started_ms, run)
@@ -282,8 +303,12 @@
         for stream in streams:
             stream.abandon_engine()
 
-    def _log_leaving(self, server: BackendServer) -> None:
-        self._logged_leaving.add(server.server_id)
+    def _record_leaving(self, server: BackendServer) -> None:
+        start_wall_ms, _ = self._leaving.get(server.server_id, (None, 0.0))
+        if start_wall_ms == server.started_wall_ms:
+            return
+        now_ms = self._deps.clock.monotonic_ms()
+        self._leaving[server.server_id] = (server.started_wall_ms, now_ms)
         self._deps.emit(
             EngineLeaves(
                 service=server.service,
--- a/tests/test_copies_load.py
+++ b/tests/test_copies_load.py
@@ -15,9 +15,10 @@
 from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.decisions.placement import select_backup_engine
 from gypsumfield.decisions.placement import select_engine
-from gypsumfield.decisions.placement import select_rescue_engine
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
+from gypsumfield.decisions.rescue_targets import RecentCopies
+from gypsumfield.decisions.rescue_targets import select_rescue_target
 
 ENGINES = 27
 MEMORY_TOKENS = 26_980
@@ -145,7 +146,9 @@
             if not remaining_copies:
                 continue
             demand = self.demand(run.planned(False))
-            target = select_rescue_engine(self.loads(now_ms), demand, self.rng)
+            target = select_rescue_target(
+                self.loads(now_ms), demand, RecentCopies(), self.rng
+            )
             if target is not None:
                 remaining_copies -= 1
                 run.copy = int(target.server_id)
