--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -30,9 +30,6 @@
 RECENT_START_READING_FACTOR = 3.0
 # Cost added to a recently started engine, in shares of its memory.
 RECENT_START_COST = 0.2
-# Share of an engine's memory that may be planned when a copy saves a run: the engine
-# refuses the copy when the memory is not free.
-RESCUE_MEMORY_RATIO = 1.15
 # Backup copies may fill an engine up to this share; beyond it the memory is better
 # used for runs.
 BACKUP_MEMORY_RATIO = 0.6
@@ -167,6 +164,7 @@
         pace: Observed speed of the engines.
         is_reserved: Whether the engine reserves the memory before the stream starts.
         max_pause_ms: Longest gap that streams of the service may have.
+        copy_room_ratio: Share of an engine's memory that is left free for copies.
     """
 
     peak_tokens: int
@@ -177,6 +175,7 @@
     pace: Pace = INITIAL_PACE
     is_reserved: bool = False
     max_pause_ms: float = math.inf
+    copy_room_ratio: float = 0.0
 
     @property
     def is_long(self) -> bool:
@@ -214,24 +213,6 @@
     )
 
 
-def select_rescue_engine(
-    engines: Sequence[EngineLoad], demand: StreamDemand, rng: random.Random
-) -> EngineLoad | None:
-    """Return the engine that receives a copy of a run on a leaving engine, or None."""
-    fitting = [
-        engine
-        for engine in engines
-        if engine.stream_count < engine.slot_count
-        and engine.committed_tokens + demand.peak_tokens
-        <= engine.memory_tokens * RESCUE_MEMORY_RATIO
-    ]
-    return min(
-        _sample(fitting, demand, rng),
-        key=lambda engine: (_cost(engine, demand), rng.random()),
-        default=None,
-    )
-
-
 def select_backup_engine(
     engines: Sequence[EngineLoad], demand: StreamDemand, rng: random.Random
 ) -> EngineLoad | None:
@@ -273,7 +254,7 @@
     if engine.stream_count == 0:
         return True
     ratio = RESERVED_MEMORY_RATIO if demand.is_reserved else PLANNED_MEMORY_RATIO
-    limit_tokens = engine.memory_tokens * ratio
+    limit_tokens = engine.memory_tokens * (ratio - demand.copy_room_ratio)
     return engine.committed_tokens + demand.peak_tokens <= limit_tokens
 
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -15,7 +15,6 @@
 from gypsumfield.decisions.placement import select_backup_engine
 from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import select_plain_server
-from gypsumfield.decisions.placement import select_rescue_engine
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
 from gypsumfield.decisions.software_versions import ANY_VERSION
@@ -27,6 +26,7 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.scheduling import Rescues
 from gypsumfield.gateway.server_eligibility import ServerEligibility
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.server_placement import ServerPlacement
@@ -44,6 +44,7 @@
     def __init__(self, deps: PlacementDependencies) -> None:
         super().__init__(deps)
         self._estimators: defaultdict[str, PaceEstimator] = defaultdict(PaceEstimator)
+        self.rescues = Rescues(deps)
 
     @property
     def engine_paces(self) -> "EnginePaces":
@@ -132,6 +133,7 @@
             self.pace(query.service),
             self.has_reservations(query.service),
             self.engine_paces.limit_ms(query.service),
+            self.rescues.room_ratio(query.service, query.time_left_ms),
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
         best = select_engine(loads, demand, self._deps.rng)
@@ -157,14 +159,11 @@
         self, run: Run, source: BackendServer, tried: Collection[str]
     ) -> BackendServer | None:
         """Return an engine for a copy of a run on ``source``, or None."""
-        # Copying between zones takes twice as long, so the source's zone is preferred.
         requirement = begun_at(source.software_version)
         loads = self._engine_loads(source.service, tried, requirement, False)
-        size = self._sample_size()
-        demand = StreamDemand(
-            run.planned_tokens, source.availability_zone, sample_size=size
-        )
-        return self._server_of(select_rescue_engine(loads, demand, self._deps.rng))
+        zone, size = source.availability_zone, self._sample_size()
+        demand = StreamDemand(run.planned_tokens, zone, sample_size=size)
+        return self._server_of(self.rescues.select(loads, demand))
 
     def place_backup(
         self, source: BackendServer, peak_tokens: int
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -2,10 +2,12 @@
 
 from gypsumfield.gateway.scheduling.engine_paces import EnginePaces
 from gypsumfield.gateway.scheduling.engine_paces import PauseOutlook
+from gypsumfield.gateway.scheduling.rescues import Rescues
 from gypsumfield.gateway.scheduling.shortage import Shortage
 
 __all__ = [
     "EnginePaces",
     "PauseOutlook",
+    "Rescues",
     "Shortage",
 ]
