Hedge repeatable calls to plain services within the operator's share

A few slow answers dominate the tail latency of plain services: one of three servers that is slow in spells holds its calls for the whole spell.

A call of an idempotent route whose first attempt has no answer after the 95th percentile of the service's latencies (at most half of the target) is sent once more, to another server. The first usable answer wins, and the other attempt is ended by closing its connection. There is none while servers are short of slots, pause, name limits or are brittle, or while the host is stopping.

--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -64,6 +64,9 @@
         "Requests refused for other reasons than their own account or input",
     ),
     MetricSpec("retries", ("service",), "Attempts after the first"),
+    MetricSpec("hedges_sent", ("service",), "Second attempts while one was pending"),
+    MetricSpec("hedges_won", ("service",), "Hedges whose answer the caller got"),
+    MetricSpec("hedges_declined", ("reason",), "Late calls that were not hedged"),
     MetricSpec("attempts_failed", ("stage", "verdict"), "Attempts that failed"),
     MetricSpec("streams_resumed", ("service",), "Streams resumed at the engine"),
     MetricSpec("stream_takeups", ("source",), "Streams that callers took up again"),
@@ -217,6 +220,10 @@
         """Record the longest time of a second without a switch of greenlets."""
         self._durations["loop_held_ms"][""].record(duration_ms)
 
+    def record_hedge_declined(self, reason: str) -> None:
+        """Count a call that had no answer after the hedge delay and was not hedged."""
+        self._count("hedges_declined", reason=reason)
+
     def record_server_connection(self, is_reused: bool) -> None:
         """Count a connection that a request to a server uses, new or reused."""
         self._count("server_connections", kind="reused" if is_reused else "new")
@@ -237,6 +244,10 @@
                 self._count_refusal(event)
             case events.RequestRetried(service=service):
                 self._count("retries", service=service)
+            case events.HedgeSent(service=service):
+                self._count("hedges_sent", service=service)
+            case events.HedgeEnded(service=service, winner=winner):
+                self._count("hedges_won", float(winner == "hedge"), service=service)
             case events.AttemptFailed(stage=stage, verdict=verdict):
                 self._count("attempts_failed", stage=stage, verdict=verdict)
             case events.FirstToken(service=service, elapsed_ms=elapsed_ms):
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -146,6 +146,23 @@
     attempt: int
 
 
+class HedgeSent(Event, frozen=True, kw_only=True, tag="hedge_sent"):
+    """A call without an answer after the hedge delay is sent to a second server."""
+
+    first_server: str
+    delay_ms: float
+
+
+class HedgeEnded(Event, frozen=True, kw_only=True, tag="hedge_ended"):
+    """A hedged call has ended; ``winner`` is ``first``, ``hedge`` or ``none``.
+
+    ``backend_server`` is the server of the winner.
+    """
+
+    winner: str
+    elapsed_ms: float
+
+
 class RequestCompleted(Event, frozen=True, kw_only=True, tag="request_completed"):
     """A caller received its complete answer, with the status of the server."""
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -40,6 +40,8 @@
 from gypsumfield.gateway.run_copies import CopyDependencies
 from gypsumfield.gateway.run_ends import RunEndDependencies
 from gypsumfield.gateway.run_ends import RunEnds
+from gypsumfield.gateway.scheduling import HedgedCalls
+from gypsumfield.gateway.scheduling import HedgeDependencies
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
@@ -231,7 +233,25 @@
             wire=attempts.wire,
             catalogue=catalogue,
             plain=PlainCallDependencies(
-                attempts, ledger, retry_share, peers.host_count
+                attempts,
+                ledger,
+                retry_share,
+                peers.host_count,
+                HedgedCalls(
+                    HedgeDependencies(
+                        ratio=settings.hedge_ratio,
+                        catalogue=catalogue,
+                        ledger=ledger,
+                        notices=fleet.notices,
+                        retry_share=retry_share,
+                        host_count=peers.host_count,
+                        is_stopping=lambda: request_tracker.is_draining,
+                        memory=common.memory,
+                        record_declined=common.metrics.record_hedge_declined,
+                        clock=clock,
+                        emit=emit,
+                    )
+                ),
             ),
             streams=streams,
             forwarder=forwarder,
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services: the answer is read whole before it is sent to the caller."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from gypsumfield.decisions.fleet_shares import RetryShare
@@ -20,6 +21,8 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import CallKind
+from gypsumfield.gateway.scheduling import HedgedCalls
+from gypsumfield.gateway.scheduling import PlannedAttempt
 from gypsumfield.gateway.server_placement import ServerPlacement
 from gypsumfield.verdicts import RunVerdict
 
@@ -48,12 +51,14 @@
         ledger: Counts runs in flight.
         retry_share: Returns this host's share of the retries of a service.
         host_count: Returns how many hosts may exist, or None while too little is known.
+        hedges: Sends the first attempt, and a second one if its answer is late.
     """
 
     attempts: AttemptDependencies
     ledger: Ledger
     retry_share: Callable[[str], RetryShare]
     host_count: Callable[[], int | None]
+    hedges: HedgedCalls
 
 
 class _CallProgress:
@@ -64,14 +69,12 @@
         run_count: Attempts that have run or may have run.
         failure: Answer of a server with a server error status; the caller gets it
             when no other server answers.
-        sent_ms: Monotonic time at which the last attempt began.
     """
 
     def __init__(self) -> None:
         self.server_ids: list[str] = []
         self.run_count = 0
         self.failure: BufferedAnswer | None = None
-        self.sent_ms = 0.0
 
 
 def call_plain_service(deps: PlainCallDependencies, job: Job) -> BufferedAnswer:
@@ -100,24 +103,23 @@
             clock.monotonic_ms(), deps.host_count()
         ):
             break
-        _log_attempt(deps, job, progress, placement)
-        progress.server_ids.append(placement.server.server_id)
+        is_first = not progress.server_ids
+        attempt = _begin_attempt(deps, job, progress, placement)
         try:
-            answer = _send_to(deps, job, placement.server, progress)
-        except BackendError as error:
-            record_failure(
-                deps.attempts,
+            if not is_first:
+                return attempt.send(job)
+            return deps.hedges.send(
                 job,
-                placement.server,
-                len(progress.server_ids),
-                error,
-                progress.sent_ms,
+                attempt,
+                partial(
+                    deps.attempts.placer.place_plain, job.service, progress.server_ids
+                ),
+                partial(_begin_attempt, deps, job, progress),
             )
+        except BackendError as error:
             last_error = _error_to_report(last_error, error)
             if not _may_retry(deps, job, progress, error, clock.monotonic_ms()):
                 break
-            continue
-        return answer
     if progress.failure is not None:
         return progress.failure
     if not progress.run_count:
@@ -126,6 +128,30 @@
     raise refusal_after_failure(last_error, job.remaining_ms(clock) <= 0.0, pause_ms)
 
 
+def _begin_attempt(
+    deps: PlainCallDependencies,
+    job: Job,
+    progress: _CallProgress,
+    placement: ServerPlacement,
+) -> PlannedAttempt[BufferedAnswer]:
+    """Count and log an attempt, which the caller of this function then sends."""
+    _log_attempt(deps, job, progress, placement)
+    server = placement.server
+    progress.server_ids.append(server.server_id)
+    number = len(progress.server_ids)
+
+    def send(own_job: Job) -> BufferedAnswer:
+        sent_ms = deps.attempts.clock.monotonic_ms()
+        try:
+            return _send_to(deps, own_job, server, progress)
+        except BackendError as error:
+            record_failure(deps.attempts, job, server, number, error, sent_ms)
+            deps.hedges.record_failure(job.service, error)
+            raise
+
+    return PlannedAttempt(server, send)
+
+
 def _send_to(
     deps: PlainCallDependencies,
     job: Job,
@@ -137,7 +163,7 @@
     options = SendOptions(server.server_id, ANY_VERSION, limit_ms, job.account_name)
     run = Run(server.server_id, 0, 0)
     deps.ledger.begin(run)
-    sent_ms = progress.sent_ms = attempts.clock.monotonic_ms()
+    sent_ms = attempts.clock.monotonic_ms()
     progress.run_count += 1
     try:
         opened = open_answer(attempts, job, server, options)
@@ -162,7 +188,10 @@
         )
     if opened.status in SUCCESS_STATUSES:
         attempts.part_guard.record_answer(job, sent_ms, is_complete=True)
-    attempts.placer.record_success(server, attempts.clock.monotonic_ms() - sent_ms)
+    latency_ms = attempts.clock.monotonic_ms() - sent_ms
+    attempts.placer.record_success(server, latency_ms)
+    if opened.status < SERVER_ERROR_STATUS:
+        deps.hedges.record_latency(job.service, latency_ms)
     return buffered
 
 
--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -45,6 +45,8 @@
             of its processor in hundredths of a core and its link in Mbit/s.
         availability_zones: All zones of the installation.
         memory_mb: Memory that the process may use.
+        hedge_ratio: Second attempts of repeatable calls to plain services that may be
+            sent while the first is pending, per first attempt; 0 for none.
     """
 
     host_id: str
@@ -61,6 +63,7 @@
     capacity: int = 0
     availability_zones: tuple[str, ...] = ()
     memory_mb: float = 128.0
+    hedge_ratio: float = 0.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings of an edge host from the settings file of the platform."""
 
+import math
 import os
 import tomllib
 from collections.abc import Mapping
@@ -12,6 +13,8 @@
 from gypsumfield.gateway.settings import EdgeSettings
 
 SETTINGS_PATH_VARIABLE = "GYPSUMFIELD_NODE_FILE"
+# Share of repeatable calls to plain services that may be sent twice, from 0 to 1.
+HEDGE_RATIO_VARIABLE = "GYPSUMFIELD_HEDGE_RATIO"
 # The deployment file contains the same port.
 METRICS_PORT = 9464
 
@@ -31,11 +34,12 @@
 
 
 def read_edge_settings(path: Path) -> EdgeSettings:
-    """Read and check the platform's settings file; unknown keys are ignored.
+    """Read and check the settings file and the environment; unknown keys are ignored.
 
     Raises:
         SettingsError: The file cannot be read, or a required key is missing or
-            has the wrong type; the message names the file and the key.
+            has the wrong type; the message names the file and the key. Or an
+            environment variable has a wrong value; the message names it.
     """
     try:
         data = tomllib.loads(path.read_text())
@@ -46,6 +50,22 @@
     return _SettingsReader(str(path), data).edge_settings()
 
 
+def _hedge_ratio() -> float:
+    text = os.environ.get(HEDGE_RATIO_VARIABLE)
+    if text is None:
+        return 0.0
+    try:
+        ratio = float(text)
+    except ValueError:
+        ratio = math.nan
+    if not 0.0 <= ratio <= 1.0:
+        raise SettingsError(
+            f"the environment variable {HEDGE_RATIO_VARIABLE} must be a number "
+            f"from 0 to 1, not {text!r}"
+        )
+    return ratio
+
+
 class _SettingsReader:
     """Typed access to a parsed file; errors name the file and the key."""
 
@@ -79,6 +99,7 @@
             memory_mb=self._number(
                 "limits.memory_mb", EdgeSettings._field_defaults["memory_mb"]
             ),
+            hedge_ratio=_hedge_ratio(),
         )
 
     def _availability_zones(self) -> tuple[str, ...]:
--- a/src/gypsumfield/timeline/explanation.py
+++ b/src/gypsumfield/timeline/explanation.py
@@ -144,6 +144,11 @@
             return f"{failure}, {_verdict_text(verdict)}: {reason}"
         case events.RequestRetried(backend_server=server, attempt=attempt):
             return f"retried at {_server_text(server)}, attempt {attempt}"
+        case events.HedgeSent(backend_server=server, delay_ms=delay_ms):
+            sent = f"also sent to {_server_text(server)}"
+            return f"{sent}: no answer after {delay_ms:,.0f} ms"
+        case events.HedgeEnded(winner=winner, elapsed_ms=elapsed_ms):
+            return f"hedge ended after {elapsed_ms:,.0f} ms, winner: {winner}"
         case events.RequestCompleted(elapsed_ms=elapsed_ms, token_count=count):
             tokens = f", {count} tokens" if count else ""
             return f"complete answer after {elapsed_ms:,.0f} ms{tokens}"
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -38,6 +38,7 @@
     metrics.record_queue_wait("p", 1.0)
     metrics.record_loop_held(1.0)
     metrics.record_server_connection(is_reused=True)
+    metrics.record_hedge_declined("busy")
     exposed_labels = {}
     for family in metrics.collect():
         assert family.samples, f"{family.name} has no samples"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 from gypsumfield.platform.headers import decode_answer
 from gypsumfield.platform.headers import decode_request
 from gypsumfield.platform.headers import encode_request
+from gypsumfield.platform.settings import HEDGE_RATIO_VARIABLE
 from gypsumfield.platform.settings import read_edge_settings
 from gypsumfield.verdicts import RunVerdict
 
@@ -284,3 +285,20 @@
     metadata = decode_answer([("x-attempt-id", "a"), ("X-Not-Executed", "1")])
     assert metadata.is_not_run and not metadata.is_sealed
     assert metadata.request_id == "a"
+
+
+@pytest.mark.parametrize(("text", "ratio"), [(None, 0.0), ("0", 0.0), ("0.05", 0.05)])
+def test_the_hedge_ratio_comes_from_the_environment(tmp_path, monkeypatch, text, ratio):
+    monkeypatch.delenv(HEDGE_RATIO_VARIABLE, raising=False)
+    if text is not None:
+        monkeypatch.setenv(HEDGE_RATIO_VARIABLE, text)
+    settings = read_edge_settings(write_settings(tmp_path, SETTINGS))
+    assert settings.hedge_ratio == ratio
+
+
+@pytest.mark.parametrize("text", ["", "many", "-0.1", "1.5", "nan", "inf", "5%"])
+def test_a_bad_hedge_ratio_is_named(tmp_path, monkeypatch, text):
+    """Guards against a host that sends far more hedges than its operator wants."""
+    monkeypatch.setenv(HEDGE_RATIO_VARIABLE, text)
+    with pytest.raises(SettingsError, match="GYPSUMFIELD_HEDGE_RATIO.*0 to 1"):
+        read_edge_settings(write_settings(tmp_path, SETTINGS))
