Leave memory to the urgent streams of all hosts

Cause: each host orders only its own queue, and with dozens of hosts these queues are short: less urgent streams took the memory that urgent ones waited for on other hosts. Streams also waited until their target had passed when the streams of other hosts took all memory that became free. Change: hosts state per service and priority what their streams lack, in a field appended to HostUpdate; sums go through delegates and count each host once. PlacementQuery carries the share to the delegate; it moves, with Advice, to the scheduling package. Hopeless streams are refused at once. Tests of queue, placing, advice, large fleet, metrics, logs, layers and docs pass.

--- a/bench/advice_cost.py
+++ b/bench/advice_cost.py
@@ -15,12 +15,12 @@
 from gypsumfield.clock import ManualClock
 from gypsumfield.gateway.catalogue import Catalogue
 from gypsumfield.gateway.engine_reports import EngineReportCache
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.placing import Placer
 from gypsumfield.gateway.published_items import Decoders
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.server_notices import NoticeDependencies
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.server_placement import PlacementDependencies
--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -98,6 +98,7 @@
         shares_held_tokens: Rate tokens in these shares.
         slots_held_count: Slots this host holds at backend servers.
         slots_granted_count: Slots this host has granted as owner.
+        memory_lack_count: Streams of all hosts that lack memory on engines.
         engine_step_ms: Estimated time per output token, from observed streams.
         engine_prompt_tokens_per_ms: Estimated rate at which engines process
             prompts, from observed streams.
@@ -115,6 +116,7 @@
     shares_held_tokens: float = 0.0
     slots_held_count: int = 0
     slots_granted_count: int = 0
+    memory_lack_count: int = 0
     engine_step_ms: float = 0.0
     engine_prompt_tokens_per_ms: float = 0.0
 
@@ -134,6 +136,7 @@
     "shares_held_tokens": "Rate tokens in these shares now",
     "slots_held_count": "Slots held by this host at backend servers",
     "slots_granted_count": "Slots granted by this host as owner",
+    "memory_lack_count": "Streams of all hosts that lack memory on engines",
     "engine_step_ms": "Time of one token that this host plans with, learned",
     "engine_prompt_tokens_per_ms": "Reading rate that this host plans with, learned",
 }
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -159,6 +159,8 @@
         sample_size: Number of engines to compare; None compares all.
         pace: Observed speed of the engines.
         is_reserved: Whether the engine reserves the memory before the stream starts.
+        memory_ratio: Share of an engine's memory that it may fill, if that is below
+            the planned one; see `gypsumfield.decisions.memory_shares`.
     """
 
     peak_tokens: int
@@ -168,6 +170,7 @@
     sample_size: SampleSize | None = None
     pace: Pace = INITIAL_PACE
     is_reserved: bool = False
+    memory_ratio: float = math.inf
 
 
 def select_engine(
@@ -253,7 +256,7 @@
     if engine.stream_count == 0:
         return True
     ratio = RESERVED_MEMORY_RATIO if demand.is_reserved else PLANNED_MEMORY_RATIO
-    limit_tokens = engine.memory_tokens * ratio
+    limit_tokens = engine.memory_tokens * min(ratio, demand.memory_ratio)
     return engine.committed_tokens + demand.peak_tokens <= limit_tokens
 
 
--- a/src/gypsumfield/decisions/retry_times.py
+++ b/src/gypsumfield/decisions/retry_times.py
@@ -20,6 +20,12 @@
 # Longest time that is stated. The estimate is good for the runs that exist now, and
 # these end within about two durations of a run.
 MAX_PROMISE_MS = 12_000.0
+# A stream is refused at once when its expected wait exceeds what it can wait by this
+# factor: the wait is an estimate, and a stream that can be served must not be lost.
+HOPELESS_WAIT_FACTOR = 1.5
+# Fewer streams for each engine wait for a moment also without a shortage: until an
+# engine's next report, or for something else than memory.
+HOPELESS_STREAMS_PER_ENGINE = 2
 # Promises of one host that are remembered; each expires with the time that it stated.
 MAX_PROMISES = 1_024
 
@@ -48,6 +54,23 @@
         return self.fleet_interval_ms * max(1, self.host_count)
 
 
+def can_start_in_time(
+    supply: FleetSupply, engine_count: int, ahead_count: int, wait_ms: float
+) -> bool:
+    """Return whether a stream may get memory while it can still start in time.
+
+    Args:
+        supply: Release of capacity by the engines of its service.
+        engine_count: Number of these engines.
+        ahead_count: Streams on all hosts that get memory before it.
+        wait_ms: Longest time that it can wait.
+    """
+    if ahead_count < HOPELESS_STREAMS_PER_ENGINE * engine_count:
+        return True
+    expected_ms = ahead_count * supply.fleet_interval_ms
+    return expected_ms <= HOPELESS_WAIT_FACTOR * wait_ms
+
+
 class RefusedCaller(NamedTuple):
     """Caller of a stream that is refused for lack of memory.
 
--- a/src/gypsumfield/gateway/advice.py
+++ b/src/gypsumfield/gateway/advice.py
@@ -15,10 +15,10 @@
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.gateway.events import AdviserSilent
-from gypsumfield.gateway.host_updates import Advice
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.host_updates import UpdateKind
 from gypsumfield.gateway.pending_replies import PendingReplies
+from gypsumfield.gateway.scheduling import Advice
+from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.update_writer import UpdateWriter
 from gypsumfield.interfaces import EmitEvent
 
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -41,6 +41,7 @@
 from gypsumfield.gateway.run_ends import RunEndDependencies
 from gypsumfield.gateway.run_ends import RunEnds
 from gypsumfield.gateway.scheduling import Shortage
+from gypsumfield.gateway.scheduling import ShortageDependencies
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.settings import EdgeSettings
 from gypsumfield.gateway.settings import split_address
@@ -118,6 +119,12 @@
     return RetryBounds(limits.retry_ratio, limits.retry_extra, limits.retry_window_ms)
 
 
+def _supplying_hosts(peers: PeerLink) -> int | None:
+    """Return how many hosts share the engines, or None without their figures."""
+    is_cut_off = peers.roster.host_count > 1 and peers.live_count == 1
+    return None if is_cut_off else peers.host_count()
+
+
 def _read_state(fleet: Fleet, serving: _Serving, memory: HeldMemory) -> HostState:
     pace = serving.placer.mean_pace
     return HostState(
@@ -126,6 +133,9 @@
         in_flight_count=serving.request_tracker.in_flight_count,
         queue_length=serving.queue.waiting_count,
         held_bytes=memory.held_bytes,
+        memory_lack_count=sum(
+            lack.stream_count for lack in fleet.peers.lacks.all_hosts().values()
+        ),
         engine_step_ms=pace.step_ms,
         engine_prompt_tokens_per_ms=pace.prompt_tokens_per_ms,
     )
@@ -160,7 +170,17 @@
         peers.permits.acquire_for_job,
         fleet.part_guard.refuse_condemned,
         Shortage(
-            placer.run_count, placer.pace, peers.supplying_hosts, clock, common.rng
+            ShortageDependencies(
+                lacks=peers.lacks,
+                run_count=placer.run_count,
+                pace=placer.pace,
+                engine_spec=catalogue.engine_spec,
+                engine_count=lambda service: len(catalogue.servers_of(service)),
+                supplying_hosts=lambda: _supplying_hosts(peers),
+                clock=clock,
+                rng=common.rng,
+                emit=emit,
+            )
         ),
         clock,
         emit,
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -178,6 +178,22 @@
     reason: str
 
 
+class MemoryHeldForUrgent(
+    Event, frozen=True, kw_only=True, tag="memory_held_for_urgent"
+):
+    """Streams waited because more urgent ones of their service lack memory.
+
+    Logged once in some time, with the attempts since the last line that found no engine
+    within ``memory_ratio`` of its memory. ``urgent_count`` are the more urgent streams
+    of all hosts that wait or were refused lately.
+    """
+
+    priority: int
+    memory_ratio: float
+    urgent_count: int
+    held_count: int
+
+
 class CopyChosen(Event, frozen=True, kw_only=True, tag="copy_chosen"):
     """An engine was selected to hold a copy of a run from its start.
 
--- a/src/gypsumfield/gateway/host_updates.py
+++ b/src/gypsumfield/gateway/host_updates.py
@@ -5,9 +5,11 @@
 
 import msgspec
 
-from gypsumfield.decisions.software_versions import VersionRequirement
 from gypsumfield.decoding import decode
 from gypsumfield.exceptions import InvalidDataError
+from gypsumfield.gateway.scheduling import Advice
+from gypsumfield.gateway.scheduling import PlacementQuery
+from gypsumfield.gateway.scheduling import WireLack
 
 # Views are mostly JSON with repeated names, so the fastest level compresses them well.
 VIEW_COMPRESSION_LEVEL = 1
@@ -81,48 +83,6 @@
     host_id: str
 
 
-class PlacementQuery(msgspec.Struct, frozen=True, array_like=True):
-    """Query for the engine of a stream; see `gypsumfield.gateway.placing.Placer`.
-
-    Attributes:
-        number: Identifies the query to its sender.
-        service: Service of the stream.
-        peak_tokens: Memory that is planned for the stream, in tokens.
-        prompt_tokens: Tokens to process before its first event.
-        time_left_ms: Time left in which its first event meets the target latency.
-        excluded: Engines that it must not use.
-        full: Engines that have just refused it for lack of memory.
-        has_begun: Whether its caller may have an event already.
-        begun_version: Software version at which it began, or empty.
-    """
-
-    number: int
-    service: str
-    peak_tokens: int
-    prompt_tokens: int
-    time_left_ms: float
-    excluded: list[str] = []
-    full: list[str] = []
-    has_begun: bool = False
-    begun_version: str = ""
-
-    @property
-    def requirement(self) -> VersionRequirement:
-        """Software version that the engine must have."""
-        return VersionRequirement(self.has_begun, self.begun_version)
-
-    def with_number(self, number: int) -> "PlacementQuery":
-        """Return a copy with another number."""
-        return msgspec.structs.replace(self, number=number)
-
-
-class Advice(msgspec.Struct, frozen=True, array_like=True):
-    """Answer to a query: an engine, or empty when none has free capacity in time."""
-
-    number: int
-    server_id: str
-
-
 class WireLimit(msgspec.Struct, frozen=True, array_like=True):
     """What one start of a server last said about its limit.
 
@@ -322,6 +282,7 @@
         brittle: Servers that fall over when they refuse many requests; the limit is
             the number of refusals a second.
         refusals: Recent refusals of brittle servers.
+        lacks: Streams that lack memory; the hosts counted are those of the loads.
     """
 
     kind: UpdateKind
@@ -350,6 +311,7 @@
     lost_services: list[str] = []
     brittle: list[WireLimit] = []
     refusals: list[WireRefusal] = []
+    lacks: list[WireLack] = []
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumfield/gateway/large_fleet.py
+++ b/src/gypsumfield/gateway/large_fleet.py
@@ -10,6 +10,7 @@
 from gypsumfield.decisions.fleet_roles import is_store_slot
 from gypsumfield.decisions.fleet_roles import lowest_cold_score
 from gypsumfield.decisions.fleet_roles import select_watching_zones
+from gypsumfield.decisions.memory_shares import HostPlace
 from gypsumfield.decisions.ownership import score_of
 from gypsumfield.gateway.advice import Adviser
 from gypsumfield.gateway.host_updates import ColdScoreLimit
@@ -124,6 +125,7 @@
         if update.kind is UpdateKind.MEMBER and is_local:
             loads = loads_by_server(update.own_loads)
             deps.ledger.update_peer_loads(update.sender.host_id, loads, now_ms)
+            deps.lacks.store(HostPlace(zone, update.sender.host_id), update.lacks)
             if not roster.is_delegate:
                 # The sender regards this host as a delegate; the hello lists hosts
                 # that rank higher.
@@ -131,6 +133,7 @@
         elif update.kind is UpdateKind.ZONE and not is_local:
             loads = loads_by_server(update.own_loads)
             deps.ledger.update_peer_loads(f"{_ZONE_SOURCE_PREFIX}{zone}", loads, now_ms)
+            deps.lacks.store(HostPlace(zone), update.lacks)
             self._writer.store_reports(update)
         elif update.kind is UpdateKind.DIGEST and is_local:
             self._apply_digest(update, now_ms)
@@ -147,6 +150,7 @@
             totals = loads_by_server(update.shared_loads)
             deps.ledger.replace_other_hosts_loads(totals, self._sent_loads, now_ms)
             self._store_cold_limits(update.cold_limits)
+            deps.lacks.store_total(update.lacks)
         self._writer.store_reports(update)
 
     def _store_cold_limits(self, limits: list[ColdScoreLimit]) -> None:
@@ -180,6 +184,7 @@
             own_loads=wire_own_loads,
             leaving=leaving,
             parts=writer.due_parts(send_round),
+            lacks=writer.deps.lacks.wire_own(),
             **writer.due_limits(send_round),
         )
         for number, peer in enumerate(writer.deps.roster.live_local_delegates()):
@@ -222,6 +227,7 @@
             shared_loads=wire_loads(totals),
             reports=writer.wire_reports(deps.report_cache.unexpired_reports()),
             cold_limits=cold_limits,
+            lacks=deps.lacks.wire_sum(has_zones=True),
             **shared_fields,
         )
         for peer in local_hosts:
@@ -237,6 +243,7 @@
             known_hosts=deps.roster.cards_to_announce(0, 0),
             own_loads=wire_loads(zone_loads),
             reports=writer.wire_reports(deps.report_cache.queried_reports()),
+            lacks=deps.lacks.wire_sum(has_zones=False),
             **shared_fields,
         )
         for peer in deps.roster.remote_delegates():
--- a/src/gypsumfield/gateway/peers.py
+++ b/src/gypsumfield/gateway/peers.py
@@ -33,6 +33,7 @@
 from gypsumfield.gateway.permits import Permits
 from gypsumfield.gateway.published_items import StoreItem
 from gypsumfield.gateway.roster import Roster
+from gypsumfield.gateway.scheduling import LackRecords
 from gypsumfield.gateway.small_fleet import SmallFleet
 from gypsumfield.gateway.stream_takeover import ORIGIN_KINDS
 from gypsumfield.gateway.stream_takeover import StreamTakeover
@@ -71,6 +72,7 @@
             such requests.
         permits: Requests and grants permits for requests to servers with a limit.
         takeover: Software versions of streams that callers may take up again.
+        lacks: Streams that lack memory, here and on other hosts.
     """
 
     def __init__(self, deps: PeerDependencies) -> None:
@@ -88,6 +90,7 @@
         self.set_seeds(settings.seed_ips)
         self._roster = Roster(own_card, not self._seeds, deps.clock)
         self._wake_watch = WakeWatch(deps.clock)
+        self.lacks = LackRecords(settings.availability_zone, deps.clock)
         self._writer = UpdateWriter(
             WriterDependencies(
                 roster=self._roster,
@@ -96,6 +99,7 @@
                 report_cache=deps.report_cache,
                 notices=deps.notices,
                 part_guard=deps.part_guard,
+                lacks=self.lacks,
                 is_store_reachable=self._is_store_reachable,
                 is_receiving_changes=lambda: self._large.is_receiving_changes,
                 lost_services=deps.lost_services,
@@ -174,11 +178,6 @@
         """Return how many hosts may exist, or None while too little is known."""
         return self._roster.host_count if self._roster.is_settled else None
 
-    def supplying_hosts(self) -> int | None:
-        """Return how many hosts share the engines, or None without their figures."""
-        is_cut_off = self._roster.host_count > 1 and self.live_count == 1
-        return None if is_cut_off else self.host_count()
-
     def cold_rate_limit(self, server: BackendServer) -> int:
         """Return how many requests a second this host may send to a cold server."""
         roster = self._roster
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -25,12 +25,12 @@
 from gypsumfield.decisions.software_versions import VersionRequirement
 from gypsumfield.gateway.engine_loads import EngineLoads
 from gypsumfield.gateway.engine_loads import shows_prefill_rate
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import ServerRecord
+from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.server_health import ServerHealth
 from gypsumfield.gateway.server_placement import PlacementDependencies
 from gypsumfield.gateway.server_placement import ServerPlacement
@@ -131,6 +131,7 @@
             sample_size,
             self.pace(query.service),
             self.has_reservations(query.service),
+            query.memory_ratio,
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
         best = select_engine(loads, demand, self._deps.rng)
@@ -160,8 +161,7 @@
         """Return an engine that keeps a copy of a run on ``source``, or None."""
         if not should_copy_from_start(self._deps.is_large_fleet()):
             return None
-        requirement = begun_at(source.software_version)
-        tried = [source.server_id]
+        tried, requirement = [source.server_id], begun_at(source.software_version)
         loads = self._engine_loads(source.service, tried, requirement, False)
         zone = self._deps.availability_zone
         demand = StreamDemand(peak_tokens, zone, sample_size=self._sample_size())
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -1,5 +1,19 @@
-"""Decisions for streams that involve the state of other hosts."""
+"""Scheduling under hard load; other packages import only from this module."""
 
+from gypsumfield.gateway.scheduling.lack_records import LackRecords
+from gypsumfield.gateway.scheduling.messages import Advice
+from gypsumfield.gateway.scheduling.messages import PlacementQuery
+from gypsumfield.gateway.scheduling.messages import WireLack
 from gypsumfield.gateway.scheduling.shortage import Shortage
+from gypsumfield.gateway.scheduling.shortage import ShortageDependencies
+from gypsumfield.gateway.scheduling.shortage import WaitingStream
 
-__all__ = ["Shortage"]
+__all__ = [
+    "Advice",
+    "LackRecords",
+    "PlacementQuery",
+    "Shortage",
+    "ShortageDependencies",
+    "WaitingStream",
+    "WireLack",
+]
--- a/src/gypsumfield/gateway/small_fleet.py
+++ b/src/gypsumfield/gateway/small_fleet.py
@@ -6,6 +6,7 @@
 
 from gypsumfield.decisions.fleet_roles import is_store_watcher
 from gypsumfield.decisions.fleet_roles import select_counting_host
+from gypsumfield.decisions.memory_shares import HostPlace
 from gypsumfield.gateway.host_updates import HostUpdate
 from gypsumfield.gateway.host_updates import UpdateKind
 from gypsumfield.gateway.host_updates import WireLoad
@@ -68,6 +69,7 @@
         has_unsent = writer.has_unsent_parts or writer.has_unsent_refusals
         limits = writer.due_limits(send_round)
         parts = writer.due_parts(send_round)
+        lacks = writer.deps.lacks.wire_own()
         for peer in writer.deps.roster.live_hosts():
             host_id = peer.card.host_id
             receiver_loads = own_loads.get(host_id, [])
@@ -92,6 +94,7 @@
                 changes=changes,
                 changes_after=max(0, changes_after),
                 parts=parts,
+                lacks=lacks,
                 **limits,
             )
             writer.deps.send(peer.card.ip, datagram)
@@ -105,6 +108,9 @@
         )
         for server_id, load in loads_by_server(update.shared_loads or []).items():
             deps.ledger.set_other_hosts_load(server_id, load, now_ms)
+        sender = update.sender
+        place = HostPlace(sender.availability_zone, sender.host_id)
+        deps.lacks.store(place, update.lacks)
         self._writer.store_reports(update)
 
     def _counting_host(self, server_id: str, availability_zone: str) -> str:
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -20,11 +20,12 @@
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.attempt import refusal_after_failure
 from gypsumfield.gateway.events import ReservationRefused
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Placer
+from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.scheduling import Shortage
+from gypsumfield.gateway.scheduling import WaitingStream
 from gypsumfield.gateway.server_placement import ServerPlacement
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
@@ -45,12 +46,16 @@
     Attributes:
         job: Call of the stream.
         requirement: Software version that it needs.
+        stream: Its need of memory.
         retry_signal: Set when the stream should retry its placement.
     """
 
-    def __init__(self, job: Job, requirement: VersionRequirement) -> None:
+    def __init__(
+        self, job: Job, requirement: VersionRequirement, stream: WaitingStream
+    ) -> None:
         self.job = job
         self.requirement = requirement
+        self.stream = stream
         self.retry_signal = Signal()
 
 
@@ -131,32 +136,55 @@
         self._refuse_condemned(job)
         self._refuse_without_version(job, requirement)
         self._refuse_if_paused(job)
-        entry = _QueueEntry(job, requirement)
+        stream = self._shortage.waiting_stream(
+            job.service, job.priority, peak_tokens, job.expected_tokens
+        )
+        entry = _QueueEntry(job, requirement, stream)
         placement = None
         if not self._must_wait_behind_others(entry):
             placement = self._try_place_in_time(entry, peak_tokens, tried)
         if placement is None:
             self._refuse_without_path(job)
+            self._refuse_if_hopeless(entry)
             placement = self._wait(entry, peak_tokens, tried)
         if placement is None and not job.abort.reason:
             # A late answer has less value for the caller, but still some.
             placement = self._try_place(entry, peak_tokens, tried, math.inf)
         if placement is None:
             self._refuse_if_paused(job)
-            raise RefusedError(
-                Refusal(
-                    503,
-                    "engines_full",
-                    "no engine has room in time",
-                    retry_after_ms=self._shortage.retry_after_ms(
-                        job.service,
-                        self._queued_stream(job),
-                        self._waiting_for(job.service),
-                    ),
-                )
-            )
+            raise self._refusal_for_lack(entry)
         return placement
 
+    def _refuse_if_hopeless(self, entry: _QueueEntry) -> None:
+        """Refuse a stream at once if others will use all memory that becomes free.
+
+        Raises:
+            RefusedError: The refusal says when to retry.
+        """
+        queued = self._queued_stream(entry.job)
+        if entry.requirement.has_begun or remaining_wait_ms(queued) <= 0.0:
+            return
+        if not self._shortage.can_start_in_time(entry.stream, queued):
+            self._refuse_if_paused(entry.job)
+            raise self._refusal_for_lack(entry)
+
+    def _refusal_for_lack(self, entry: _QueueEntry) -> RefusedError:
+        """Return the refusal of a stream for lack of memory, and record it."""
+        job, stream = entry.job, entry.stream
+        self._shortage.lacks.record_refusal(stream.key, stream.peak_tokens)
+        return RefusedError(
+            Refusal(
+                503,
+                "engines_full",
+                "no engine has room in time",
+                retry_after_ms=self._shortage.retry_after_ms(
+                    job.service,
+                    self._queued_stream(job),
+                    self._waiting_for(job.service),
+                ),
+            )
+        )
+
     def _refuse_without_version(
         self, job: Job, requirement: VersionRequirement
     ) -> None:
@@ -212,8 +240,10 @@
         self, entry: _QueueEntry, peak_tokens: int, tried: Collection[str]
     ) -> ServerPlacement | None:
         job = entry.job
+        stream = entry.stream
         self._queued.append(entry)
         self._queued.sort(key=_queue_rank)
+        self._shortage.lacks.add_waiting(stream.key, stream.peak_tokens)
         self._emit(
             RequestQueued(
                 request_id=job.request_id,
@@ -242,6 +272,7 @@
         finally:
             job.abort.attach(None)
             self._queued.remove(entry)
+            self._shortage.lacks.remove_waiting(stream.key, stream.peak_tokens)
             self.wake()
 
     def _try_place_in_time(
@@ -262,6 +293,7 @@
         # The query refers to both lists, which grow with each attempt.
         full_engines: list[str] = []
         excluded = list(tried)
+        memory_ratio = self._memory_ratio(entry)
         query = PlacementQuery(
             0,
             job.service,
@@ -271,10 +303,13 @@
             excluded,
             full_engines,
             *entry.requirement,
+            memory_ratio=memory_ratio,
         )
         for _ in range(MAX_RESERVATION_ATTEMPTS):
             placement = self._placer.place_stream(query)
             if placement is None:
+                if memory_ratio < math.inf:
+                    self._shortage.record_held(entry.stream, memory_ratio)
                 return None
             advice = self._advise(query)
             if advice == "":
@@ -296,6 +331,13 @@
             full_engines.append(placement.server.server_id)
         return None
 
+    def _memory_ratio(self, entry: _QueueEntry) -> float:
+        """Return the share of an engine's memory that a stream may fill."""
+        if entry.requirement.has_begun:
+            return math.inf
+        queued = self._queued_stream(entry.job)
+        return self._shortage.memory_ratio(entry.stream, queued)
+
     def _reserve_memory(
         self, job: Job, placement: ServerPlacement, peak_tokens: int
     ) -> str | None:
--- a/src/gypsumfield/gateway/update_writer.py
+++ b/src/gypsumfield/gateway/update_writer.py
@@ -28,6 +28,7 @@
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.part_guard import PartGuard
 from gypsumfield.gateway.roster import Roster
+from gypsumfield.gateway.scheduling import LackRecords
 from gypsumfield.gateway.server_notices import ServerNotices
 from gypsumfield.gateway.wake_watch import WakeWatch
 
@@ -83,6 +84,7 @@
         report_cache: Latest reports of engines.
         notices: Limits that servers have named.
         part_guard: Evidence on parts of prompts that crash engines.
+        lacks: Streams that lack memory.
         is_store_reachable: Whether this host watches the store and gets answers.
         is_receiving_changes: Whether this host receives changes, from the store or
             from other hosts.
@@ -98,6 +100,7 @@
     report_cache: EngineReportCache
     notices: ServerNotices
     part_guard: PartGuard
+    lacks: LackRecords
     is_store_reachable: Callable[[], bool]
     is_receiving_changes: Callable[[], bool]
     lost_services: Callable[[], list[str]]
--- a/tests/shortage_load.py
+++ b/tests/shortage_load.py
@@ -1,16 +1,23 @@
 """A crowd on engines that are short of memory, played with the hosts' own decisions."""
 
+import math
 import random
 from collections import Counter
+from collections import defaultdict
 from typing import NamedTuple
 
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import StreamDemand
+from gypsumfield.decisions.queue_waits import estimated_retry_after_ms
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import remaining_wait_ms
+from gypsumfield.decisions.queue_waits import start_ms
 from gypsumfield.decisions.retry_times import CALLER_WAIT_SHARE
+from gypsumfield.decisions.retry_times import FleetSupply
+from gypsumfield.decisions.retry_times import RefusedCaller
+from gypsumfield.decisions.retry_times import RetryPromises
 
 HOSTS, ENGINES, MEMORY_TOKENS, SLOTS = 76, 23, 26_855, 24
 STEP_MS, RETRY_STEP_MS, VIEW_STEP_MS = 10.0, 250.0, 1_000.0
@@ -63,18 +70,22 @@
 
 
 class Load:
-    """Plays the crowd; ``retry_after`` and ``memory_share`` are the decisions."""
+    """Plays the crowd; ``retry_after`` and ``memory_ratio`` are the decisions."""
 
-    def __init__(self, retry_after, memory_share, crowd_kind, seed):
+    def __init__(
+        self, retry_after, memory_ratio, seed, kinds=(SUMMARY, VERDICT), crowd=SUMMARY
+    ):
         self.rng = random.Random(seed)
         # The same crowd for each decision that is compared.
         self.arrivals_rng = random.Random(seed)
         self.retry_after = retry_after
-        self.memory_share = memory_share
-        self.crowd_kind = crowd_kind
+        self.memory_ratio = memory_ratio
+        self.kinds = kinds
+        self.crowd_kind = crowd
         self.now_ms = 0.0
         self.runs = [[] for _ in range(ENGINES)]
         self.views = []
+        self.shared = Counter()
         self.queues = [[] for _ in range(HOSTS)]
         self.returning = []
         self.refused_at = []
@@ -110,7 +121,7 @@
 
     def _arrive(self):
         is_crowd = CROWD_FROM_MS < self.now_ms <= CROWD_TO_MS
-        for kind in (SUMMARY, VERDICT):
+        for kind in self.kinds:
             factor = 2.0 if is_crowd and kind is self.crowd_kind else 1.0
             if (
                 self.arrivals_rng.random()
@@ -144,14 +155,13 @@
     def _place(self, stream):
         full = set()
         kind = stream.kind
-        share = self.memory_share(self, stream) if self.memory_share else 1.0
-        extra = {} if share == 1.0 else {"memory_share": share}
+        ratio = self.memory_ratio(self, stream) if self.memory_ratio else math.inf
         demand = StreamDemand(
             kind.peak_tokens,
             "z",
             sample_size=SampleSize(3, 2),
             is_reserved=True,
-            **extra,
+            memory_ratio=ratio,
         )
         for _ in range(3):
             engines = [e for e in self.views if e.server_id not in full]
@@ -182,5 +192,25 @@
         self.returning.append(stream)
 
 
+def same_time_for_all(load, stream, _remaining_ms):
+    waiting = len(load.queues[stream.host])
+    return estimated_retry_after_ms(load.run_count(), waiting, RUN_MS)
+
+
+def promised_times():
+    promises = defaultdict(RetryPromises)
+
+    def retry_after(load, stream, remaining_ms):
+        return promises[stream.host].promise(
+            FleetSupply(load.run_count(), RUN_MS, HOSTS),
+            len(load.queues[stream.host]),
+            RefusedCaller(remaining_ms, start_ms(stream.queued(load.now_ms))),
+            load.now_ms,
+            load.rng.random(),
+        )
+
+    return retry_after
+
+
 def _used(runs):
     return sum(tokens for _, tokens in runs)
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -12,10 +12,10 @@
 from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.software_versions import ANY_VERSION
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.ledger import Ledger
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.placing import ADVISED_LOAD_LIFETIME_MS
+from gypsumfield.gateway.scheduling import PlacementQuery
 from placing_fleet import Fleet
 from virtual_fleet import VirtualFleet
 
--- a/tests/test_retry_times.py
+++ b/tests/test_retry_times.py
@@ -1,20 +1,20 @@
 import random
-from collections import defaultdict
 
 import pytest
 
 from gypsumfield.decisions.pace import Pace
-from gypsumfield.decisions.queue_waits import estimated_retry_after_ms
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import start_ms
 from gypsumfield.decisions.retry_times import CALLER_WAIT_SHARE
+from gypsumfield.decisions.retry_times import can_start_in_time
 from gypsumfield.decisions.retry_times import FleetSupply
 from gypsumfield.decisions.retry_times import MAX_PROMISE_MS
 from gypsumfield.decisions.retry_times import RefusedCaller
 from gypsumfield.decisions.retry_times import RetryPromises
 from shortage_load import HOSTS
 from shortage_load import Load
-from shortage_load import RUN_MS
+from shortage_load import promised_times
+from shortage_load import same_time_for_all
 from shortage_load import SUMMARY
 from shortage_load import VERDICT
 
@@ -23,33 +23,13 @@
 SEEDS = range(4)
 
 
-def same_time_for_all(load, stream, _remaining_ms):
-    waiting = len(load.queues[stream.host])
-    return estimated_retry_after_ms(load.run_count(), waiting, RUN_MS)
-
-
-def promised_times():
-    promises = defaultdict(RetryPromises)
-
-    def retry_after(load, stream, remaining_ms):
-        return promises[stream.host].promise(
-            FleetSupply(load.run_count(), RUN_MS, HOSTS),
-            len(load.queues[stream.host]),
-            RefusedCaller(remaining_ms, start_ms(stream.queued(load.now_ms))),
-            load.now_ms,
-            load.rng.random(),
-        )
-
-    return retry_after
-
-
 def test_a_crowd_is_refused_a_second_time_less_often():
     # Guards against one time for all: hosts that refused at the same moment all
     # stated 0.5 s, and their callers came back together.
     refused_twice, served = [0, 0], [0, 0]
     for seed in SEEDS:
-        same = Load(same_time_for_all, None, SUMMARY, seed).play()
-        spread = Load(promised_times(), None, SUMMARY, seed).play()
+        same = Load(same_time_for_all, None, seed).play()
+        spread = Load(promised_times(), None, seed).play()
         assert max(spread.told) <= CALLER_WAIT_SHARE + 1e-9
         for index, load in enumerate((same, spread)):
             for kind in (SUMMARY, VERDICT):
@@ -129,3 +109,18 @@
 def test_the_start_of_a_stream_includes_reading_its_prompt():
     stream = QueuedStream(0.0, 1_500.0, 6_000.0, VERDICT.prompt_tokens, Pace())
     assert start_ms(stream) > VERDICT.prompt_tokens / Pace().prompt_tokens_per_ms
+
+
+@pytest.mark.parametrize(
+    ("ahead_count", "wait_ms", "expected"),
+    [
+        (30, 200.0, True),
+        (60, 1_250.0, False),
+        (60, 3_700.0, True),
+        (300, 3_700.0, False),
+    ],
+)
+def test_a_stream_is_hopeless_behind_all_that_becomes_free(
+    ahead_count, wait_ms, expected
+):
+    assert can_start_in_time(SUPPLY, 23, ahead_count, wait_ms) == expected
