--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -21,11 +21,11 @@
 from gypsumfield.decisions.software_versions import begun_at
 from gypsumfield.decisions.software_versions import VersionRequirement
 from gypsumfield.gateway.engine_loads import shows_prefill_rate
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.scheduling import Rescues
 from gypsumfield.gateway.server_eligibility import ServerEligibility
 from gypsumfield.gateway.server_placement import PlacementDependencies
@@ -137,6 +137,7 @@
             self.has_reservations(query.service),
             self.engine_paces.limit_ms(query.service),
             self.rescues.room_ratio(query.service, query.time_left_ms),
+            query.memory_ratio,
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
         best = select_engine(loads, demand, self._deps.rng)
@@ -174,8 +175,7 @@
         """Return an engine that keeps a copy of a run on ``source``, or None."""
         if not should_copy_from_start(self._deps.is_large_fleet()):
             return None
-        requirement = begun_at(source.software_version)
-        tried = [source.server_id]
+        tried, requirement = [source.server_id], begun_at(source.software_version)
         loads = self._engine_loads(source.service, tried, requirement, False)
         zone = self._deps.availability_zone
         demand = StreamDemand(peak_tokens, zone, sample_size=self._sample_size())
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -5,15 +5,27 @@
 from gypsumfield.gateway.scheduling.hedged_calls import HedgedCalls
 from gypsumfield.gateway.scheduling.hedged_calls import HedgeDependencies
 from gypsumfield.gateway.scheduling.hedged_calls import PlannedAttempt
+from gypsumfield.gateway.scheduling.lack_records import LackRecords
+from gypsumfield.gateway.scheduling.messages import Advice
+from gypsumfield.gateway.scheduling.messages import PlacementQuery
+from gypsumfield.gateway.scheduling.messages import WireLack
 from gypsumfield.gateway.scheduling.rescues import Rescues
 from gypsumfield.gateway.scheduling.shortage import Shortage
+from gypsumfield.gateway.scheduling.shortage import ShortageDependencies
+from gypsumfield.gateway.scheduling.shortage import WaitingStream
 
 __all__ = [
+    "Advice",
     "EnginePaces",
     "HedgeDependencies",
     "HedgedCalls",
+    "LackRecords",
     "PauseOutlook",
+    "PlacementQuery",
     "PlannedAttempt",
     "Rescues",
     "Shortage",
+    "ShortageDependencies",
+    "WaitingStream",
+    "WireLack",
 ]
