Place a share of new streams in emptier zones before a zone is full

Cause: a large fleet used a remote zone only when no local engine fitted, so streams of the zone with most demand first met refused reservations. Change: while the local zone is loaded to 0.8 and a remote one is emptier by 0.25, up to 0.35 of the new streams go there, more with the difference, bounded by the room that all zones may fill within 2 s. It stops below 0.65 or a difference of 0.1. Evacuated zones, suspect ones, zones loaded above 0.75 and engines without a known load receive none. The first delegate applies it to the engines that it advises; a host ignores advice to an engine of a suspect zone.

--- a/src/gypsumfield/decisions/avoidance.py
+++ b/src/gypsumfield/decisions/avoidance.py
@@ -39,6 +39,12 @@
         """Return whether the network to a zone may be partitioned."""
         return self._zone_suspect_until_ms.get(zone, 0.0) > now_ms
 
+    def is_avoided(self, server_id: str, zone: str, now_ms: float) -> bool:
+        """Return whether a server, or the network to its zone, may be unreachable."""
+        return self.is_unreachable(server_id, now_ms) or self.is_zone_suspect(
+            zone, now_ms
+        )
+
     def is_full(self, server_id: str, now_ms: float) -> bool:
         """Return whether an engine recently refused to reserve memory."""
         return self._full_until_ms.get(server_id, 0.0) > now_ms
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -14,7 +14,6 @@
 from gypsumfield.decisions.placement import sample_candidates
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import select_backup_engine
-from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import select_plain_server
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
@@ -30,6 +29,7 @@
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.model import ServerRecord
+from gypsumfield.gateway.scheduling import Overflow
 from gypsumfield.gateway.scheduling import Rescues
 from gypsumfield.gateway.server_health import ServerHealth
 from gypsumfield.gateway.server_placement import PlacementDependencies
@@ -53,6 +53,7 @@
         )
         self._estimators: defaultdict[str, PaceEstimator] = defaultdict(PaceEstimator)
         self.rescues = Rescues(deps)
+        self.overflow = Overflow(deps, self._avoidance.is_zone_suspect)
 
     def place_plain(
         self, service: str, tried: Collection[str]
@@ -107,8 +108,9 @@
         if record is None or self.exclusion_reason(record.server, requirement):
             return None
         now_ms = self._deps.clock.monotonic_ms()
-        is_unreachable = self._avoidance.is_unreachable(server_id, now_ms)
-        if is_unreachable or self._has_no_room(record.server):
+        zone = record.server.availability_zone
+        is_avoided = self._avoidance.is_avoided(server_id, zone, now_ms)
+        if is_avoided or self._has_no_room(record.server):
             return None
         load = self._loads.load(record)
         count = len(self._deps.catalogue.servers_of(record.server.service))
@@ -135,7 +137,7 @@
             self.rescues.room_ratio(query.service, query.time_left_ms),
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
-        best = select_engine(loads, demand, self._deps.rng)
+        best = self.overflow.select(query, loads, demand)
         if best is None:
             return None
         placement = self._placement_on(
@@ -160,9 +162,8 @@
         if not should_copy_from_start(self._deps.is_large_fleet()):
             return None
         requirement = begun_at(source.software_version)
-        tried = [source.server_id]
+        zone, tried = self._deps.availability_zone, [source.server_id]
         loads = self._engine_loads(source.service, tried, requirement, False)
-        zone = self._deps.availability_zone
         demand = StreamDemand(peak_tokens, zone, sample_size=self._sample_size())
         return self._server_of(select_backup_engine(loads, demand, self._deps.rng))
 
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling under hard load; other packages import only from this module."""
 
+from gypsumfield.gateway.scheduling.overflow import Overflow
 from gypsumfield.gateway.scheduling.rescues import Rescues
 
-__all__ = ["Rescues"]
+__all__ = ["Overflow", "Rescues"]
