--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -13,7 +13,6 @@
 from gypsumfield.decisions.placement import PlainLoad
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import select_backup_engine
-from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import select_plain_server
 from gypsumfield.decisions.placement import StreamDemand
 from gypsumfield.decisions.protection import should_copy_from_start
@@ -25,6 +24,7 @@
 from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.ledger import ServerLoad
 from gypsumfield.gateway.model import BackendServer
+from gypsumfield.gateway.scheduling import Overflow
 from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.scheduling import Rescues
 from gypsumfield.gateway.server_eligibility import ServerEligibility
@@ -45,6 +45,7 @@
         super().__init__(deps)
         self._estimators: defaultdict[str, PaceEstimator] = defaultdict(PaceEstimator)
         self.rescues = Rescues(deps)
+        self.overflow = Overflow(deps, self._avoidance.is_zone_suspect)
 
     @property
     def engine_paces(self) -> "EnginePaces":
@@ -104,8 +105,9 @@
         if record is None or self.exclusion_reason(record.server, requirement):
             return None
         now_ms = self._deps.clock.monotonic_ms()
-        is_unreachable = self._avoidance.is_unreachable(server_id, now_ms)
-        if is_unreachable or self._has_no_room(record.server):
+        zone = record.server.availability_zone
+        is_avoided = self._avoidance.is_avoided(server_id, zone, now_ms)
+        if is_avoided or self._has_no_room(record.server):
             return None
         if self._exceeds_pause_by_own_streams(record.server):
             return None
@@ -140,7 +142,7 @@
             query.memory_ratio,
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
-        best = select_engine(loads, demand, self._deps.rng)
+        best = self.overflow.select(query, loads, demand)
         if best is None:
             return None
         placement = self._placement_on(
@@ -175,9 +177,9 @@
         """Return an engine that keeps a copy of a run on ``source``, or None."""
         if not should_copy_from_start(self._deps.is_large_fleet()):
             return None
-        tried, requirement = [source.server_id], begun_at(source.software_version)
+        requirement = begun_at(source.software_version)
+        zone, tried = self._deps.availability_zone, [source.server_id]
         loads = self._engine_loads(source.service, tried, requirement, False)
-        zone = self._deps.availability_zone
         demand = StreamDemand(peak_tokens, zone, sample_size=self._sample_size())
         return self._server_of(select_backup_engine(loads, demand, self._deps.rng))
 
--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -9,6 +9,7 @@
 from gypsumfield.gateway.scheduling.messages import Advice
 from gypsumfield.gateway.scheduling.messages import PlacementQuery
 from gypsumfield.gateway.scheduling.messages import WireLack
+from gypsumfield.gateway.scheduling.overflow import Overflow
 from gypsumfield.gateway.scheduling.rescues import Rescues
 from gypsumfield.gateway.scheduling.shortage import Shortage
 from gypsumfield.gateway.scheduling.shortage import ShortageDependencies
@@ -20,6 +21,7 @@
     "HedgeDependencies",
     "HedgedCalls",
     "LackRecords",
+    "Overflow",
     "PauseOutlook",
     "PlacementQuery",
     "PlannedAttempt",
