--- a/src/gypsumfield/gateway/scheduling/overflow.py
+++ b/src/gypsumfield/gateway/scheduling/overflow.py
@@ -13,9 +13,9 @@
 from gypsumfield.decisions.zone_overflow import zone_loads
 from gypsumfield.decisions.zone_overflow import ZoneLoad
 from gypsumfield.decisions.zone_overflow import ZoneOverflow
-from gypsumfield.gateway.host_updates import PlacementQuery
 from gypsumfield.gateway.scheduling.events import OverflowEnded
 from gypsumfield.gateway.scheduling.events import OverflowStarted
+from gypsumfield.gateway.scheduling.messages import PlacementQuery
 from gypsumfield.gateway.server_placement import PlacementDependencies
 
 # Loads of other hosts change every few hundred milliseconds.
