--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -46,6 +46,7 @@
 DURATIONS = (
     MetricSpec("stall_ms", ("profile",), "Silence of a stream beyond its profile"),
     MetricSpec("first_token_ms", ("profile",), "Time from arrival to the first token"),
+    MetricSpec("longest_gap_ms", ("profile",), "Longest gap of each complete stream"),
     MetricSpec("between_tokens_ms", ("profile",), "Time between two tokens"),
     MetricSpec("queue_wait_ms", ("profile",), "Wait for a backend server"),
     MetricSpec("loop_held_ms", (), "Longest time without a switch, of each second"),
@@ -63,6 +64,16 @@
         ("code",),
         "Requests refused for other reasons than their own account or input",
     ),
+    MetricSpec(
+        "streams_over_gap_limit",
+        ("service",),
+        "Complete streams with a gap longer than their route allows",
+    ),
+    MetricSpec(
+        "engines_avoided",
+        ("service",),
+        "Engines avoided for the gaps that a prompt would cause, over all placements",
+    ),
     MetricSpec("retries", ("service",), "Attempts after the first"),
     MetricSpec("attempts_failed", ("stage", "verdict"), "Attempts that failed"),
     MetricSpec("streams_resumed", ("service",), "Streams resumed at the engine"),
@@ -214,6 +225,11 @@
         """Record the longest time of a second without a switch of greenlets."""
         self._durations["loop_held_ms"][""].record(duration_ms)
 
+    def record_engines_avoided(self, service: str, count: int) -> None:
+        """Count the engines that a placement avoided for the gaps of their streams."""
+        if count:
+            self._count("engines_avoided", count, service=service)
+
     def observe_event(self, event: events.Event) -> None:
         """Count the event and update the metrics that are derived from it."""
         if not event.IS_HOT:
@@ -221,9 +237,8 @@
         match event:
             case events.RequestAdmitted(service=service):
                 self._count("requests_admitted", service=service)
-            case events.RequestCompleted(service=service, token_count=token_count):
-                self._count("requests_completed", service=service)
-                self._count("tokens_delivered", token_count, service=service)
+            case events.RequestCompleted():
+                self._observe_completed(event)
             case events.RequestFailed(code=code, verdict=verdict):
                 self._count("requests_failed", code=code, verdict=verdict)
             case events.RequestRefused():
@@ -247,6 +262,16 @@
             case _:
                 self._observe_control_event(event)
 
+    def _observe_completed(self, event: events.RequestCompleted) -> None:
+        service = event.service
+        self._count("requests_completed", service=service)
+        self._count("tokens_delivered", event.token_count, service=service)
+        if event.max_pause_ms:
+            profile = self._profile(service)
+            self._record("longest_gap_ms", profile, event.longest_gap_ms)
+            is_over_limit = event.longest_gap_ms > event.max_pause_ms
+            self._count("streams_over_gap_limit", is_over_limit, service=service)
+
     def _observe_control_event(self, event: events.Event) -> None:
         match event:
             case events.CallerGone():
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -13,6 +13,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.fleet_shares import retry_shares_by_service
 from gypsumfield.decisions.fleet_shares import RetryBounds
+from gypsumfield.events import Event
 from gypsumfield.gateway.answer_ends import AnswerEnds
 from gypsumfield.gateway.answer_ends import EndDependencies
 from gypsumfield.gateway.application import Gateway
@@ -23,6 +24,7 @@
 from gypsumfield.gateway.edge_servers import build_servers
 from gypsumfield.gateway.engine_reports import EngineReportPoller
 from gypsumfield.gateway.engine_reports import ReportPollerDependencies
+from gypsumfield.gateway.events import RequestPlaced
 from gypsumfield.gateway.fleet_parts import build_fleet
 from gypsumfield.gateway.fleet_parts import CommonParts
 from gypsumfield.gateway.fleet_parts import Fleet
@@ -74,7 +76,7 @@
         log_event: Appends an event to the host's log.
     """
     metrics = Metrics(lambda service: service)
-    emit = emit_to_all(log_event, metrics.observe_event)
+    emit = emit_to_all(log_event, metrics.observe_event, _placement_observer(metrics))
     memory = HeldMemory(int(settings.memory_mb * BYTES_PER_MB * HELD_SHARE))
     common = CommonParts(settings, clock, random.Random(), metrics, memory, emit)
     fleet = build_fleet(common)
@@ -112,6 +114,14 @@
     return EdgeHost(settings, components, clock, emit)
 
 
+def _placement_observer(metrics: Metrics) -> EmitEvent:
+    def observe(event: Event) -> None:
+        if isinstance(event, RequestPlaced):
+            metrics.record_engines_avoided(event.service, event.avoided_count)
+
+    return observe
+
+
 def _retry_bounds(peers: PeerLink) -> RetryBounds:
     limits = peers.bounds
     return RetryBounds(limits.retry_ratio, limits.retry_extra, limits.retry_window_ms)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -37,6 +37,7 @@
     metrics.record_between_tokens("p", 1.0)
     metrics.record_queue_wait("p", 1.0)
     metrics.record_loop_held(1.0)
+    metrics.record_engines_avoided("s", 1)
     exposed_labels = {}
     for family in metrics.collect():
         assert family.samples, f"{family.name} has no samples"
