--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -46,6 +46,7 @@
 DURATIONS = (
     MetricSpec("stall_ms", ("profile",), "Silence of a stream beyond its profile"),
     MetricSpec("first_token_ms", ("profile",), "Time from arrival to the first token"),
+    MetricSpec("longest_gap_ms", ("profile",), "Longest gap of each complete stream"),
     MetricSpec("between_tokens_ms", ("profile",), "Time between two tokens"),
     MetricSpec("queue_wait_ms", ("profile",), "Wait for a backend server"),
     MetricSpec("loop_held_ms", (), "Longest time without a switch, of each second"),
@@ -63,6 +64,16 @@
         ("code",),
         "Requests refused for other reasons than their own account or input",
     ),
+    MetricSpec(
+        "streams_over_gap_limit",
+        ("service",),
+        "Complete streams with a gap longer than their route allows",
+    ),
+    MetricSpec(
+        "engines_avoided",
+        ("service",),
+        "Engines avoided for the gaps that a prompt would cause, over all placements",
+    ),
     MetricSpec("retries", ("service",), "Attempts after the first"),
     MetricSpec("hedges_sent", ("service",), "Second attempts while one was pending"),
     MetricSpec("hedges_won", ("service",), "Hedges whose answer the caller got"),
@@ -231,6 +242,11 @@
         """Count a connection that a request to a server uses, new or reused."""
         self._count("server_connections", kind="reused" if is_reused else "new")
 
+    def record_engines_avoided(self, service: str, count: int) -> None:
+        """Count the engines that a placement avoided for the gaps of their streams."""
+        if count:
+            self._count("engines_avoided", count, service=service)
+
     def observe_event(self, event: events.Event) -> None:
         """Count the event and update the metrics that are derived from it."""
         if not event.IS_HOT:
@@ -238,9 +254,8 @@
         match event:
             case events.RequestAdmitted(service=service):
                 self._count("requests_admitted", service=service)
-            case events.RequestCompleted(service=service, token_count=token_count):
-                self._count("requests_completed", service=service)
-                self._count("tokens_delivered", token_count, service=service)
+            case events.RequestCompleted():
+                self._observe_completed(event)
             case events.RequestFailed(code=code, verdict=verdict):
                 self._count("requests_failed", code=code, verdict=verdict)
             case events.RequestRefused():
@@ -268,6 +283,16 @@
             case _:
                 self._observe_control_event(event)
 
+    def _observe_completed(self, event: events.RequestCompleted) -> None:
+        service = event.service
+        self._count("requests_completed", service=service)
+        self._count("tokens_delivered", event.token_count, service=service)
+        if event.max_pause_ms:
+            profile = self._profile(service)
+            self._record("longest_gap_ms", profile, event.longest_gap_ms)
+            is_over_limit = event.longest_gap_ms > event.max_pause_ms
+            self._count("streams_over_gap_limit", is_over_limit, service=service)
+
     def _observe_control_event(self, event: events.Event) -> None:
         match event:
             case events.CallerGone():
