Make two tests of hedges fail without the rule that they check

Calls that may run once had one attempt on their route, and refusals without an id are not believed on reused connections, so that two mutations passed.

--- a/tests/test_hedged_calls.py
+++ b/tests/test_hedged_calls.py
@@ -7,6 +7,7 @@
 
 from edge_fleet import EdgeFleet
 from fake_platform import complete_answer
+from fake_platform import publication
 from fake_platform import refused_answer
 from fake_platform import wait_until
 from gypsumfield.decisions.hedging import MIN_SAMPLE_COUNT
@@ -43,7 +44,11 @@
         return settings._replace(hedge_ratio=self.ratio, bounds=self.bounds)
 
     def start_and_warm_up(self, service="plain"):
-        self.publish()
+        document = publication(KINDS)
+        for route in document["routes"]:
+            # Calls that may run once are sent again after refusals.
+            route["max_attempts"] = 2
+        self.publish(routes=document["routes"])
         for server_id in ("s1", "s2"):
             self.add_server(service, server_id, self.respond)
         self.start()
@@ -84,7 +89,9 @@
 
 
 def refuse(_request, sock):
-    sock.sendall(refused_answer())
+    # Without its id, a refusal on a reused connection would not be believed.
+    head, _, rest = refused_answer().partition(b"\r\n")
+    sock.sendall(head + b"\r\nX-Attempt-Id: slow\r\n" + rest)
 
 
 @pytest.fixture
