Share the engines fairly between accounts during a shortage

Cause: an account with many streams kept those of smaller accounts waiting on other hosts, and in the same queue when its streams came first. Change: while any stream lacks memory, hosts also state the running streams of each account. An account above its fair share, where unused shares are lent, waits behind others of its priority and leaves them memory by the same rule as for urgent kinds. No stream is refused at once while an engine is idle.

--- a/src/gypsumfield/decisions/memory_shares.py
+++ b/src/gypsumfield/decisions/memory_shares.py
@@ -26,10 +26,11 @@
 
 
 class LackKey(NamedTuple):
-    """Kind of stream; priority 0 is the most urgent."""
+    """Kind of stream, and its account or empty; priority 0 is the most urgent."""
 
     service: str
     priority: int
+    account: str = ""
 
 
 class Lack(NamedTuple):
@@ -40,12 +41,14 @@
         refused_count: Streams that were refused lately; their callers come back.
         peak_tokens: Largest memory that one of them needs.
         age_ms: Age of the oldest part of the statement.
+        running_count: Streams of the kind that run.
     """
 
     waiting_count: int
     refused_count: int
     peak_tokens: int
     age_ms: float = 0.0
+    running_count: int = 0
 
     @property
     def stream_count(self) -> int:
@@ -59,6 +62,7 @@
             self.refused_count + other.refused_count,
             max(self.peak_tokens, other.peak_tokens),
             max(self.age_ms, other.age_ms),
+            self.running_count + other.running_count,
         )
 
     def without(self, other: "Lack") -> "Lack":
@@ -66,6 +70,7 @@
         return self._replace(
             waiting_count=max(0, self.waiting_count - other.waiting_count),
             refused_count=max(0, self.refused_count - other.refused_count),
+            running_count=max(0, self.running_count - other.running_count),
         )
 
 
@@ -121,7 +126,7 @@
         return {
             key: max(
                 (lacks[key] for lacks in (stated, counted) if key in lacks),
-                key=lambda lack: lack.stream_count,
+                key=lambda lack: lack.stream_count + lack.running_count,
             )
             for key in {**stated, **counted}
         }
@@ -170,11 +175,16 @@
     aged = {
         key: lack._replace(age_ms=lack.age_ms + now_ms - received_ms)
         for key, lack in lacks.items()
-        if lack.stream_count
+        if lack.stream_count or lack.running_count
     }
     return {key: lack for key, lack in aged.items() if lack.age_ms <= lifetime_ms}
 
 
+def is_short(lacks: Lacks) -> bool:
+    """Return whether any stream lacks memory."""
+    return any(lack.stream_count for lack in lacks.values())
+
+
 def more_urgent(lacks: Lacks, key: LackKey) -> Lack | None:
     """Return what more urgent streams of the same service lack, or None."""
     urgent = [
--- a/src/gypsumfield/decisions/retry_times.py
+++ b/src/gypsumfield/decisions/retry_times.py
@@ -65,7 +65,8 @@
         ahead_count: Streams on all hosts that get memory before it.
         wait_ms: Longest time that it can wait.
     """
-    if ahead_count < HOPELESS_STREAMS_PER_ENGINE * engine_count:
+    has_idle_engine = supply.run_count < engine_count
+    if has_idle_engine or ahead_count < HOPELESS_STREAMS_PER_ENGINE * engine_count:
         return True
     expected_ms = ahead_count * supply.fleet_interval_ms
     return expected_ms <= HOPELESS_WAIT_FACTOR * wait_ms
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -13,6 +13,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.decisions.fleet_shares import retry_shares_by_service
 from gypsumfield.decisions.fleet_shares import RetryBounds
+from gypsumfield.decisions.memory_shares import LackKey
 from gypsumfield.gateway.answer_ends import AnswerEnds
 from gypsumfield.gateway.answer_ends import EndDependencies
 from gypsumfield.gateway.application import Gateway
@@ -186,6 +187,10 @@
         emit,
     )
     registry = StreamRegistry()
+    peers.lacks.running_streams = lambda: [
+        LackKey(stream.job.service, stream.job.priority, stream.job.account_name)
+        for stream in registry.streams()
+    ]
     attempts = AttemptDependencies(
         headers.WIRE_FORMAT,
         catalogue,
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -181,11 +181,12 @@
 class MemoryHeldForUrgent(
     Event, frozen=True, kw_only=True, tag="memory_held_for_urgent"
 ):
-    """Streams waited because more urgent ones of their service lack memory.
+    """Streams waited because others of their service that go first lack memory.
 
     Logged once in some time, with the attempts since the last line that found no engine
-    within ``memory_ratio`` of its memory. ``urgent_count`` are the more urgent streams
-    of all hosts that wait or were refused lately.
+    within ``memory_ratio`` of its memory. ``urgent_count`` are the streams of all hosts
+    that are more urgent, or of accounts below their share, and wait or were refused
+    lately.
     """
 
     priority: int
--- a/src/gypsumfield/gateway/scheduling/messages.py
+++ b/src/gypsumfield/gateway/scheduling/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gypsumfield.decisions.account_shares import bounded
 from gypsumfield.decisions.memory_shares import Lack
 from gypsumfield.decisions.memory_shares import LackKey
 from gypsumfield.decisions.memory_shares import Lacks
@@ -65,6 +66,8 @@
         refused_count: Streams that were refused lately.
         peak_tokens: Largest memory that one of them needs.
         age_ms: Age of the oldest part of the statement when it was sent.
+        account: Client account of the streams, or empty for several.
+        running_count: Streams of this kind and account that run.
     """
 
     service: str
@@ -73,30 +76,36 @@
     refused_count: int
     peak_tokens: int
     age_ms: int = 0
+    account: str = ""
+    running_count: int = 0
 
 
 def wire_lacks(lacks: Lacks) -> list[WireLack]:
     """Return the wire form of what streams lack."""
     return [
         WireLack(
-            *key,
+            key.service,
+            key.priority,
             lack.waiting_count,
             lack.refused_count,
             lack.peak_tokens,
             int(lack.age_ms),
+            key.account,
+            lack.running_count,
         )
-        for key, lack in lacks.items()
+        for key, lack in bounded(lacks).items()
     ]
 
 
 def lacks_from_wire(wire: list[WireLack]) -> Lacks:
     """Return what streams lack from its wire form."""
     return {
-        LackKey(lack.service, lack.priority): Lack(
+        LackKey(lack.service, lack.priority, lack.account): Lack(
             max(0, lack.waiting_count),
             max(0, lack.refused_count),
             max(0, lack.peak_tokens),
             max(0, lack.age_ms),
+            max(0, lack.running_count),
         )
         for lack in wire
     }
--- a/src/gypsumfield/gateway/scheduling/shortage.py
+++ b/src/gypsumfield/gateway/scheduling/shortage.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from gypsumfield.clock import Clock
+from gypsumfield.decisions.account_shares import below_share
 from gypsumfield.decisions.memory_shares import is_brief
 from gypsumfield.decisions.memory_shares import Lack
 from gypsumfield.decisions.memory_shares import LackKey
@@ -61,7 +62,7 @@
     """A stream that is to be placed, as the shortage concerns it.
 
     Attributes:
-        key: Its kind.
+        key: Its kind and account.
         peak_tokens: Memory that is planned for it.
         output_tokens: Predicted length of its output, or 0.
         draw: Random number that it keeps; see `memory_ratio`.
@@ -95,16 +96,15 @@
         self._held: defaultdict[LackKey, _Held] = defaultdict(_Held)
 
     def waiting_stream(
-        self, service: str, priority: int, peak_tokens: int, output_tokens: int
+        self, key: LackKey, peak_tokens: int, output_tokens: int
     ) -> WaitingStream:
         """Return the description of a stream with a number drawn for it."""
-        key = LackKey(service, priority)
         draw = self._deps.rng.random()
         return WaitingStream(key, peak_tokens, output_tokens, draw)
 
     def memory_ratio(self, stream: WaitingStream, queued: QueuedStream) -> float:
         """Return the share of an engine's memory that a stream may fill now."""
-        urgent = self._more_urgent(stream.key)
+        urgent = self._preferred(stream.key)
         spec = self._deps.engine_spec(stream.key.service)
         if urgent is None or spec is None:
             return math.inf
@@ -121,7 +121,7 @@
         held = self._held[stream.key]
         held.count += 1
         now_ms = self._deps.clock.monotonic_ms()
-        urgent = self._more_urgent(stream.key)
+        urgent = self._preferred(stream.key)
         if urgent is None or now_ms - held.logged_ms < HELD_LOG_INTERVAL_MS:
             return
         self._deps.emit(
@@ -180,12 +180,28 @@
             self._deps.rng.random(),
         )
 
-    def _more_urgent(self, key: LackKey) -> Lack | None:
-        """Return what more urgent streams lack; None without other hosts' statements.
+    def is_above_share(self, key: LackKey) -> bool:
+        """Return whether a stream's account leaves memory to other accounts now."""
+        return self._below_share(key) is not None
 
-        The order of this host's own queue serves its own urgent streams first.
+    def _preferred(self, key: LackKey) -> Lack | None:
+        """Return what streams lack that get memory before a stream.
+
+        The order of this host's own queue serves its own urgent streams first, so that
+        their needs count on other hosts only.
         """
-        return more_urgent(self.lacks.others(), key)
+        urgent = more_urgent(self.lacks.others(), key)
+        below = self._below_share(key)
+        return urgent.plus(below) if urgent and below else urgent or below
+
+    def _below_share(self, key: LackKey) -> Lack | None:
+        """Return what accounts below their share lack, if this one is above its own.
+
+        Without statements of other hosts the shares are unknown.
+        """
+        if not key.account or not self.lacks.others():
+            return None
+        return below_share(self.lacks.all_hosts(), key)
 
     def _supply(self, service: str) -> FleetSupply | None:
         host_count = self._deps.supplying_hosts()
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 from collections.abc import Collection
 
-from gevent.event import Event as Signal
-
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.decisions.avoidance import ENGINE_FULL_MS
+from gypsumfield.decisions.memory_shares import LackKey
 from gypsumfield.decisions.permits import wait_limit_ms
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import remaining_wait_ms
@@ -23,9 +22,10 @@
 from gypsumfield.gateway.job import Job
 from gypsumfield.gateway.model import BackendServer
 from gypsumfield.gateway.placing import Placer
+from gypsumfield.gateway.queue_entry import queue_rank
+from gypsumfield.gateway.queue_entry import QueueEntry
 from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.scheduling import Shortage
-from gypsumfield.gateway.scheduling import WaitingStream
 from gypsumfield.gateway.server_placement import ServerPlacement
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.verdicts import RunVerdict
@@ -40,25 +40,6 @@
 RefuseCondemned = Callable[[Job], None]
 
 
-class _QueueEntry:
-    """A stream in the queue and the signal that wakes it.
-
-    Attributes:
-        job: Call of the stream.
-        requirement: Software version that it needs.
-        stream: Its need of memory.
-        retry_signal: Set when the stream should retry its placement.
-    """
-
-    def __init__(
-        self, job: Job, requirement: VersionRequirement, stream: WaitingStream
-    ) -> None:
-        self.job = job
-        self.requirement = requirement
-        self.stream = stream
-        self.retry_signal = Signal()
-
-
 class StreamQueue:
     """Queues streams until an engine has free memory, the most urgent first."""
 
@@ -99,7 +80,7 @@
         self._shortage = shortage
         self._clock = clock
         self._emit = emit
-        self._queued: list[_QueueEntry] = []
+        self._queued: list[QueueEntry] = []
 
     @property
     def waiting_count(self) -> int:
@@ -137,10 +118,13 @@
         self._refuse_without_version(job, requirement)
         self._refuse_if_paused(job)
         stream = self._shortage.waiting_stream(
-            job.service, job.priority, peak_tokens, job.expected_tokens
+            LackKey(job.service, job.priority, job.account_name),
+            peak_tokens,
+            job.expected_tokens,
         )
-        entry = _QueueEntry(job, requirement, stream)
+        entry = QueueEntry(job, requirement, stream)
         placement = None
+        entry.is_above_share = self._shortage.is_above_share(stream.key)
         if not self._must_wait_behind_others(entry):
             placement = self._try_place_in_time(entry, peak_tokens, tried)
         if placement is None:
@@ -155,7 +139,7 @@
             raise self._refusal_for_lack(entry)
         return placement
 
-    def _refuse_if_hopeless(self, entry: _QueueEntry) -> None:
+    def _refuse_if_hopeless(self, entry: QueueEntry) -> None:
         """Refuse a stream at once if others will use all memory that becomes free.
 
         Raises:
@@ -168,7 +152,7 @@
             self._refuse_if_paused(entry.job)
             raise self._refusal_for_lack(entry)
 
-    def _refusal_for_lack(self, entry: _QueueEntry) -> RefusedError:
+    def _refusal_for_lack(self, entry: QueueEntry) -> RefusedError:
         """Return the refusal of a stream for lack of memory, and record it."""
         job, stream = entry.job, entry.stream
         self._shortage.lacks.record_refusal(stream.key, stream.peak_tokens)
@@ -237,12 +221,12 @@
             )
 
     def _wait(
-        self, entry: _QueueEntry, peak_tokens: int, tried: Collection[str]
+        self, entry: QueueEntry, peak_tokens: int, tried: Collection[str]
     ) -> ServerPlacement | None:
         job = entry.job
         stream = entry.stream
         self._queued.append(entry)
-        self._queued.sort(key=_queue_rank)
+        self._queued.sort(key=queue_rank)
         self._shortage.lacks.add_waiting(stream.key, stream.peak_tokens)
         self._emit(
             RequestQueued(
@@ -263,6 +247,8 @@
                 entry.retry_signal.clear()
                 self._refuse_condemned(job)
                 self._refuse_without_version(job, entry.requirement)
+                entry.is_above_share = self._shortage.is_above_share(stream.key)
+                self._queued.sort(key=queue_rank)
                 if self._must_wait_behind_others(entry):
                     continue
                 placement = self._try_place_in_time(entry, peak_tokens, tried)
@@ -276,14 +262,14 @@
             self.wake()
 
     def _try_place_in_time(
-        self, entry: _QueueEntry, peak_tokens: int, tried: Collection[str]
+        self, entry: QueueEntry, peak_tokens: int, tried: Collection[str]
     ) -> ServerPlacement | None:
         remaining_ms = time_left_ms(self._queued_stream(entry.job))
         return self._try_place(entry, peak_tokens, tried, remaining_ms)
 
     def _try_place(
         self,
-        entry: _QueueEntry,
+        entry: QueueEntry,
         peak_tokens: int,
         tried: Collection[str],
         remaining_ms: float,
@@ -331,7 +317,7 @@
             full_engines.append(placement.server.server_id)
         return None
 
-    def _memory_ratio(self, entry: _QueueEntry) -> float:
+    def _memory_ratio(self, entry: QueueEntry) -> float:
         """Return the share of an engine's memory that a stream may fill."""
         if entry.requirement.has_begun:
             return math.inf
@@ -362,7 +348,7 @@
             )
         return reservation
 
-    def _must_wait_behind_others(self, entry: _QueueEntry) -> bool:
+    def _must_wait_behind_others(self, entry: QueueEntry) -> bool:
         """Return whether a stream that ranks higher waits for the same engines.
 
         A stream that has begun waits for those of its version only.
@@ -374,7 +360,7 @@
                 continue
             if other.requirement != entry.requirement:
                 continue
-            if entry in self._queued or other.job.priority <= entry.job.priority:
+            if entry in self._queued or other.standing <= entry.standing:
                 return True
         return False
 
@@ -386,9 +372,3 @@
             prompt_tokens=job.call.prompt_tokens,
             pace=self._placer.pace(job.service),
         )
-
-
-def _queue_rank(entry: _QueueEntry) -> tuple[bool, int, float]:
-    """Return the rank in the queue; streams that have begun fit on fewer engines."""
-    job = entry.job
-    return not entry.requirement.has_begun, job.priority, job.started_ms
--- a/tests/shortage_load.py
+++ b/tests/shortage_load.py
@@ -6,6 +6,9 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+from gypsumfield.decisions.memory_shares import Lack
+from gypsumfield.decisions.memory_shares import LackKey
+from gypsumfield.decisions.memory_shares import merge
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import SampleSize
 from gypsumfield.decisions.placement import select_engine
@@ -51,8 +54,9 @@
 
 
 class Stream:
-    def __init__(self, kind, host, now_ms):
+    def __init__(self, kind, host, now_ms, account=""):
         self.kind = kind
+        self.key = LackKey("engine", kind.priority, account)
         self.host = host
         self.first_ms = self.started_ms = now_ms
         self.try_ms = now_ms
@@ -73,7 +77,13 @@
     """Plays the crowd; ``retry_after`` and ``memory_ratio`` are the decisions."""
 
     def __init__(
-        self, retry_after, memory_ratio, seed, kinds=(SUMMARY, VERDICT), crowd=SUMMARY
+        self,
+        retry_after,
+        memory_ratio,
+        seed,
+        kinds=(SUMMARY, VERDICT),
+        crowd=SUMMARY,
+        accounts=("",),
     ):
         self.rng = random.Random(seed)
         # The same crowd for each decision that is compared.
@@ -81,11 +91,12 @@
         self.retry_after = retry_after
         self.memory_ratio = memory_ratio
         self.kinds = kinds
+        self.accounts = accounts
         self.crowd_kind = crowd
         self.now_ms = 0.0
         self.runs = [[] for _ in range(ENGINES)]
         self.views = []
-        self.shared = Counter()
+        self.shared = {}
         self.queues = [[] for _ in range(HOSTS)]
         self.returning = []
         self.refused_at = []
@@ -114,10 +125,27 @@
         return self
 
     def shortage(self):
-        """Return the waiting and the recently refused streams by kind."""
-        waiting = Counter(s.kind for queue in self.queues for s in queue)
-        recent = [k for at_ms, k in self.refused_at if at_ms > self.now_ms - 1_000.0]
-        return waiting + Counter(recent)
+        """Return what all hosts state."""
+        recent_ms = self.now_ms - 1_000.0
+        return merge(
+            [
+                *(
+                    {stream.key: Lack(1, 0, stream.kind.peak_tokens)}
+                    for queue in self.queues
+                    for stream in queue
+                ),
+                *(
+                    {stream.key: Lack(0, 1, stream.kind.peak_tokens)}
+                    for at_ms, stream in self.refused_at
+                    if at_ms > recent_ms
+                ),
+                *(
+                    {key: Lack(0, 0, 0, 0.0, 1)}
+                    for runs in self.runs
+                    for _, _, key in runs
+                ),
+            ]
+        )
 
     def _arrive(self):
         is_crowd = CROWD_FROM_MS < self.now_ms <= CROWD_TO_MS
@@ -127,10 +155,14 @@
                 self.arrivals_rng.random()
                 < kind.per_second * factor * STEP_MS / 1_000.0
             ):
-                stream = Stream(kind, self.arrivals_rng.randrange(HOSTS), self.now_ms)
+                host = self.arrivals_rng.randrange(HOSTS)
+                # The first account sends half of the streams, and so on.
+                number = int(-math.log2(1.0 - self.arrivals_rng.random()))
+                account = self.accounts[min(number, len(self.accounts) - 1)]
+                stream = Stream(kind, host, self.now_ms, account)
                 stream.draw = self.arrivals_rng.random()
                 self.queues[stream.host].append(stream)
-                self.counts["sent", kind] += 1
+                self._count("sent", stream)
         for stream in [s for s in self.returning if s.started_ms <= self.now_ms]:
             self.returning.remove(stream)
             stream.host = self.rng.randrange(HOSTS)
@@ -145,9 +177,9 @@
         stream.try_ms = self.now_ms + RETRY_STEP_MS
         if self._place(stream):
             queue.remove(stream)
-            self.counts["served", stream.kind] += 1
+            self._count("served", stream)
             late_ms = self.now_ms - stream.first_ms + stream.kind.prompt_tokens / 14.0
-            self.counts["in time", stream.kind] += late_ms <= stream.kind.target_ms
+            self._count("in time", stream, late_ms <= stream.kind.target_ms)
         elif remaining_wait_ms(stream.queued(self.now_ms)) <= 0.0:
             queue.remove(stream)
             self._refuse(stream)
@@ -171,20 +203,24 @@
             runs = self.runs[int(best.server_id[1:])]
             if _used(runs) + kind.prompt_tokens + kind.output_tokens <= MEMORY_TOKENS:
                 tokens = kind.prompt_tokens + kind.output_tokens
-                runs.append((self.now_ms + kind.run_ms, tokens))
+                runs.append((self.now_ms + kind.run_ms, tokens, stream.key))
                 return True
             full.add(best.server_id)
         return False
 
+    def _count(self, what, stream, number=1):
+        self.counts[what, stream.kind] += number
+        self.counts[what, stream.key.account] += number
+
     def _refuse(self, stream):
-        self.refused_at.append((self.now_ms, stream.kind))
+        self.refused_at.append((self.now_ms, stream))
         if stream.is_second:
-            self.counts["refused twice", stream.kind] += 1
+            self._count("refused twice", stream)
             return
         remaining_ms = stream.deadline_ms - self.now_ms
         retry_ms = self.retry_after(self, stream, remaining_ms)
         self.told.append(retry_ms / remaining_ms)
-        self.counts["refused", stream.kind] += 1
+        self._count("refused", stream)
         stream.started_ms = self.now_ms + min(
             retry_ms, CALLER_WAIT_SHARE * remaining_ms
         )
@@ -213,4 +249,4 @@
 
 
 def _used(runs):
-    return sum(tokens for _, tokens in runs)
+    return sum(tokens for _, tokens, _ in runs)
--- a/tests/test_memory_shares.py
+++ b/tests/test_memory_shares.py
@@ -34,11 +34,7 @@
     kind = stream.kind
     if is_brief(kind.run_ms, RUN_MS):
         return math.inf
-    lacks = {
-        LackKey("engine", other.priority): Lack(count, 0, other.peak_tokens)
-        for other, count in load.shared.items()
-    }
-    urgent = more_urgent(lacks, LackKey("engine", kind.priority))
+    urgent = more_urgent(load.shared, stream.key)
     return memory_ratio(urgent, ENGINES, MEMORY_TOKENS, stream.draw)
 
 
--- a/tests/test_retry_times.py
+++ b/tests/test_retry_times.py
@@ -124,3 +124,7 @@
     ahead_count, wait_ms, expected
 ):
     assert can_start_in_time(SUPPLY, 23, ahead_count, wait_ms) == expected
+
+
+def test_no_stream_is_hopeless_while_an_engine_is_idle():
+    assert can_start_in_time(SUPPLY._replace(run_count=20), 23, 300, 1_000.0)
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -14,6 +14,7 @@
 from gypsumfield.gateway.host_updates import UpdateKind
 from gypsumfield.gateway.scheduling import LackRecords
 from gypsumfield.gateway.scheduling import PlacementQuery
+from gypsumfield.gateway.scheduling import SUM_INTERVAL_MS
 from gypsumfield.gateway.scheduling import WireLack
 from virtual_fleet import VirtualFleet
 
@@ -67,6 +68,17 @@
     assert lacks.wire_own() == []
 
 
+def test_running_streams_are_stated_only_during_a_shortage():
+    lacks, clock = records()
+    lacks.running_streams = lambda: [LackKey("engine", 1, "a")] * 2
+    assert lacks.wire_own() == []
+    lacks.store(HostPlace("z2"), UPDATE.lacks)
+    clock.advance(SUM_INTERVAL_MS)
+    assert lacks.wire_own() == [WireLack("engine", 1, 0, 0, 0, 0, "a", 2)]
+    clock.advance(LACK_LIFETIME_MS + 1.0)
+    assert lacks.wire_own() == []
+
+
 def test_statements_end_when_no_more_updates_arrive():
     # Failure: the link to the other hosts is lost.
     lacks, clock = records()
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -316,3 +316,33 @@
     refused_after(queue, job, fleet)
     assert (fleet.clock.now_ms - job.started_ms < 100.0) == is_at_once
     assert queue.waiting_count == 0
+
+
+def test_a_stream_of_an_account_above_its_share_waits_behind_others():
+    fleet = Fleet(["z1"])
+    lacks = LackRecords("z1", fleet.clock.as_clock())
+    statement = [
+        WireLack("engine", 1, 0, 0, 0, 0, "large", 20),
+        WireLack("engine", 1, 2, 0, 3_000, 0, "small", 1),
+    ]
+    lacks.store(HostPlace("z2"), statement)
+    has_free_memory = False
+    queue, _, _ = make_queue(
+        fleet, lambda server_id: "r" if has_free_memory else None, lacks=lacks
+    )
+    served = []
+
+    def acquire(name):
+        queue.acquire(make_job(fleet, Account(name, None)), ANY_VERSION, 160, [])
+        served.append(name)
+
+    waiting = []
+    for name in ("large", "small"):
+        waiting.append(gevent.spawn(acquire, name))
+        gevent.sleep(0)
+    assert queue.waiting_count == 2
+    has_free_memory = True
+    fleet.clock.advance(ENGINE_FULL_MS + 1.0)
+    queue.wake()
+    gevent.joinall(waiting, timeout=10)
+    assert served == ["small", "large"]
