--- a/src/gypsumfield/gateway/scheduling/__init__.py
+++ b/src/gypsumfield/gateway/scheduling/__init__.py
@@ -6,6 +6,7 @@
 from gypsumfield.gateway.scheduling.hedged_calls import HedgeDependencies
 from gypsumfield.gateway.scheduling.hedged_calls import PlannedAttempt
 from gypsumfield.gateway.scheduling.lack_records import LackRecords
+from gypsumfield.gateway.scheduling.lack_records import SUM_INTERVAL_MS
 from gypsumfield.gateway.scheduling.messages import Advice
 from gypsumfield.gateway.scheduling.messages import PlacementQuery
 from gypsumfield.gateway.scheduling.messages import WireLack
@@ -16,6 +17,7 @@
 from gypsumfield.gateway.scheduling.shortage import WaitingStream
 
 __all__ = [
+    "SUM_INTERVAL_MS",
     "Advice",
     "EnginePaces",
     "HedgeDependencies",
