--- a/src/gypsumfield/decisions/rescue_targets.py
+++ b/src/gypsumfield/decisions/rescue_targets.py
@@ -38,9 +38,9 @@
 # free for copies, and below which it is used again.
 START_WAVE_SHARE = 0.3
 STOP_WAVE_SHARE = 0.15
-# Share of an engine's memory that is then kept free: about one run in six, of which
-# most end or are copied elsewhere.
-COPY_ROOM_RATIO = 0.06
+# Share of an engine's memory that is then kept free. More of it costs more streams on
+# time than it saves runs while memory is short: see `docs/design/rescue-targets.md`.
+COPY_ROOM_RATIO = 0.02
 
 
 class RecentCopies(NamedTuple):
