--- a/src/gypsumfield/decisions/rescue_targets.py
+++ b/src/gypsumfield/decisions/rescue_targets.py
@@ -19,7 +19,8 @@
 RESCUE_MEMORY_RATIO = 1.15
 # Up to this share, copies are rarely refused, because the plan includes the growth of
 # the runs. With 0.95, more copies go to remote zones and end after their notice: 36
-# instead of 13 runs of 1,600 are lost in the load of `tests/test_rescue_targets.py`.
+# instead of 13 runs of 1,600 are lost in the load of `tests/test_rescue_targets.py`,
+# with 22 streams a second.
 COMFORTABLE_MEMORY_RATIO = 1.05
 # Other hosts' records of a copy arrive within this time, and an engine that refused
 # one has ended about one run.
@@ -37,9 +38,9 @@
 # free for copies, and below which it is used again.
 START_WAVE_SHARE = 0.3
 STOP_WAVE_SHARE = 0.15
-# Share of an engine's memory that is then kept free: about one run in six, of which
-# most end or are copied elsewhere.
-COPY_ROOM_RATIO = 0.06
+# Share of an engine's memory that is then kept free. More of it costs more streams on
+# time than it saves runs while memory is short: see `docs/design/rescue-targets.md`.
+COPY_ROOM_RATIO = 0.02
 
 
 class RecentCopies(NamedTuple):
