Keep streams in their zone in a spell; bound what reports can break

A review of the parts found, shown by short scripts: a spell in a zone sent all its streams to remote engines of unknown pace; an engine whose first samples fell into a spell stayed avoided for good; a report with a huge event count was lost with its notice to leave; a shared pace outlived its source, and one round for 3,000 engines took 0.15 s of processor time.

--- a/src/gypsumfield/decisions/pause_budget.py
+++ b/src/gypsumfield/decisions/pause_budget.py
@@ -66,26 +66,23 @@
     return event_ms * PROMPT_FACTOR
 
 
-def prefer_short_gaps(
+def within_gap_limit(
     items: Sequence[ItemT], gap_ms: Callable[[ItemT], float], limit_ms: float
 ) -> Sequence[ItemT]:
     """Return the engines on which no stream is expected to exceed the limit.
 
-    Those with a margin go first; without any below the limit, all are returned, as a
-    late stream is still worth something.
+    Those with a margin go first. There may be none.
 
     Args:
         items: Engines that can take the stream.
         gap_ms: Returns the predicted longest gap of an engine; 0 if unknown.
         limit_ms: Longest gap that streams may have.
     """
-    if limit_ms == math.inf:
-        return items
     for ratio in (PREFERRED_GAP_RATIO, 1.0):
         preferred = [item for item in items if gap_ms(item) <= limit_ms * ratio]
         if preferred:
             return preferred
-    return items
+    return []
 
 
 def slow_engine_cost(factor: float) -> float:
@@ -148,9 +145,11 @@
             at_ms: Monotonic time for which it holds.
         """
         self._shared_usual_ms = usual_ms if 0.0 < usual_ms <= MAX_EVENT_MS else 0.0
-        if 0.0 < event_ms <= MAX_EVENT_MS:
-            self._shared = _Sample(at_ms, event_ms)
-            self._sample_usual(at_ms)
+        if self._shared is not None and at_ms < self._shared.at_ms:
+            return
+        # An unknown time replaces an earlier one, which must not outlive its source.
+        is_known = 0.0 < event_ms <= MAX_EVENT_MS
+        self._shared = _Sample(at_ms, event_ms) if is_known else None
 
     def own_ms(self, now_ms: float) -> float:
         """Return the time per event of this host's own streams now; 0 if unknown."""
@@ -171,11 +170,11 @@
         if observed:
             return median_high(observed)
         reported = [
-            sample
+            sample.event_ms
             for sample in (self._polled, self._shared)
             if sample is not None and now_ms - sample.at_ms <= POLLED_LIFETIME_MS
         ]
-        return max(reported).event_ms if reported else 0.0
+        return max(reported, default=0.0)
 
     @property
     def usual_ms(self) -> float:
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -17,8 +17,8 @@
 from gypsumfield.decisions.pace import FIRST_EVENT_OVERHEAD_MS
 from gypsumfield.decisions.pace import INITIAL_PACE
 from gypsumfield.decisions.pace import Pace
-from gypsumfield.decisions.pause_budget import prefer_short_gaps
 from gypsumfield.decisions.pause_budget import slow_engine_cost
+from gypsumfield.decisions.pause_budget import within_gap_limit
 
 # Share of an engine's memory that may be planned; the rest absorbs the error of the
 # predicted lengths.
@@ -202,9 +202,7 @@
         and expected_start_ms(engine, demand) <= demand.time_left_ms
     ]
     warm = [engine for engine in fitting if not engine.is_cold]
-    candidates = prefer_short_gaps(
-        warm or fitting, lambda engine: engine.longest_gap_ms, demand.max_pause_ms
-    )
+    candidates = _prefer_short_gaps(warm or fitting, demand)
     if not candidates:
         return None
     return min(
@@ -296,6 +294,38 @@
     )
 
 
+def _prefer_short_gaps(
+    engines: Sequence[EngineLoad], demand: StreamDemand
+) -> Sequence[EngineLoad]:
+    """Return the engines on which no stream exceeds its longest gap; all without any.
+
+    A large fleet keeps its zone while an engine there is fast enough: otherwise all
+    hosts would leave the zone together in a spell. Remote engines of unknown pace do
+    not attract streams.
+    """
+    if demand.max_pause_ms == math.inf:
+        return engines
+    limit_ms = demand.max_pause_ms
+    if demand.sample_size is None and not demand.is_reserved:
+        return within_gap_limit(engines, _longest_gap_ms, limit_ms) or engines
+    zone = demand.availability_zone
+    local = [engine for engine in engines if engine.availability_zone == zone]
+    remote = [
+        engine
+        for engine in engines
+        if engine.availability_zone != zone and engine.longest_gap_ms > 0.0
+    ]
+    return (
+        within_gap_limit(local, _longest_gap_ms, limit_ms)
+        or within_gap_limit(remote, _longest_gap_ms, limit_ms)
+        or engines
+    )
+
+
+def _longest_gap_ms(engine: EngineLoad) -> float:
+    return engine.longest_gap_ms
+
+
 def _pause_cost(engine: EngineLoad, demand: StreamDemand) -> float:
     if demand.max_pause_ms == math.inf or not demand.is_long:
         return 0.0
--- a/src/gypsumfield/decisions/rescue_targets.py
+++ b/src/gypsumfield/decisions/rescue_targets.py
@@ -83,12 +83,13 @@
     if not fitting:
         return None
 
-    def rank(engine: EngineLoad) -> tuple[bool, bool, bool, bool]:
+    def rank(engine: EngineLoad) -> tuple[bool, ...]:
         free_tokens = _free_tokens(engine, COMFORTABLE_MEMORY_RATIO)
         is_short = engine.waiting_count > 0 or free_tokens < demand.peak_tokens
         return (
             engine.server_id in recent.refusing,
             is_short,
+            engine.is_cold or engine.is_recently_started,
             engine.availability_zone != demand.availability_zone,
             engine.server_id in recent.receiving,
         )
--- a/src/gypsumfield/decisions/zone_overflow.py
+++ b/src/gypsumfield/decisions/zone_overflow.py
@@ -130,7 +130,12 @@
         """
         local = loads.get(self._own_zone)
         if local is None:
-            self.shares = {}
+            # All local engines have just refused memory: the zone is full.
+            self.shares = {
+                zone: share
+                for zone, share in self.shares.items()
+                if zone in loads and zone not in barred
+            }
             return
         # All hosts of a zone apply the same share, and other zones may overflow too.
         sender_count = max(1, len(loads) - 1)
--- a/src/gypsumfield/gateway/engine_reports.py
+++ b/src/gypsumfield/gateway/engine_reports.py
@@ -91,8 +91,8 @@
             asked_ms,
         )
         self._queried[server_id] = report
-        self.record_state(server_id, state)
         self.put(server_id, report, "engine report")
+        self.record_state(server_id, state)
 
     def queried_reports(self) -> dict[str, EngineReport]:
         """Return the unexpired reports that this host queried, by engine."""
--- a/src/gypsumfield/gateway/scheduling/engine_paces.py
+++ b/src/gypsumfield/gateway/scheduling/engine_paces.py
@@ -141,7 +141,9 @@
         if times is None:
             return PauseOutlook()
         usual_ms = times.usual_ms
-        event_ms = times.current_ms(self._clock.monotonic_ms()) or usual_ms
+        # The usual time does not stand in for an unknown one: an engine that is avoided
+        # for it would get no streams that could show otherwise.
+        event_ms = times.current_ms(self._clock.monotonic_ms())
         service_ms = self._service_state(server.service).usual_ms
         return PauseOutlook(
             predicted_gap_ms(event_ms), slow_factor(usual_ms, service_ms)
--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -46,6 +46,8 @@
 TOTAL_TIMEOUT_MS = 1_000.0
 ANSWER_LIMIT_BYTES = 1_048_576
 REPORT_TARGET = "/-/report"
+# JSON numbers have no bound; no run makes more events than this.
+MAX_EVENT_COUNT = 2**53
 OK_STATUS = 200
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -335,7 +337,9 @@
     """Yield request id and number of events of each valid entry of a report."""
     for entry in entries if isinstance(entries, list) else []:
         match entry:
-            case [str(request_id), _, int(event_count), *_]:
+            case [str(request_id), _, int(event_count), *_] if (
+                0 <= event_count <= MAX_EVENT_COUNT
+            ):
                 yield request_id, event_count
 
 
