--- a/src/gypsumfield/gateway/settings.py
+++ b/src/gypsumfield/gateway/settings.py
@@ -47,6 +47,7 @@
         memory_mb: Memory that the process may use.
         hedge_ratio: Second attempts of repeatable calls to plain services that may be
             sent while the first is pending, per first attempt; 0 for none.
+        max_fds: Descriptors that the process may have open.
     """
 
     host_id: str
@@ -64,6 +65,7 @@
     availability_zones: tuple[str, ...] = ()
     memory_mb: float = 128.0
     hedge_ratio: float = 0.0
+    max_fds: float = 4_096.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/gypsumfield/platform/settings.py
+++ b/src/gypsumfield/platform/settings.py
@@ -100,6 +100,9 @@
                 "limits.memory_mb", EdgeSettings._field_defaults["memory_mb"]
             ),
             hedge_ratio=_hedge_ratio(),
+            max_fds=self._number(
+                "limits.max_fds", EdgeSettings._field_defaults["max_fds"]
+            ),
         )
 
     def _availability_zones(self) -> tuple[str, ...]:
