--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -15,8 +15,8 @@
 from gypsumfield.adapters.engines import read_inventory
 from gypsumfield.adapters.engines import send_order
 from gypsumfield.adapters.http_endpoints import EndpointDependencies
+from gypsumfield.adapters.metric_specs import HostState
 from gypsumfield.adapters.metrics import emit_to_all
-from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.adapters.platform import PlatformClient
 from gypsumfield.attempts import AttemptDependencies
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -7,8 +7,8 @@
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.connections import refuses_connections
 from gypsumfield.adapters.loop_lag import LoopLag
+from gypsumfield.adapters.metric_specs import HostState
 from gypsumfield.adapters.metrics import emit_to_all
-from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import Metrics
 from gypsumfield.caller_limits import build_caller_limits
 from gypsumfield.clock import Clock
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,8 +8,8 @@
 from event_samples import event_types
 from event_samples import filled_event
 from gypsumfield import events
+from gypsumfield.adapters.metric_specs import HostState
 from gypsumfield.adapters.metrics import BUCKET_BOUNDS_MS
-from gypsumfield.adapters.metrics import HostState
 from gypsumfield.adapters.metrics import LABEL_VALUE_LIMIT
 from gypsumfield.adapters.metrics import Metrics
 
