Keep no memory free for copies; drop copies of moved streams

In frequent waves of leaving engines, new streams left 0.02 of each engine's memory free for copies.

The gauge copy_room_ratio is gone. The tests of the share and of its waves are removed with the code that they tested.

A refused copy of a stream that has meanwhile moved to another engine tries no further target and sets no retry pause. Announcements of engines that the catalogue has removed are forgotten, except while their runs are being copied.

--- a/src/gypsumfield/adapters/metrics.py
+++ b/src/gypsumfield/adapters/metrics.py
@@ -122,7 +122,6 @@
         overflow_share: Largest share of a service's new streams that goes to other
             zones.
         overflow_stream_count: Streams for which this host chose another zone.
-        copy_room_ratio: Largest share of engines' memory that is kept for copies.
     """
 
     configuration_revision: int = 0
@@ -142,7 +141,6 @@
     engine_prompt_tokens_per_ms: float = 0.0
     overflow_share: float = 0.0
     overflow_stream_count: int = 0
-    copy_room_ratio: float = 0.0
 
 
 METRIC_PREFIX = "gypsumfield_"
@@ -165,7 +163,6 @@
     "engine_prompt_tokens_per_ms": "Reading rate that this host plans with, learned",
     "overflow_share": "Share of new streams that goes to other zones now",
     "overflow_stream_count": "Streams for which another zone was chosen so far",
-    "copy_room_ratio": "Share of engines' memory kept free for copies of runs now",
 }
 
 
--- a/src/gypsumfield/decisions/placement.py
+++ b/src/gypsumfield/decisions/placement.py
@@ -164,7 +164,6 @@
         pace: Observed speed of the engines.
         is_reserved: Whether the engine reserves the memory before the stream starts.
         max_pause_ms: Longest gap that streams of the service may have.
-        copy_room_ratio: Share of an engine's memory that is left free for copies.
         memory_ratio: Share of an engine's memory that it may fill, if that is below
             the planned one; see `gypsumfield.decisions.memory_shares`.
     """
@@ -177,7 +176,6 @@
     pace: Pace = INITIAL_PACE
     is_reserved: bool = False
     max_pause_ms: float = math.inf
-    copy_room_ratio: float = 0.0
     memory_ratio: float = math.inf
 
     @property
@@ -255,7 +253,7 @@
     if engine.stream_count == 0:
         return True
     ratio = RESERVED_MEMORY_RATIO if demand.is_reserved else PLANNED_MEMORY_RATIO
-    ratio = min(ratio - demand.copy_room_ratio, demand.memory_ratio)
+    ratio = min(ratio, demand.memory_ratio)
     limit_tokens = engine.memory_tokens * ratio
     return engine.committed_tokens + demand.peak_tokens <= limit_tokens
 
--- a/src/gypsumfield/decisions/rescue_targets.py
+++ b/src/gypsumfield/decisions/rescue_targets.py
@@ -28,19 +28,6 @@
 # Targets that are tried in any case for one run, and at most while the notice lasts.
 MIN_COPY_TARGETS = 2
 MAX_COPY_TARGETS = 6
-# Announcements of the service's engines within this time show how frequent they are.
-# The span covers three waves at an interval of 3.3 s.
-WAVE_WINDOW_MS = 10_000.0
-# Announcements within this time belong to one wave. A single wave, such as the restart
-# of a zone, says nothing about the next one.
-WAVE_LENGTH_MS = 2_000.0
-# Share of a service's engines that announce within the window at which memory is kept
-# free for copies, and below which it is used again.
-START_WAVE_SHARE = 0.3
-STOP_WAVE_SHARE = 0.15
-# Share of an engine's memory that is then kept free. More of it costs more streams on
-# time than it saves runs while memory is short: see `docs/design/rescue-targets.md`.
-COPY_ROOM_RATIO = 0.02
 
 
 class RecentCopies(NamedTuple):
@@ -116,30 +103,5 @@
     return tried_count < limit
 
 
-class CopyRoom:
-    """Share of memory that is kept free for copies on the engines of one service."""
-
-    def __init__(self) -> None:
-        self._is_kept = False
-
-    def update(
-        self, announced_ms: Collection[float], engine_count: int, now_ms: float
-    ) -> float:
-        """Return the share of an engine's memory that new streams leave free.
-
-        Args:
-            announced_ms: When this host learned of each announcement.
-            engine_count: Registered engines of the service.
-            now_ms: Current time.
-        """
-        recent = [at_ms for at_ms in announced_ms if now_ms - at_ms < WAVE_WINDOW_MS]
-        share = len(recent) / max(1, engine_count)
-        if self._is_kept:
-            self._is_kept = share >= STOP_WAVE_SHARE
-        elif share >= START_WAVE_SHARE:
-            self._is_kept = max(recent) - min(recent) > WAVE_LENGTH_MS
-        return COPY_ROOM_RATIO if self._is_kept else 0.0
-
-
 def _free_tokens(engine: EngineLoad, ratio: float) -> float:
     return engine.memory_tokens * ratio - engine.committed_tokens
--- a/src/gypsumfield/gateway/composition.py
+++ b/src/gypsumfield/gateway/composition.py
@@ -155,7 +155,6 @@
         engine_prompt_tokens_per_ms=pace.prompt_tokens_per_ms,
         overflow_share=serving.placer.overflow.largest_share,
         overflow_stream_count=serving.placer.overflow.stream_count,
-        copy_room_ratio=serving.placer.rescues.largest_room_ratio,
     )
 
 
--- a/src/gypsumfield/gateway/placing.py
+++ b/src/gypsumfield/gateway/placing.py
@@ -138,9 +138,6 @@
             self.pace(query.service),
             self.has_reservations(query.service),
             self.engine_paces.limit_ms(query.service),
-            0.0
-            if query.has_begun
-            else self.rescues.room_ratio(query.service, query.time_left_ms),
             query.memory_ratio,
         )
         loads = self._engine_loads(query.service, query.excluded, query.requirement)
--- a/src/gypsumfield/gateway/protection.py
+++ b/src/gypsumfield/gateway/protection.py
@@ -114,6 +114,7 @@
 
     def check_leaving_engines(self) -> None:
         """Copy the unprotected runs of every leaving engine."""
+        self._forget_removed_engines()
         for server_id in self._deps.registry.server_ids():
             record = self._deps.catalogue.find_server(server_id)
             if record is None or server_id in self._copying:
@@ -200,6 +201,9 @@
             tried.append(target.server_id)
             if self._copy_to(stream, source, target):
                 return
+            # The stream may have moved to another engine during a refused copy.
+            if stream.server.server_id != source.server_id:
+                return
         if not stream.copies.refused_at_ms:
             self._log_copy(stream, source, "", 0.0, "no engine has enough free memory")
         stream.copies.refused_at_ms = self._deps.clock.monotonic_ms()
@@ -303,6 +307,14 @@
         for stream in streams:
             stream.abandon_engine()
 
+    def _forget_removed_engines(self) -> None:
+        for server_id in list(self._leaving):
+            # Copies in progress still need the time of the announcement.
+            if server_id in self._copying:
+                continue
+            if self._deps.catalogue.find_server(server_id) is None:
+                del self._leaving[server_id]
+
     def _record_leaving(self, server: BackendServer) -> None:
         start_wall_ms, _ = self._leaving.get(server.server_id, (None, 0.0))
         if start_wall_ms == server.started_wall_ms:
--- a/tests/test_rescue_targets.py
+++ b/tests/test_rescue_targets.py
@@ -7,15 +7,12 @@
 
 import random
 
-import pytest
-
 from gypsumfield.decisions import rescue_targets
 from gypsumfield.decisions.placement import EngineLoad
 from gypsumfield.decisions.placement import LARGE_FLEET_SAMPLE
 from gypsumfield.decisions.placement import planned_tokens
 from gypsumfield.decisions.placement import select_engine
 from gypsumfield.decisions.placement import StreamDemand
-from gypsumfield.decisions.rescue_targets import CopyRoom
 from gypsumfield.decisions.rescue_targets import RECENT_MS
 from gypsumfield.decisions.rescue_targets import RecentCopies
 from gypsumfield.decisions.rescue_targets import RESCUE_MEMORY_RATIO
@@ -331,27 +328,3 @@
     assert not should_try_target(rescue_targets.MAX_COPY_TARGETS, 100.0)
     assert should_try_target(rescue_targets.MIN_COPY_TARGETS - 1, 0.0)
     assert not should_try_target(rescue_targets.MIN_COPY_TARGETS, 0.0)
-
-
-@pytest.mark.parametrize(("waves", "is_kept"), [(1, False), (2, True), (4, True)])
-def test_memory_is_kept_for_copies_once_waves_repeat(waves, is_kept):
-    room = CopyRoom()
-    announced_ms = []
-    for wave in range(waves):
-        now_ms = 1_000.0 + wave * WAVE_INTERVAL_MS
-        announced_ms += [now_ms] * WAVE_ENGINES
-        ratio = room.update(announced_ms, ENGINES, now_ms)
-    assert bool(ratio) == is_kept
-
-
-def test_the_restart_of_one_zone_keeps_no_memory():
-    assert not CopyRoom().update([1_000.0] * 10, ENGINES, 1_100.0)
-
-
-def test_memory_is_used_again_after_the_waves_and_does_not_flap():
-    room = CopyRoom()
-    waves = [0.0] * WAVE_ENGINES + [3_300.0] * WAVE_ENGINES
-    assert room.update(waves, ENGINES, 3_300.0)
-    # One wave is left in the window: below the start, above the stop.
-    assert room.update(waves, ENGINES, rescue_targets.WAVE_WINDOW_MS + 1.0)
-    assert not room.update(waves, ENGINES, rescue_targets.WAVE_WINDOW_MS + 3_301.0)
--- a/tests/test_rescues.py
+++ b/tests/test_rescues.py
@@ -8,7 +8,6 @@
 
 from gypsumfield.decisions.rescue_targets import MAX_COPY_TARGETS
 from gypsumfield.decisions.rescue_targets import MIN_COPY_TARGETS
-from gypsumfield.decisions.rescue_targets import WAVE_WINDOW_MS
 from gypsumfield.decisions.software_versions import begun_at
 from gypsumfield.exceptions import BackendError
 from gypsumfield.gateway.calls import CopyResult
@@ -34,9 +33,9 @@
         running: Copies in progress, and the most at one time.
     """
 
-    def __init__(self, generated_tokens, is_large=True):
+    def __init__(self, generated_tokens):
         self.events = []
-        super().__init__(["z1"] * 9, events=self.events.append, is_large=is_large)
+        super().__init__(["z1"] * 9, events=self.events.append, is_large=True)
         self.calls = []
         self.running = self.most_running = 0
         self.answer = lambda target: 200
@@ -193,25 +192,38 @@
     assert len(starts) == 2
 
 
-def test_memory_is_kept_for_copies_while_engines_leave_in_waves():
-    fleet = LeavingEngine([])
-    rescues = fleet.placer.rescues
-    assert rescues.room_ratio("engine", 1_000.0) == 0.0
-    for server_id in ("e1", "e2", "e3", "e4"):
-        fleet.catalogue.mark_leaving(server_id, "test")
-        rescues.room_ratio("engine", 1_000.0)
-        fleet.clock.advance(1_100.0)
-    assert rescues.room_ratio("engine", 1_000.0) > 0.0
-    assert rescues.largest_room_ratio > 0.0
-    # A stream at the end of its wait may use all of the memory.
-    assert rescues.room_ratio("engine", float("inf")) == 0.0
-    fleet.clock.advance(WAVE_WINDOW_MS)
-    assert rescues.room_ratio("engine", 1_000.0) == 0.0
-
-
-def test_a_small_fleet_keeps_no_memory_for_copies():
-    fleet = LeavingEngine([], is_large=False)
-    for server_id in ("e1", "e2", "e3", "e4"):
-        fleet.catalogue.mark_leaving(server_id, "test")
-        assert fleet.placer.rescues.room_ratio("engine", 1_000.0) == 0.0
-        fleet.clock.advance(1_100.0)
+@pytest.mark.parametrize("call_count", [1, MAX_COPY_TARGETS])
+def test_a_refused_copy_of_a_stream_that_has_moved_tries_no_further_engine(call_count):
+    # Guards against memory taken at further targets, and a retry pause at the new
+    # engine, for a stream that has left the source.
+    fleet = LeavingEngine([500])
+    stream = fleet.streams[0]
+
+    def move(_target):
+        if len(fleet.calls) == call_count:
+            stream.server = fleet.server("e2")
+        return 503
+
+    fleet.answer = move
+    fleet.leave()
+    assert len(fleet.calls) == call_count
+    assert fleet.ledger.own_loads() == {}
+    assert not stream.copies.refused_at_ms
+    reasons = [e.reason for e in fleet.events if type(e).__name__ == "RunCopied"]
+    assert reasons == ["the engine answered with status 503"] * call_count
+
+
+def test_announcements_of_servers_that_the_catalogue_removed_are_forgotten():
+    # Guards against one entry for each engine that ever left, for a host's lifetime.
+    fleet = LeavingEngine([500])
+    fleet.leave()
+    assert set(fleet.protector._leaving) == {SOURCE}
+    fleet.streams.clear()
+    fleet.catalogue.apply([StoreItem(f"servers/{SOURCE}", 20, None)], 20, "test")
+    fleet.check()
+    assert set(fleet.protector._leaving) == {SOURCE}
+    fleet.clock.advance(1_001.0)
+    fleet.catalogue.remove_expired(1_000.0)
+    assert fleet.catalogue.find_server(SOURCE) is None
+    fleet.check()
+    assert not fleet.protector._leaving
