A request that completes after its connection was cut does not run

Bytes that arrived before the shutdown are still read, so that a request could run though its caller could get no answer. It ends with an error instead.

--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -104,6 +104,8 @@
         limits = self.server.read_limits()
         self.socket.settimeout(limits.idle_timeout_ms / MS_PER_S)
         self.rfile.peek(1)
+        if self.connection.is_cut:
+            return ""
         self.connection.begin_phase(ConnectionPhase.RECEIVING)
         with gevent.Timeout(
             limits.header_timeout_ms / MS_PER_S,
@@ -159,6 +161,7 @@
 
     def run_application(self) -> None:
         """Answer the request; a broken answer whose end is a close is reset instead."""
+        self._check_not_cut()
         if self.wsgi_input.is_complete:
             self.connection.begin_phase(ConnectionPhase.SERVING)
         else:
@@ -172,7 +175,14 @@
                 )
             raise
 
+    def _check_not_cut(self) -> None:
+        """Raise an error for a request whose caller could not get the answer."""
+        if self.connection.is_cut:
+            raise ConnectionResetError(errno.ECONNRESET, "the connection was closed")
+
     def _end_body(self) -> None:
+        # Bytes that arrived before the connection was cut are still read.
+        self._check_not_cut()
         self.connection.end_transfer()
         self.connection.begin_phase(ConnectionPhase.SERVING)
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,14 @@
 """Open connections of callers are bounded, without closing one that is served."""
 
+import contextlib
+
+import gevent
+import pytest
+from gevent import socket
+
 from gypsumfield.adapters.caller_connections import CallerConnections
+from gypsumfield.adapters.caller_server import CallerServer
+from gypsumfield.adapters.caller_server import RequestTracker
 from gypsumfield.connection_events import ConnectionsClosed
 from gypsumfield.connection_events import ConnectionsRefused
 from gypsumfield.decisions.connection_eviction import ConnectionPhase
@@ -98,3 +106,37 @@
     clock.now_ms += 60_000.0
     assert not memory.make_room(200)
     assert not sock.is_shut_down and not hold.is_dropped
+
+
+# Guards against a request that runs although its connection was closed before.
+@pytest.mark.parametrize("length", [0, 4])
+def test_a_request_that_completes_after_its_connection_was_cut_does_not_run(length):
+    run_bodies = []
+
+    def application(environ, start_response):
+        body = b""
+        while piece := environ["wsgi.input"].read(100):
+            body += piece
+        run_bodies.append(body)
+        start_response("200 OK", [])
+        return [b"done"]
+
+    server = CallerServer(("127.0.0.1", 0), RequestTracker(application))
+    server.start()
+    head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n"
+    request = head.encode() + b"body"[:length]
+    try:
+        address = ("127.0.0.1", server.server_port)
+        with contextlib.closing(socket.create_connection(address)) as client:
+            client.sendall(request[:-2])
+            gevent.sleep(0.1)
+            client.sendall(request[-2:])
+            assert server.connections.evict("test")
+            gevent.sleep(0.1)
+        assert run_bodies == []
+        assert server.connections.open_count == 0
+        with contextlib.closing(socket.create_connection(address)) as client:
+            client.sendall(request)
+            assert client.recv(100).startswith(b"HTTP/1.1 200")
+    finally:
+        server.stop(timeout=0)
