Let exempt streams pass streams that are held back

A stream held back by its memory ratio stayed at the head of the queue and blocked streams of the guaranteed share and brief ones, which could then be refused as hopeless although an engine had room. A stream no longer waits behind one that may fill less of an engine.

--- a/src/gypsumfield/gateway/queue_entry.py
+++ b/src/gypsumfield/gateway/queue_entry.py
@@ -1,5 +1,7 @@
 """A stream in the queue of a host, and its rank there."""
 
+import math
+
 from gevent.event import Event as Signal
 
 from gypsumfield.decisions.software_versions import VersionRequirement
@@ -15,6 +17,8 @@
         requirement: Software version that it needs.
         stream: Its need of memory.
         is_above_share: Whether its account leaves memory to others at the moment.
+        memory_ratio: Share of an engine's memory that it was allowed to fill at its
+            last attempt.
         retry_signal: Set when the stream should retry its placement.
     """
 
@@ -25,6 +29,7 @@
         self.requirement = requirement
         self.stream = stream
         self.is_above_share = False
+        self.memory_ratio = math.inf
         self.retry_signal = Signal()
 
     @property
--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -125,6 +125,7 @@
         entry = QueueEntry(job, requirement, stream)
         placement = None
         entry.is_above_share = self._shortage.is_above_share(stream.key)
+        entry.memory_ratio = self._memory_ratio(entry)
         if not self._must_wait_behind_others(entry):
             placement = self._try_place_in_time(entry, peak_tokens, tried)
         if placement is None:
@@ -279,7 +280,7 @@
         # The query refers to both lists, which grow with each attempt.
         full_engines: list[str] = []
         excluded = list(tried)
-        memory_ratio = self._memory_ratio(entry)
+        memory_ratio = entry.memory_ratio = self._memory_ratio(entry)
         query = PlacementQuery(
             0,
             job.service,
@@ -351,7 +352,9 @@
     def _must_wait_behind_others(self, entry: QueueEntry) -> bool:
         """Return whether a stream that ranks higher waits for the same engines.
 
-        A stream that has begun waits for those of its version only.
+        A stream that has begun waits for those of its version only. No stream waits
+        behind one that may fill less of an engine: that one is held back although an
+        engine may have room.
         """
         for other in self._queued:
             if other is entry:
@@ -360,6 +363,8 @@
                 continue
             if other.requirement != entry.requirement:
                 continue
+            if other.memory_ratio < entry.memory_ratio:
+                continue
             if entry in self._queued or other.standing <= entry.standing:
                 return True
         return False
