Reserve memory at engines on new connections

A repeated answer on a reused connection gave two streams the same reservation, and a silent one marked a healthy engine as unreachable.

--- a/src/gypsumfield/platform/engines.py
+++ b/src/gypsumfield/platform/engines.py
@@ -1,6 +1,6 @@
 """Calls of this host itself to backend servers, most of them to engines.
 
-Polled reports and reservations use idle connections. All other calls open a new one:
+Polled reports use idle connections. All other calls open a new one:
 they find out which process accepts connections at an address now, or whether any does,
 or stop and copy runs, which must not fail on a connection that has gone silent.
 """
@@ -259,9 +259,10 @@
         """
         body = msgspec.json.encode({"tokens": tokens, "ttl_ms": int(lifetime_ms)})
         timeouts = _timeouts(ANSWER_TIMEOUT_MS, TOTAL_TIMEOUT_MS)
-        answer = self._call(
-            server, "POST", "/-/hold-take", body, timeouts, FRESH_LIMIT_S
-        )
+        # On a new connection: a repeated answer to an earlier reservation would give
+        # two streams the same one, and a silent connection would make a healthy engine
+        # count as unreachable.
+        answer = self._call(server, "POST", "/-/hold-take", body, timeouts)
         if answer.status == UNAVAILABLE_STATUS:
             return None
         if answer.status != OK_STATUS:
