--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -154,8 +154,14 @@
             raise self._refusal_for_lack(entry)
 
     def _refusal_for_lack(self, entry: QueueEntry) -> RefusedError:
-        """Return the refusal of a stream for lack of memory, and record it."""
+        """Return the refusal of a stream for lack of memory, and record it.
+
+        A caller that has left does not return: it is neither counted nor given a time
+        that another one could have.
+        """
         job, stream = entry.job, entry.stream
+        if job.abort.reason:
+            return RefusedError(Refusal(503, "engines_full", job.abort.reason))
         self._shortage.lacks.record_refusal(stream.key, stream.peak_tokens)
         return RefusedError(
             Refusal(
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -173,3 +173,22 @@
     queue.wake()
     gevent.joinall(waiting, timeout=10)
     assert served == ["small", "large"]
+
+
+def test_a_caller_that_has_left_is_not_counted_as_refused():
+    # Guards against callers that never return but count as lack of memory, and take
+    # the times at which others could return.
+    fleet = busy_fleet()
+    lacks = LackRecords("z1", fleet.clock.as_clock())
+    queue, _, _ = make_queue(fleet, lambda server_id: None, lacks=lacks)
+    patient = make_job(fleet)._replace(deadline_ms=fleet.clock.now_ms + 60_000.0)
+    waiting = gevent.spawn(queue.acquire, patient, ANY_VERSION, 160, [])
+    gevent.sleep(0)
+    assert queue.waiting_count == 1
+    patient.abort.abort("the caller has left")
+    waiting.join(timeout=10)
+    assert isinstance(waiting.exception, RefusedError)
+    assert waiting.exception.refusal.retry_after_ms is None
+    assert lacks.own() == {}
+    shortage = queue._shortage
+    assert not any(kept._promised_ms for kept in shortage._promises.values())
