--- a/src/gypsumfield/gateway/stream_queue.py
+++ b/src/gypsumfield/gateway/stream_queue.py
@@ -125,6 +125,7 @@
         entry = QueueEntry(job, requirement, stream)
         placement = None
         entry.is_above_share = self._shortage.is_above_share(stream.key)
+        entry.memory_ratio = self._memory_ratio(entry)
         if not self._must_wait_behind_others(entry):
             placement = self._try_place_in_time(entry, peak_tokens, tried)
         if placement is None:
@@ -153,8 +154,14 @@
             raise self._refusal_for_lack(entry)
 
     def _refusal_for_lack(self, entry: QueueEntry) -> RefusedError:
-        """Return the refusal of a stream for lack of memory, and record it."""
+        """Return the refusal of a stream for lack of memory, and record it.
+
+        A caller that has left does not return: it is neither counted nor given a time
+        that another one could have.
+        """
         job, stream = entry.job, entry.stream
+        if job.abort.reason:
+            return RefusedError(Refusal(503, "engines_full", job.abort.reason))
         self._shortage.lacks.record_refusal(stream.key, stream.peak_tokens)
         return RefusedError(
             Refusal(
@@ -279,7 +286,7 @@
         # The query refers to both lists, which grow with each attempt.
         full_engines: list[str] = []
         excluded = list(tried)
-        memory_ratio = self._memory_ratio(entry)
+        memory_ratio = entry.memory_ratio = self._memory_ratio(entry)
         query = PlacementQuery(
             0,
             job.service,
@@ -351,7 +358,9 @@
     def _must_wait_behind_others(self, entry: QueueEntry) -> bool:
         """Return whether a stream that ranks higher waits for the same engines.
 
-        A stream that has begun waits for those of its version only.
+        A stream that has begun waits for those of its version only. No stream waits
+        behind one that may fill less of an engine: that one is held back although an
+        engine may have room.
         """
         for other in self._queued:
             if other is entry:
@@ -360,6 +369,8 @@
                 continue
             if other.requirement != entry.requirement:
                 continue
+            if other.memory_ratio < entry.memory_ratio:
+                continue
             if entry in self._queued or other.standing <= entry.standing:
                 return True
         return False
