Promise no return times while an engine is idle or none is known

The promises divide the rate at which busy engines release memory, and state a third of the caller's time when almost nothing runs. Tests of the promises use a fleet whose engines are busy.

--- a/src/gypsumfield/gateway/scheduling/shortage.py
+++ b/src/gypsumfield/gateway/scheduling/shortage.py
@@ -160,13 +160,18 @@
     ) -> float:
         """Return the time after which the caller of a refused stream should retry.
 
+        Promises divide the rate at which busy engines release memory. While an engine
+        is idle, or none is known, the stream was refused for a passing reason, and the
+        promises would be too long.
+
         Args:
             service: Service of the stream.
             stream: The refused stream.
             waiting_count: Streams that wait on this host.
         """
         supply = self._supply(service)
-        if supply is None:
+        engine_count = self._deps.engine_count(service)
+        if supply is None or not 0 < engine_count <= supply.run_count:
             return estimated_retry_after_ms(
                 self._deps.run_count(service),
                 waiting_count,
--- a/tests/test_stream_queue.py
+++ b/tests/test_stream_queue.py
@@ -7,6 +7,7 @@
 from gypsumfield.decisions.software_versions import ANY_VERSION
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import RefusedError
+from gypsumfield.gateway.ledger import Run
 from gypsumfield.gateway.model import Account
 from gypsumfield.gateway.scheduling import LackRecords
 from gypsumfield.gateway.scheduling import WireLack
@@ -108,7 +109,7 @@
 
 def test_callers_refused_one_after_the_other_get_different_times():
     # Guards against callers that come back together and are refused for good.
-    fleet = Fleet(["z1"])
+    fleet = busy_fleet()
     queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=20)
     patient = make_job(fleet)._replace(deadline_ms=fleet.clock.now_ms + 60_000.0)
     times = [refused_after(queue, patient, fleet) for _ in range(3)]
@@ -116,19 +117,38 @@
 
 
 def test_a_refused_caller_is_told_at_most_a_third_of_its_time():
-    fleet = Fleet(["z1"])
+    fleet = busy_fleet()
     queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=76)
     job = make_job(fleet)
     retry_ms = refused_after(queue, job, fleet)
     assert retry_ms <= job.remaining_ms(fleet.clock.as_clock()) / 3.0
 
 
+@pytest.mark.parametrize("engine_count", [0, 2])
+def test_a_caller_refused_while_an_engine_is_idle_is_told_a_short_time(engine_count):
+    # Guards against promises of the release of memory that nothing occupies: a host of
+    # a large fleet stated a third of the caller's time.
+    fleet = Fleet(["z1"] * engine_count)
+    if engine_count:
+        fleet.ledger.begin(Run("e1", 2_000, 100))
+    queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=76)
+    patient = make_job(fleet)._replace(deadline_ms=fleet.clock.now_ms + 60_000.0)
+    retry_ms = queue._shortage.retry_after_ms(
+        "engine", queue._queued_stream(patient), 0
+    )
+    run_count = min(1, engine_count)
+    run_ms = fleet.placer.pace("engine").run_ms
+    assert retry_ms == estimated_retry_after_ms(run_count, 0, run_ms)
+
+
 def test_a_host_without_the_figures_of_the_fleet_uses_its_own():
     # Failure: no update of another host arrives.
-    fleet = Fleet(["z1"])
+    fleet = busy_fleet()
     queue, _, _ = make_queue(fleet, lambda server_id: None, host_count=None)
     retry_ms = refused_after(queue, make_job(fleet), fleet)
-    assert retry_ms == estimated_retry_after_ms(0, 0)
+    assert retry_ms == estimated_retry_after_ms(
+        1, 0, fleet.placer.pace("engine").run_ms
+    )
 
 
 @pytest.mark.parametrize(("waiting", "is_at_once"), [(1, False), (400, True)])
