Count runs of plain calls from their placement

With hedges, the first attempt runs in a greenlet of its own, and its run counted only once that greenlet ran, so that calls of the same moment were placed by old loads.

--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -134,9 +134,14 @@
     progress: _CallProgress,
     placement: ServerPlacement,
 ) -> PlannedAttempt[BufferedAnswer]:
-    """Count and log an attempt, which the caller of this function then sends."""
-    _log_attempt(deps, job, progress, placement)
+    """Count and log an attempt, which the caller of this function then sends.
+
+    Its run counts from now on, before another greenlet can place a call by the loads.
+    """
     server = placement.server
+    run = Run(server.server_id, 0, 0)
+    deps.ledger.begin(run)
+    _log_attempt(deps, job, progress, placement)
     progress.server_ids.append(server.server_id)
     number = len(progress.server_ids)
 
@@ -148,6 +153,8 @@
             record_failure(deps.attempts, job, server, number, error, sent_ms)
             deps.hedges.record_failure(job.service, error)
             raise
+        finally:
+            deps.ledger.end(run)
 
     return PlannedAttempt(server, send)
 
@@ -161,8 +168,6 @@
     attempts = deps.attempts
     limit_ms = _attempt_limit_ms(deps, job, progress)
     options = SendOptions(server.server_id, ANY_VERSION, limit_ms, job.account_name)
-    run = Run(server.server_id, 0, 0)
-    deps.ledger.begin(run)
     sent_ms = attempts.clock.monotonic_ms()
     progress.run_count += 1
     try:
@@ -177,8 +182,6 @@
         if error.verdict is RunVerdict.NOT_RUN:
             progress.run_count -= 1
         raise
-    finally:
-        deps.ledger.end(run)
     headers = attempts.wire.answer_headers(opened.headers)
     buffered = BufferedAnswer(opened.status, headers, body)
     if opened.status >= SERVER_ERROR_STATUS and _may_run_again(job, progress):
--- a/tests/test_hedged_calls.py
+++ b/tests/test_hedged_calls.py
@@ -11,6 +11,7 @@
 from fake_platform import refused_answer
 from fake_platform import wait_until
 from gypsumfield.decisions.hedging import MIN_SAMPLE_COUNT
+from gypsumfield.gateway.scheduling import hedged_calls
 from gypsumfield.gateway.settings import EdgeBounds
 
 KINDS = {"plain": "idempotent", "once": "non_idempotent"}
@@ -128,6 +129,24 @@
     assert failed.stage == "aborted"
 
 
+def test_an_attempt_counts_as_a_run_before_it_is_sent(fleet, monkeypatch):
+    """Guards against calls that are placed at the same moment on one server."""
+    fleet.start_and_warm_up()
+    fleet.answers = [fleet.wait_for_close, answer_after(0.0)]
+    ledger = fleet.host.components.placer._deps.ledger
+    counts = []
+
+    def count_and_start(race, planned):
+        counts.append(ledger.own_load(planned.server.server_id).run_count)
+        start(race, planned)
+
+    start = hedged_calls._Race.start
+    monkeypatch.setattr(hedged_calls._Race, "start", count_and_start)
+    assert fleet.call_slow()[0] == 200
+    assert counts == [1, 1]
+    wait_until(lambda: not ledger.own_loads())
+
+
 def test_the_first_attempt_wins_if_it_answers_before_the_hedge(fleet):
     fleet.start_and_warm_up()
     fleet.answers = [answer_after(0.8, b"first"), fleet.wait_for_close]
