--- a/src/gypsumfield/adapters/connections.py
+++ b/src/gypsumfield/adapters/connections.py
@@ -15,7 +15,8 @@
 
 from gypsumfield.clock import MS_PER_S
 
-IDLE_CONNECTIONS_PER_SERVER = 8
+# 76 hosts share the 520 connections of the smallest server.
+IDLE_CONNECTIONS_PER_SERVER = 4
 # The smallest hosts have 4,100 descriptors for callers, servers and files.
 IDLE_CONNECTIONS_TOTAL = 256
 # Servers commonly close idle connections after 5 s or more. The limit for servers that
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -124,6 +124,11 @@
     assert pool.idle_count == IDLE_CONNECTIONS_PER_SERVER
 
 
+def test_idle_connections_of_all_hosts_leave_a_server_some_for_requests():
+    """Guards against servers that accept none: 76 hosts share 520 connections."""
+    assert 76 * IDLE_CONNECTIONS_PER_SERVER <= 520
+
+
 def test_connections_to_servers_that_left_are_closed(now_s):
     pool = ConnectionPool()
     kept, left, expired = StandInSocket(), StandInSocket(), StandInSocket()
