--- a/src/gypsumfield/gateway/scheduling/messages.py
+++ b/src/gypsumfield/gateway/scheduling/messages.py
@@ -10,6 +10,10 @@
 from gypsumfield.decisions.memory_shares import Lacks
 from gypsumfield.decisions.software_versions import VersionRequirement
 
+# Counts from other hosts are bounded, so that sums of them fit an integer on the wire.
+# No fleet has as many streams, and no engine as much memory in tokens.
+MAX_COUNT = 1_000_000_000
+
 
 class PlacementQuery(msgspec.Struct, frozen=True, array_like=True):
     """Query for the engine of a stream; see `gypsumfield.gateway.placing.Placer`.
@@ -98,14 +102,18 @@
 
 
 def lacks_from_wire(wire: list[WireLack]) -> Lacks:
-    """Return what streams lack from its wire form."""
+    """Return what streams lack from its wire form, within `MAX_COUNT`."""
     return {
         LackKey(lack.service, lack.priority, lack.account): Lack(
-            max(0, lack.waiting_count),
-            max(0, lack.refused_count),
-            max(0, lack.peak_tokens),
-            max(0, lack.age_ms),
-            max(0, lack.running_count),
+            _bounded_count(lack.waiting_count),
+            _bounded_count(lack.refused_count),
+            _bounded_count(lack.peak_tokens),
+            _bounded_count(lack.age_ms),
+            _bounded_count(lack.running_count),
         )
         for lack in wire
     }
+
+
+def _bounded_count(count: int) -> int:
+    return min(MAX_COUNT, max(0, count))
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -5,6 +5,7 @@
 
 from gypsumfield.clock import ManualClock
 from gypsumfield.decisions.memory_shares import HostPlace
+from gypsumfield.decisions.memory_shares import Lack
 from gypsumfield.decisions.memory_shares import LACK_LIFETIME_MS
 from gypsumfield.decisions.memory_shares import LackKey
 from gypsumfield.gateway.host_updates import decode_update
@@ -16,6 +17,7 @@
 from gypsumfield.gateway.scheduling import PlacementQuery
 from gypsumfield.gateway.scheduling import SUM_INTERVAL_MS
 from gypsumfield.gateway.scheduling import WireLack
+from gypsumfield.gateway.scheduling.messages import lacks_from_wire
 from virtual_fleet import VirtualFleet
 
 URGENT = LackKey("engine", 0)
@@ -79,6 +81,14 @@
     assert lacks.wire_own() == []
 
 
+@pytest.mark.parametrize(("sent", "count"), [(2**63, 1_000_000_000), (-(2**63), 0)])
+def test_counts_of_other_hosts_are_bounded(sent, count):
+    # Failure: a damaged statement whose sums no longer fit an integer on the wire.
+    wire = [WireLack("engine", 0, sent, sent, sent, sent, "", sent)]
+    (lack,) = lacks_from_wire(wire).values()
+    assert lack == Lack(count, count, count, count, count)
+
+
 def test_statements_end_when_no_more_updates_arrive():
     # Failure: the link to the other hosts is lost.
     lacks, clock = records()
