Run a hedged call again after a failure status and a refused hedge

The failure status came while both attempts counted as runs and was returned, although the refusal of the hedge let the call run again, as it does without hedges.

--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -108,14 +108,7 @@
         try:
             if not is_first:
                 return attempt.send(job)
-            return deps.hedges.send(
-                job,
-                attempt,
-                partial(
-                    deps.attempts.placer.place_plain, job.service, progress.server_ids
-                ),
-                partial(_begin_attempt, deps, job, progress),
-            )
+            return _send_first(deps, job, progress, attempt)
         except BackendError as error:
             last_error = _error_to_report(last_error, error)
             if not _may_retry(deps, job, progress, error, clock.monotonic_ms()):
@@ -128,6 +121,38 @@
     raise refusal_after_failure(last_error, job.remaining_ms(clock) <= 0.0, pause_ms)
 
 
+def _send_first(
+    deps: PlainCallDependencies,
+    job: Job,
+    progress: _CallProgress,
+    attempt: PlannedAttempt[BufferedAnswer],
+) -> BufferedAnswer:
+    """Send the first attempt, and a second one if its answer is late.
+
+    Raises:
+        BackendError: The attempts failed, or the call may run again after an answer
+            with a server error status: it came while the other attempt still counted
+            as a run, and that one was refused.
+    """
+    answer = deps.hedges.send(
+        job,
+        attempt,
+        partial(deps.attempts.placer.place_plain, job.service, progress.server_ids),
+        partial(_begin_attempt, deps, job, progress),
+    )
+    if answer.status >= SERVER_ERROR_STATUS and _may_run_again(job, progress):
+        raise _server_failure(progress, answer)
+    return answer
+
+
+def _server_failure(progress: _CallProgress, answer: BufferedAnswer) -> BackendError:
+    """Return the error for an answer that is kept while the call may run again."""
+    progress.failure = answer
+    return BackendError(
+        f"the server failed with {answer.status}", RunVerdict.RAN, "failed"
+    )
+
+
 def _begin_attempt(
     deps: PlainCallDependencies,
     job: Job,
@@ -185,10 +210,7 @@
     headers = attempts.wire.answer_headers(opened.headers)
     buffered = BufferedAnswer(opened.status, headers, body)
     if opened.status >= SERVER_ERROR_STATUS and _may_run_again(job, progress):
-        progress.failure = buffered
-        raise BackendError(
-            f"the server failed with {opened.status}", RunVerdict.RAN, "failed"
-        )
+        raise _server_failure(progress, buffered)
     if opened.status in SUCCESS_STATUSES:
         attempts.part_guard.record_answer(job, sent_ms, is_complete=True)
     latency_ms = attempts.clock.monotonic_ms() - sent_ms
--- a/tests/test_hedged_calls.py
+++ b/tests/test_hedged_calls.py
@@ -44,13 +44,13 @@
         settings = super().host_settings(*args, **kwargs)
         return settings._replace(hedge_ratio=self.ratio, bounds=self.bounds)
 
-    def start_and_warm_up(self, service="plain"):
+    def start_and_warm_up(self, service="plain", servers=("s1", "s2")):
         document = publication(KINDS)
         for route in document["routes"]:
             # Calls that may run once are sent again after refusals.
             route["max_attempts"] = 2
         self.publish(routes=document["routes"])
-        for server_id in ("s1", "s2"):
+        for server_id in servers:
             self.add_server(service, server_id, self.respond)
         self.start()
         for number in range(MIN_SAMPLE_COUNT):
@@ -182,6 +182,22 @@
     assert_nothing_is_held(fleet)
 
 
+def test_a_call_runs_again_after_a_failure_status_and_a_refused_hedge(fleet):
+    """Guards against a failure that is returned only because the call was hedged."""
+    fleet.start_and_warm_up(servers=("s1", "s2", "s3"))
+
+    def refuse_late(request, sock):
+        gevent.sleep(0.6)
+        refuse(request, sock)
+
+    broken = answer_after(0.6, b"broken", "500 Broken")
+    fleet.answers = [broken, refuse_late, answer_after(0.0, b"third")]
+    status, _, body = fleet.call_slow()
+    assert (status, body) == (200, b"third")
+    assert len(fleet.attempts) == 3
+    assert_nothing_is_held(fleet)
+
+
 @pytest.mark.parametrize("second", [close_after(0.1), refuse])
 def test_a_call_of_which_both_attempts_fail_may_have_run(fleet, second):
     """Guards against a refusal of the hedge that is taken for one of the call."""
