Send once-only calls on new connections to servers that omit ids

Any answer without an id, not just a refusal, shows that a server does not name the requests that it answers; on a reused connection its answers prove nothing.

--- a/src/gypsumfield/adapters/connections.py
+++ b/src/gypsumfield/adapters/connections.py
@@ -159,16 +159,16 @@
             if not idle:
                 del self._idle[address]
 
-    def record_anonymous_refusal(self, address: str) -> None:
-        """Record that a server refuses requests without naming them.
+    def record_anonymous_answer(self, address: str) -> None:
+        """Record that a server answers requests without naming them.
 
-        On a reused connection, such a refusal may answer an earlier request, so that
-        it does not prove that the request has not run.
+        On a reused connection, such an answer may be one to an earlier request, so
+        that a refusal does not prove that the request has not run.
         """
         self._anonymous.add(address)
 
-    def refuses_anonymously(self, address: str) -> bool:
-        """Return whether a server has refused a request without naming it."""
+    def answers_anonymously(self, address: str) -> bool:
+        """Return whether a server has answered a request without naming it."""
         return address in self._anonymous
 
     def close(self) -> None:
--- a/src/gypsumfield/gateway/attempt.py
+++ b/src/gypsumfield/gateway/attempt.py
@@ -179,8 +179,8 @@
         connected_ms,
     )
     deps.notices.record_answer(server, status, answer.metadata, sent_ms)
-    if answer.metadata.is_not_run and not answer.metadata.request_id:
-        deps.pool.record_anonymous_refusal(server.address)
+    if not answer.metadata.request_id:
+        deps.pool.record_anonymous_answer(server.address)
     outcome = classify_answer(
         status, answer.metadata, job.request_id, exchange.is_connection_reused
     )
@@ -216,7 +216,7 @@
     is_begun = options.resume is not None or options.requirement.has_begun
     if job.route.kind is CallKind.STREAM:
         return FRESH_LIMIT_S if job.route.is_resumable and not is_begun else 0.0
-    return 0.0 if deps.pool.refuses_anonymously(server.address) else FRESH_LIMIT_S
+    return 0.0 if deps.pool.answers_anonymously(server.address) else FRESH_LIMIT_S
 
 
 def read_whole_body(
