--- a/src/gypsumfield/gateway/scheduling/shortage.py
+++ b/src/gypsumfield/gateway/scheduling/shortage.py
@@ -118,7 +118,8 @@
 
     def record_held(self, stream: WaitingStream, ratio: float) -> None:
         """Record that no engine had memory for a stream within a lower share."""
-        held = self._held[stream.key]
+        # The account is left out: many accounts would exceed one line a second.
+        held = self._held[stream.key._replace(account="")]
         held.count += 1
         now_ms = self._deps.clock.monotonic_ms()
         urgent = self._preferred(stream.key)
--- a/tests/test_held_streams.py
+++ b/tests/test_held_streams.py
@@ -3,9 +3,11 @@
 import gevent
 import pytest
 
+from gypsumfield.decisions.memory_shares import LackKey
 from gypsumfield.decisions.software_versions import ANY_VERSION
 from gypsumfield.exceptions import RefusedError
 from gypsumfield.gateway.events import MemoryHeldForUrgent
+from gypsumfield.gateway.scheduling.shortage import HELD_LOG_INTERVAL_MS
 from queue_fleet import busy_fleet
 from queue_fleet import FixedDraws
 from queue_fleet import long_job
@@ -105,6 +107,21 @@
     gevent.killall(waiting)
 
 
+def test_held_streams_of_many_accounts_are_logged_once_a_second():
+    # Guards against a log line a second for each account.
+    fleet = busy_fleet()
+    lacks = urgent_elsewhere(fleet)
+    queue, _, events = make_queue(fleet, lambda server_id: "r", lacks=lacks)
+    for number in range(20):
+        key = LackKey("engine", 1, f"account-{number}")
+        stream = queue._shortage.waiting_stream(key, 160, 0)
+        queue._shortage.record_held(stream, 0.8)
+    assert len(events) == 1
+    fleet.clock.advance(HELD_LOG_INTERVAL_MS)
+    queue._shortage.record_held(stream, 0.8)
+    assert [event.held_count for event in events] == [1, 20]
+
+
 def test_streams_of_one_priority_are_placed_as_before():
     fleet = busy_fleet()
     need = fleet.catalogue.engine_spec("engine").memory_tokens - 2_500
