State no refused caller a time below 500 ms

A caller that returns sooner finds the same engines full. The bound of the test of small fleets moves from at most 500 ms to 500 to 750 ms, which the rule states.

--- a/src/gypsumfield/decisions/retry_times.py
+++ b/src/gypsumfield/decisions/retry_times.py
@@ -117,8 +117,9 @@
         """
         ahead_count = waiting_count + self.pending_count(now_ms)
         turn_ms = (ahead_count + draw) * supply.host_interval_ms
-        # A caller that returns sooner finds the same engines full.
-        earliest_ms = MIN_RETRY_AFTER_MS * (1.0 + JITTER_SHARE * (2.0 * draw - 1.0))
+        # A caller that returns sooner than `MIN_RETRY_AFTER_MS` finds the same engines
+        # full.
+        earliest_ms = MIN_RETRY_AFTER_MS * (1.0 + JITTER_SHARE * draw)
         retry_ms = _within_rule(max(earliest_ms, turn_ms), caller, draw)
         self._promised_ms.append(now_ms + retry_ms)
         return retry_ms
--- a/tests/test_retry_times.py
+++ b/tests/test_retry_times.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gypsumfield.decisions.pace import Pace
+from gypsumfield.decisions.queue_waits import MIN_RETRY_AFTER_MS
 from gypsumfield.decisions.queue_waits import QueuedStream
 from gypsumfield.decisions.queue_waits import start_ms
 from gypsumfield.decisions.retry_times import CALLER_WAIT_SHARE
@@ -59,10 +60,18 @@
     supply = FleetSupply(run_count=40, run_ms=6_000.0, host_count=3)
     times = [promises.promise(supply, 0, PATIENT, 0.0, 0.5) for _ in range(5)]
     assert times == sorted(times)
-    assert times[0] <= 500.0
+    assert MIN_RETRY_AFTER_MS <= times[0] <= 1.5 * MIN_RETRY_AFTER_MS
     assert times[-1] == pytest.approx(4.5 * 450.0)
 
 
+@pytest.mark.parametrize("draw", [0.0, 0.25, 0.5, 1.0])
+def test_no_patient_caller_returns_while_the_same_engines_are_full(draw):
+    # Guards against callers that are told 250 ms and are refused for good.
+    supply = FleetSupply(run_count=400, run_ms=6_000.0, host_count=3)
+    retry_ms = RetryPromises().promise(supply, 0, PATIENT, 0.0, draw)
+    assert retry_ms == pytest.approx(MIN_RETRY_AFTER_MS * (1.0 + 0.5 * draw))
+
+
 def test_a_promise_expires_with_its_time():
     promises = RetryPromises()
     promises.promise(SUPPLY, 0, PATIENT, 0.0, 0.5)
