--- a/src/gypsumfield/gateway/scheduling/lack_records.py
+++ b/src/gypsumfield/gateway/scheduling/lack_records.py
@@ -20,8 +20,8 @@
 # A refusal counts for this time: the shortage that caused it lasts, and its caller
 # comes back.
 RECENT_REFUSAL_MS = 1_000.0
-# The sum of other hosts' statements is computed this often at most. Queued streams ask
-# for it at each change of a load, and a delegate has the statements of a whole zone.
+# The sums of statements are computed this often at most. Queued streams ask for them at
+# each change of a load, and a delegate has the statements of a whole zone.
 SUM_INTERVAL_MS = 100.0
 # Refusals that are remembered; a host that refuses more a second states these only.
 MAX_REFUSALS = 256
@@ -45,6 +45,8 @@
         self._fleet = FleetLacks(availability_zone)
         self._others: Lacks = {}
         self._summed_ms = -math.inf
+        self._all_hosts: Lacks = {}
+        self._merged_ms = -math.inf
         self.running_streams: Callable[[], list[LackKey]] = list
 
     def add_waiting(self, key: LackKey, peak_tokens: int) -> None:
@@ -90,7 +92,11 @@
 
     def all_hosts(self) -> Lacks:
         """Return what the streams of all hosts lack."""
-        return merge([self.own(), self.others()])
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._merged_ms >= SUM_INTERVAL_MS:
+            self._all_hosts = merge([self.own(), self.others()])
+            self._merged_ms = now_ms
+        return self._all_hosts
 
     def wire_own(self) -> list[WireLack]:
         """Return the statement of this host alone, for a delegate or a small fleet."""
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -81,6 +81,21 @@
     assert lacks.wire_own() == []
 
 
+def test_the_sum_of_all_hosts_is_computed_once_in_an_interval():
+    # Guards against a sum over all running streams for each queued stream at each
+    # change of a load.
+    lacks, clock = records()
+    calls = []
+    lacks.running_streams = lambda: calls.append(clock) or [URGENT]
+    lacks.add_waiting(URGENT, 2_000)
+    for _ in range(50):
+        assert lacks.all_hosts()[URGENT].running_count == 1
+    assert len(calls) == 1
+    lacks.add_waiting(URGENT, 2_000)
+    clock.advance(SUM_INTERVAL_MS)
+    assert lacks.all_hosts()[URGENT].waiting_count == 2
+
+
 @pytest.mark.parametrize(("sent", "count"), [(2**63, 1_000_000_000), (-(2**63), 0)])
 def test_counts_of_other_hosts_are_bounded(sent, count):
     # Failure: a damaged statement whose sums no longer fit an integer on the wire.
