--- a/tests/door_host.py
+++ b/tests/door_host.py
@@ -22,6 +22,8 @@
 START_LIMIT_S = 20.0
 ORDINARY_LIMIT_S = 8.0
 BYTES_PER_KB = 1_024
+# State of a listening socket in /proc/net/tcp.
+TCP_LISTEN = "0A"
 SETTINGS = """
 node_name = "edge-1"
 zone = "z1"
@@ -48,16 +50,40 @@
     Attributes:
         process: The process.
         addresses: Listening addresses by name.
+        peak_with_buffers_mb: Most memory that `watch_memory` has seen, together with
+            the bytes in the kernel's buffers of the callers' connections.
     """
 
     def __init__(self, process, addresses):
         self.process = process
         self.addresses = addresses
+        self.peak_with_buffers_mb = 0.0
 
     @property
     def peak_mb(self):
+        return self.memory_mb("VmHWM")
+
+    def memory_mb(self, name):
         status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(status.partition("VmHWM:")[2].split()[0]) / BYTES_PER_KB
+        return int(status.partition(f"{name}:")[2].split()[0]) / BYTES_PER_KB
+
+    @property
+    def buffered_mb(self):
+        """Bytes that callers have sent or are sent, in the buffers of the kernel."""
+        octets = self.addresses["front"].partition(":")[0].split(".")
+        own_ip = "".join(f"{int(octet):02X}" for octet in reversed(octets))
+        total_bytes = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, _, state, queues, *_ = line.split()
+            if local.startswith(own_ip) and state != TCP_LISTEN:
+                total_bytes += sum(int(size, 16) for size in queues.split(":"))
+        return total_bytes / BYTES_PER_KB**2
+
+    def watch_memory(self):
+        while True:
+            used_mb = self.memory_mb("VmRSS") + self.buffered_mb
+            self.peak_with_buffers_mb = max(self.peak_with_buffers_mb, used_mb)
+            gevent.sleep(0.1)
 
     @property
     def descriptor_count(self):
--- /dev/null
+++ b/tests/test_door_buffers.py
@@ -0,0 +1,57 @@
+"""Bytes that callers have sent and the host has not read stay within its memory."""
+
+import gevent
+import pytest
+
+from door_host import EdgeProcess
+from door_host import request_head
+from door_host import send_crowd
+
+pytestmark = pytest.mark.exclusive
+
+MEMORY_MB = 128.0
+CLIENT_COUNT = 500
+SECONDS = 6.0
+BODY_BYTES = 4_000_000
+GET = b"GET /nowhere HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+
+def sending_ahead(sock):
+    while True:
+        sock.sendall(GET * 1_000)
+
+
+def stopping_short(sock):
+    sock.sendall(request_head("/plain/a", BODY_BYTES) + bytes(BODY_BYTES - 1))
+    gevent.sleep(SECONDS)
+
+
+def sending_too_much(sock):
+    sock.sendall(request_head("/nowhere", 10**11))
+    while True:
+        sock.sendall(bytes(65_536))
+
+
+def without_reading(sock):
+    sock.sendall((request_head("/plain/a", 2) + b"ok") * 20)
+    gevent.sleep(SECONDS)
+
+
+# Guards against a host that is killed for bytes which the kernel holds for it.
+@pytest.mark.parametrize("address", ["front", "ready"])
+@pytest.mark.parametrize(
+    "send", [sending_ahead, stopping_short, sending_too_much, without_reading]
+)
+def test_buffers_of_the_kernel_count_towards_the_memory(tmp_path, send, address):
+    host = EdgeProcess(tmp_path, MEMORY_MB)
+    try:
+        host.answer_bytes = 1_000_000
+        watch = gevent.spawn(host.watch_memory)
+        send_crowd(host, address, CLIENT_COUNT, send, SECONDS)
+        watch.kill()
+        host.answer_bytes = 4
+        assert host.is_alive()
+        assert host.peak_with_buffers_mb <= MEMORY_MB
+        assert host.serves_soon()
+    finally:
+        host.end()
