Bound the kernel's buffers of callers' connections by the memory of a host

Cause: up to 290 KB of unread bytes for each of 588 connections of a host with 150 MB, in the kernel and in no budget; they count towards memory_mb. Buffers are 32 KiB now, so that those of all connections stay below a quarter of the memory.

--- a/src/gypsumfield/adapters/accepting.py
+++ b/src/gypsumfield/adapters/accepting.py
@@ -14,9 +14,9 @@
 ACCEPT_PAUSE_MS = 100.0
 # Between two batches, the greenlets of closed connections free their descriptors.
 ACCEPT_BATCH_COUNT = 16
-# The kernel would otherwise keep up to several MB for each connection that is not
-# read. Enough for 100 Mbit/s over 10 ms.
-SOCKET_BUFFER_BYTES = 131_072
+# The kernel keeps twice as much for each direction of a connection that is not read,
+# or several MB without a bound. Enough for 100 Mbit/s over 2 ms.
+SOCKET_BUFFER_BYTES = 16_384
 EXHAUSTION_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # The caller left before its connection was accepted.
 ABORTED_ERRORS = (errno.ECONNABORTED, errno.EPROTO)
