Take only failures of the store that last for an outage

Requests reached a server up to 2.2 s after its registration was deleted, 2 s allowed (DRAIN). Cause: a deleted registration counts for 2.2 s if the store was out of reach shortly before, since it may have lapsed. A host that starts with the view of a peer took its own start for an outage, and any host one broken watch. Registrations lapse only after three intervals without a write, so an outage shorter than 2 s no longer counts; a call without an answer counts from its beginning, as nobody knows since when the store was silent.

--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -27,6 +27,9 @@
 # Several servers that leave together do so within some tens of ms; after a change
 # the next watch waits for the others, so that one call returns them all.
 CHANGE_BATCH_MS = 60.0
+# Servers write their registration every 1.2 s, and it expires after three intervals
+# without a write: none expires because of a shorter outage.
+MIN_EXPIRY_OUTAGE_MS = 2_000.0
 # How soon a host notices that it has to watch the store.
 ROLE_CHECK_MS = 100.0
 # Hosts that watch a restored store list it anew, spread over this time.
@@ -88,6 +91,8 @@
         self._is_history_gone = False
         self._gone_revision = 0
         self._unreachable_since_ms: float | None = deps.clock.monotonic_ms()
+        # Earliest time at which an outage may have begun; None without a failed call.
+        self._failing_since_ms: float | None = None
         self._retry_pause_ms = MIN_RETRY_PAUSE_MS
         self._greenlet: gevent.Greenlet | None = None
 
@@ -122,6 +127,7 @@
         if not is_call_allowed():
             self._deps.clock.sleep_ms(ROLE_CHECK_MS)
             return
+        call_started_ms = self._deps.clock.monotonic_ms()
         try:
             self._list_or_watch()
         except HistoryGoneError:
@@ -130,7 +136,7 @@
             self._gone_revision = self._deps.catalogue.revision
             self._deps.clock.sleep_ms(self._deps.rng.uniform(0.0, RELISTING_SPREAD_MS))
         except PlatformError as error:
-            self._record_unreachable(str(error))
+            self._record_unreachable(str(error), call_started_ms)
             pause_ms = self._retry_pause_ms * self._deps.rng.uniform(0.5, 1.0)
             self._retry_pause_ms = min(MAX_RETRY_PAUSE_MS, self._retry_pause_ms * 2.0)
             self._deps.clock.sleep_ms(pause_ms)
@@ -160,8 +166,9 @@
         if self.is_store_reachable:
             return
         self.is_store_reachable = True
-        if self._is_listed:
+        if self._is_listed and self._may_registrations_have_expired():
             self._deps.catalogue.record_outage_end()
+        self._failing_since_ms = None
         unreachable_since_ms = (
             self._unreachable_since_ms or self._deps.clock.monotonic_ms()
         )
@@ -169,7 +176,20 @@
         era = self._deps.source.era
         self._deps.emit(StoreReached(outage_ms=outage_ms, revision=revision, era=era))
 
-    def _record_unreachable(self, reason: str) -> None:
+    def _may_registrations_have_expired(self) -> bool:
+        """Return whether the store was out of reach for long enough."""
+        if self._failing_since_ms is None:
+            return False
+        failing_ms = self._deps.clock.monotonic_ms() - self._failing_since_ms
+        return failing_ms >= MIN_EXPIRY_OUTAGE_MS
+
+    def _record_unreachable(self, reason: str, call_started_ms: float) -> None:
+        if self._failing_since_ms is None:
+            now_ms = self._deps.clock.monotonic_ms()
+            # A call without an answer hides when the outage began; one that breaks
+            # earlier had a connection until then.
+            is_without_answer = now_ms - call_started_ms >= WATCH_WAIT_MS
+            self._failing_since_ms = call_started_ms if is_without_answer else now_ms
         if self.is_store_reachable or self._unreachable_since_ms is None:
             self._unreachable_since_ms = self._deps.clock.monotonic_ms()
             self._deps.emit(PlatformUnreachable(reason=reason))
