--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -376,7 +376,8 @@
             if item.key.endswith(f"/{server_id}") and record.gone_since_ms is None:
                 gone_record = record._replace(gone_since_ms=now_ms)
                 self._records[server_id] = gone_record
-                self._emit_backend_seen(gone_record, "gone", source)
+                state = "lapsed" if self._may_have_lapsed(now_ms) else "gone"
+                self._emit_backend_seen(gone_record, state, source)
 
     def _emit_backend_seen(self, record: ServerRecord, state: str, source: str) -> None:
         server = record.server
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -26,7 +26,7 @@
 from gypsumfield.platform import documents
 
 
-def make_catalogue(clock):
+def make_catalogue(clock, emit=discard_event):
     """Return an empty catalogue that reads the platform's documents."""
     decoders = Decoders(
         documents.is_configuration_key,
@@ -35,7 +35,7 @@
         documents.decode_publication,
         documents.decode_server,
     )
-    return Catalogue(decoders, clock, discard_event)
+    return Catalogue(decoders, clock, emit)
 
 
 class Fleet:
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -83,6 +83,17 @@
     assert ids_accepting_work(catalogue) == []
 
 
+def test_the_log_tells_a_lapse_from_a_deletion(clock):
+    events = []
+    catalogue = make_catalogue(clock.as_clock(), events.append)
+    catalogue.apply([server("i-1", 3), server("i-2", 4)], 4, "store")
+    catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
+    catalogue.record_outage_end()
+    catalogue.apply([StoreItem("servers/i-2", 7, None)], 7, "store")
+    states = {event.backend_server: event.state for event in events}
+    assert states == {"i-1": "gone", "i-2": "lapsed"}
+
+
 def test_a_registration_deleted_without_an_outage_counts_as_leaving(catalogue):
     catalogue.apply([server("i-1", 3)], 3, "store")
     catalogue.apply([StoreItem("servers/i-1", 6, None)], 6, "store")
