Count a failure of the first call to the store as an outage of unknown length

A host that starts near the end of an outage sees only its last moment; the registrations that lapsed in it still get their time to be written again. The new case failed on the commit before.

--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -1,5 +1,6 @@
 """Keeps the catalogue up to date with the store of published items."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -91,6 +92,7 @@
         self._is_history_gone = False
         self._gone_revision = 0
         self._unreachable_since_ms: float | None = deps.clock.monotonic_ms()
+        self._has_answered = False
         # Earliest time at which an outage may have begun; None without a failed call.
         self._failing_since_ms: float | None = None
         self._retry_pause_ms = MIN_RETRY_PAUSE_MS
@@ -165,7 +167,7 @@
         self._retry_pause_ms = MIN_RETRY_PAUSE_MS
         if self.is_store_reachable:
             return
-        self.is_store_reachable = True
+        self.is_store_reachable = self._has_answered = True
         if self._is_listed and self._may_registrations_have_expired():
             self._deps.catalogue.record_outage_end()
         self._failing_since_ms = None
@@ -183,13 +185,20 @@
         failing_ms = self._deps.clock.monotonic_ms() - self._failing_since_ms
         return failing_ms >= MIN_EXPIRY_OUTAGE_MS
 
+    def _earliest_outage_ms(self, call_started_ms: float) -> float:
+        """Return when the outage that a failed call shows may have begun."""
+        if not self._has_answered:
+            # The host may have started in the middle of it.
+            return -math.inf
+        now_ms = self._deps.clock.monotonic_ms()
+        # A silent store shows only at the end of the wait; a call that breaks earlier
+        # had a connection until then.
+        is_silent = now_ms - call_started_ms >= WATCH_WAIT_MS
+        return call_started_ms if is_silent else now_ms
+
     def _record_unreachable(self, reason: str, call_started_ms: float) -> None:
         if self._failing_since_ms is None:
-            now_ms = self._deps.clock.monotonic_ms()
-            # A call without an answer hides when the outage began; one that breaks
-            # earlier had a connection until then.
-            is_without_answer = now_ms - call_started_ms >= WATCH_WAIT_MS
-            self._failing_since_ms = call_started_ms if is_without_answer else now_ms
+            self._failing_since_ms = self._earliest_outage_ms(call_started_ms)
         if self.is_store_reachable or self._unreachable_since_ms is None:
             self._unreachable_since_ms = self._deps.clock.monotonic_ms()
             self._deps.emit(PlatformUnreachable(reason=reason))
