--- a/tests/test_door_buffers.py
+++ b/tests/test_door_buffers.py
@@ -26,6 +26,11 @@
     gevent.sleep(SECONDS)
 
 
+def sending_whole(sock):
+    sock.sendall(request_head("/plain/a", BODY_BYTES) + bytes(BODY_BYTES))
+    gevent.sleep(SECONDS)
+
+
 def sending_too_much(sock):
     sock.sendall(request_head("/nowhere", 10**11))
     while True:
@@ -40,7 +45,8 @@
 # Guards against a host that is killed for bytes which the kernel holds for it.
 @pytest.mark.parametrize("address", ["front", "ready"])
 @pytest.mark.parametrize(
-    "send", [sending_ahead, stopping_short, sending_too_much, without_reading]
+    "send",
+    [sending_ahead, sending_whole, stopping_short, sending_too_much, without_reading],
 )
 def test_buffers_of_the_kernel_count_towards_the_memory(tmp_path, send, address):
     host = EdgeProcess(tmp_path, MEMORY_MB)
@@ -55,3 +61,17 @@
         assert host.serves_soon()
     finally:
         host.end()
+
+
+# The same with twice the crowd, which leaves less room beside the bodies.
+def test_a_thousand_whole_bodies_stay_within_the_memory(tmp_path):
+    host = EdgeProcess(tmp_path, MEMORY_MB)
+    try:
+        watch = gevent.spawn(host.watch_memory)
+        send_crowd(host, "front", 2 * CLIENT_COUNT, sending_whole, 2 * SECONDS)
+        watch.kill()
+        assert host.is_alive()
+        assert host.peak_with_buffers_mb <= MEMORY_MB
+        assert host.serves_soon()
+    finally:
+        host.end()
