Give a body on its way to a server room for more than one long segment

Callers with large bodies waited: 4 MB took 2.2 s from host to server on the loopback interface, 2,000 ms more than before, which had bounded the send buffer to 32 KiB (64 KiB in the kernel). One segment of that interface fills it, and a server acknowledges a single segment only after 40 ms.

The send buffer is 64 KiB now, the receive buffer stays at 32 KiB.

The new test fails on the code before (not sent within 1 s).

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -34,9 +34,12 @@
 from gypsumfield.verdicts import verdict_of_stage
 
 DROPPED_CODE = "answer_dropped"
-# The kernel keeps twice as much for each direction, or several MB without a bound.
-# Enough for 200 Mbit/s over 2 ms.
-SERVER_BUFFER_BYTES = 32_768
+# The kernel keeps twice as much, or several MB without a bound. Enough for 200 Mbit/s
+# over 2 ms.
+RECEIVE_BUFFER_BYTES = 32_768
+# With half of it, a body of 4 MB took 2.2 s on the loopback interface: one of its long
+# segments fills the buffer, and is acknowledged after 40 ms.
+SEND_BUFFER_BYTES = 65_536
 
 
 class ExchangeTimeouts(NamedTuple):
@@ -298,8 +301,9 @@
             (ip, int(port)), self._timeouts.connect_ms / MS_PER_S
         )
         detect_unreachable_peer(sock, int(self._timeouts.unreachable_ms))
-        for option in (gevent.socket.SO_RCVBUF, gevent.socket.SO_SNDBUF):
-            sock.setsockopt(gevent.socket.SOL_SOCKET, option, SERVER_BUFFER_BYTES)
+        level = gevent.socket.SOL_SOCKET
+        sock.setsockopt(level, gevent.socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(level, gevent.socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         return sock
 
     def _send(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -75,8 +75,10 @@
         self.server.stop()
 
 
-def exchange_with(address, method="PUT", pool=None, abort=None, timeouts=TIMEOUTS):
-    request = OutgoingRequest(address, method, "/notes/a", {}, b"", REQUEST_ID)
+def exchange_with(
+    address, method="PUT", pool=None, abort=None, timeouts=TIMEOUTS, body=b""
+):
+    request = OutgoingRequest(address, method, "/notes/a", {}, body, REQUEST_ID)
     return Exchange(request, timeouts, abort or AbortHandle(), pool)
 
 
@@ -260,3 +262,24 @@
     sock.close()
     is_over.set()
     server.stop(timeout=0)
+
+
+# Guards against a buffer that one segment fills: each then waits 40 ms for its
+# acknowledgement, and this body took more than 2 s.
+def test_a_long_body_is_sent_without_a_wait_for_each_segment():
+    body = bytes(4_000_000)
+
+    def read_body(sock, _address):
+        begin = ScriptedServer.read_request(sock).partition(b"\r\n\r\n")[2]
+        rest_bytes = len(body) - len(begin)
+        while rest_bytes > 0 and (data := sock.recv(65_536)):
+            rest_bytes -= len(data)
+        sock.sendall(UNENDING)
+
+    server = StreamServer(("127.0.0.1", 0), read_body)
+    server.start()
+    exchange = exchange_with(f"127.0.0.1:{server.server_port}", body=body)
+    with gevent.Timeout(1.0):
+        exchange.open(lambda: "")
+    exchange.close()
+    server.stop(timeout=0)
