Free what a request holds when it ends, not with the next garbage collection

Hosts exceeded the memory of their machine under ordinary callers: with four callers that send bodies of 4 MB one after the other, a host took 143 MB (new connections), 204 MB (open ones) and 197 MB (answers of 1 MB), where 150 MB are granted at the smallest site.

Cause: ended requests were left in cycles of references, so that their bodies stayed until the garbage collector ran over its oldest generation, which it does seldom, and no budget counted them. 100 plain calls left 100 handlers, inputs, buffers, exchanges and requests. The cycles: - the answer of a server held a method of its exchange, which held answer and request; - the environment of a caller's request held methods of its handler; - errors that are stored held, by their traceback, the frames that held them: the last error of a call, a lost attempt of a hedge, the failed run of a stream, the failure of a forwarded request, the question for an engine's start, a refusal in the queue of /v1.

The first two are cut. Stored errors are copies without a traceback, or plain values.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -8,6 +8,7 @@
 import math
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 from typing import NamedTuple
 
@@ -335,7 +336,7 @@
 
     def _read_headers(self) -> None:
         self._response = Response(
-            self._sock, self._request.method, self._record_framing
+            self._sock, self._request.method, _framing_counter(self._hold)
         )
         self.stage = Stage.ANSWERING
         if self._hold and "content-length" in self._response:
@@ -345,10 +346,6 @@
         if self._request.must_echo_id and echoed != self._request.request_id:
             raise self._error("the answer is to another request", "answer_crossed")
 
-    def _record_framing(self, size_bytes: int) -> None:
-        if self._hold:
-            self._hold.resize(HeldPart.HEAD, size_bytes)
-
     @property
     def has_end_marker(self) -> bool:
         """Whether the end of the answer is marked, not just by a close."""
@@ -376,6 +373,17 @@
         )
 
 
+def _framing_counter(hold: Hold | None) -> Callable[[int], None]:
+    """Return a function that records the bytes of framing of an answer.
+
+    A method of the exchange would form a cycle with the answer, which would keep the
+    body of the request until the next run of the garbage collector.
+    """
+    if hold is None:
+        return lambda _size_bytes: None
+    return partial(hold.resize, HeldPart.HEAD)
+
+
 def refusal_error(
     message: str, code: str, retry_after_ms: float | None
 ) -> BackendError:
--- a/src/gypsumfield/adapters/caller_server.py
+++ b/src/gypsumfield/adapters/caller_server.py
@@ -85,7 +85,12 @@
 
     def handle_one_response(self) -> None:
         """Answer one request; discard the rest of its body within a time limit."""
-        super().handle_one_response()
+        try:
+            super().handle_one_response()
+        finally:
+            # It refers to the handler: the cycle would keep both until the next run of
+            # the garbage collector.
+            self.environ = None
         self.connection.end_transfer()
         if not self.wsgi_input.is_complete:
             # The rest of the body would be parsed as the next request.
--- a/src/gypsumfield/dispatch.py
+++ b/src/gypsumfield/dispatch.py
@@ -133,6 +133,14 @@
 
 
 class _QueuedRequest(NamedTuple):
+    """A request that waits for a slot.
+
+    Attributes:
+        job: The request.
+        tried: Servers that it was sent to.
+        result: A placement, a refusal, or None if the caller has left.
+    """
+
     job: Job
     tried: frozenset[str]
     result: AsyncResult
@@ -201,15 +209,18 @@
 
     def _await_result(self, queued: _QueuedRequest) -> Placement:
         abort = queued.job.abort
-        caller_gone = CallerGoneError(
-            "the caller disconnected while its request was queued"
-        )
-        abort.attach(lambda: queued.result.set_exception(caller_gone))
+        abort.attach(lambda: queued.result.set(None))
         try:
-            placement: Placement = queued.result.get()
+            outcome: Placement | Refusal | None = queued.result.get()
         finally:
             abort.attach(None)
-        return placement
+        if outcome is None:
+            raise CallerGoneError(
+                "the caller disconnected while its request was queued"
+            )
+        if isinstance(outcome, Refusal):
+            raise RefusedError(outcome)
+        return outcome
 
     def _build_queue_entry(self, job: Job, now_ms: float) -> QueueEntry:
         start_deadline_ms = min(
@@ -296,7 +307,7 @@
             queued = self._queued_requests.get(queue_refusal.entry.demand.request_id)
             if queued is not None and not queued.result.ready():
                 refusal = _refusal_from_queue(queue_refusal, self._last_slot_refusal)
-                queued.result.set_exception(RefusedError(refusal))
+                queued.result.set(refusal)
 
 
 def _refusal_from_queue(refused: QueueRefusal, slot_reason: str) -> Refusal:
--- a/src/gypsumfield/event_stream.py
+++ b/src/gypsumfield/event_stream.py
@@ -83,7 +83,7 @@
                 without an event.
         """
         if self._error is not None:
-            raise self._error
+            raise self._error.without_traceback()
         self._buffer += data
         pieces: list[StreamEvent] = []
         begin = 0
@@ -96,7 +96,7 @@
         except BackendError as error:
             if not pieces:
                 raise
-            self._error = error
+            self._error = error.without_traceback()
         del self._buffer[:begin]
         self._searched_bytes = max(0, self._searched_bytes - begin)
         return pieces
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -55,6 +55,14 @@
         self.code = code
         self.retry_after_ms = retry_after_ms
 
+    def without_traceback(self) -> "BackendError":
+        """Return a copy to store beyond the ``except`` clause.
+
+        A stored traceback holds the frames of the request, and they the error: the
+        cycle would keep the request until the next run of the garbage collector.
+        """
+        return BackendError(str(self), self.verdict, self.code, self.retry_after_ms)
+
 
 class HeldMemoryError(GypsumfieldError):
     """The host holds as many bytes of callers and servers as it may."""
--- a/src/gypsumfield/gateway/application.py
+++ b/src/gypsumfield/gateway/application.py
@@ -245,7 +245,7 @@
         if not job.must_serve_here:
             self._deps.plain.retry_share(job.service).record_request(now_ms)
         placer = self._deps.streams.attempts.placer
-        failure: RefusedError | None = None
+        failure: Refusal | None = None
         if not placer.should_forward(job):
             try:
                 return self._serve_here(job)
@@ -254,11 +254,11 @@
                 may_send = may_repeat(job.route) or not has_run
                 if not (may_send and placer.should_forward(job)):
                     raise
-                failure = error if has_run else None
+                failure = error.refusal if has_run else None
         answer = self._deps.forwarder.forward(job)
         if answer is None and failure is not None:
             # A later refusal would state that the call has not run.
-            raise failure
+            raise RefusedError(failure)
         return answer or self._serve_here(job._replace(must_serve_here=True))
 
     def _serve_here(self, job: Job) -> BufferedAnswer | OpenStream:
--- a/src/gypsumfield/gateway/engine_starts.py
+++ b/src/gypsumfield/gateway/engine_starts.py
@@ -185,7 +185,10 @@
                 self._ask(abort, request_id, server)
                 return
             # It may have been asked before the connection was opened.
-            if asking.get() >= connected_ms:
+            outcome = asking.get()
+            if isinstance(outcome, BackendError):
+                raise outcome.without_traceback()
+            if outcome >= connected_ms:
                 return
 
     def _ask(self, abort: AbortHandle, request_id: str, server: BackendServer) -> None:
@@ -199,7 +202,7 @@
             self.read_runs(server)
             result.set(asked_ms)
         except BackendError as error:
-            result.set_exception(error)
+            result.set(error.without_traceback())
             raise
         finally:
             del self._asking[server.server_id]
--- a/src/gypsumfield/gateway/forwarding.py
+++ b/src/gypsumfield/gateway/forwarding.py
@@ -142,7 +142,7 @@
                 self._log(job, card, str(error))
                 if error.verdict is RunVerdict.NOT_RUN:
                     continue
-                failure = error
+                failure = error.without_traceback()
                 if not may_repeat(job.route):
                     break
                 continue
@@ -150,7 +150,7 @@
                 return answer
         if failure is not None:
             is_late = job.remaining_ms(self._deps.clock) <= 0.0
-            raise refusal_after_failure(failure, is_late) from failure
+            raise refusal_after_failure(failure, is_late)
         return None
 
     def resume(self, job: Job, last_event_id: str) -> ForwardedStream | None:
--- a/src/gypsumfield/gateway/plain_calls.py
+++ b/src/gypsumfield/gateway/plain_calls.py
@@ -110,7 +110,7 @@
                 return attempt.send(job)
             return _send_first(deps, job, progress, attempt)
         except BackendError as error:
-            last_error = _error_to_report(last_error, error)
+            last_error = _error_to_report(last_error, error.without_traceback())
             if not _may_retry(deps, job, progress, error, clock.monotonic_ms()):
                 break
     if progress.failure is not None:
--- a/src/gypsumfield/gateway/scheduling/hedged_calls.py
+++ b/src/gypsumfield/gateway/scheduling/hedged_calls.py
@@ -352,6 +352,8 @@
         for attempt in self.attempts:
             if attempt.is_done:
                 attempt.hold.release()
+        # The error that was raised refers to this race.
+        self.attempts = []
 
     def _cancel(self, reason: str) -> None:
         """End the attempts that are pending; each closes its connection."""
@@ -366,8 +368,10 @@
         own_job = self._job._replace(abort=attempt.abort, hold=attempt.hold)
         try:
             attempt.answer = planned.send(own_job)
-        except BaseException as error:
+        except BackendError as error:
             # It is raised again in the greenlet of the call.
+            attempt.error = error.without_traceback()
+        except BaseException as error:
             attempt.error = error
         finally:
             attempt.is_done = True
--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -123,6 +123,7 @@
             exchange = self._answer.exchange
             (exchange.finish if is_complete else exchange.close)()
             self._answer = None
+        self._reader = None
         self.copies.close()
         self.version.close(is_complete)
         if hasattr(self, "run"):
@@ -150,7 +151,7 @@
                 if not self._run_count:
                     self._deps.attempts.part_guard.refuse_condemned(self.job)
                 if error.verdict is not RunVerdict.NOT_RUN:
-                    self._run_error = error
+                    self._run_error = error.without_traceback()
                 if not self._may_retry(error):
                     raise self._final_refusal(self._run_error or error) from error
                 continue
@@ -273,10 +274,10 @@
             self._futile_resume_count += 1
             is_futile = self._futile_resume_count > MAX_FUTILE_RESUMES
             if self.job.abort.reason or self._remaining_ms() <= 0.0 or is_futile:
-                raise error
+                raise error.without_traceback()
             if error.code == NOT_ENDED_CODE:
                 # The caller may take the stream up once the run has ended.
-                raise error
+                raise error.without_traceback()
             copies = self.copies.resume_points()
             if copies:
                 self._resume_copy(copies)
@@ -284,7 +285,7 @@
             if self._resume_at_other_host():
                 return
             if not self.job.route.is_resumable or not self._may_retry(error):
-                raise error
+                raise error.without_traceback()
             placement = self._acquire_placement(self._planned_tokens())
             resume = ResumePoint(self.last_event_id)
             try:
--- a/tests/test_door_buffers.py
+++ b/tests/test_door_buffers.py
@@ -1,11 +1,14 @@
 """Bytes that callers have sent and the host has not read stay within its memory."""
 
+import contextlib
+
 import gevent
 import pytest
 
 from door_host import EdgeProcess
 from door_host import request_head
 from door_host import send_crowd
+from edge_fleet import read_answer
 
 pytestmark = pytest.mark.exclusive
 
@@ -79,3 +82,26 @@
         assert host.serves_soon()
     finally:
         host.end()
+
+
+# Guards against bodies that a host keeps after their requests have ended.
+def test_large_bodies_of_ordinary_callers_stay_within_the_memory(tmp_path):
+    host = EdgeProcess(tmp_path, MEMORY_MB)
+
+    def call_repeatedly():
+        with contextlib.closing(host.connect()) as sock:
+            for _ in range(25):
+                sock.sendall(request_head("/plain/a", BODY_BYTES))
+                sock.sendall(BODY)
+                assert read_answer(sock)[0] == 200
+
+    try:
+        watch = gevent.spawn(host.watch_memory)
+        gevent.joinall(
+            [gevent.spawn(call_repeatedly) for _ in range(4)], raise_error=True
+        )
+        watch.kill()
+        assert host.peak_with_buffers_mb <= MEMORY_MB
+        assert host.serves_soon()
+    finally:
+        host.end()
