Give bodies of 32 KiB or more pages of their own

Bodies up to 128 KiB grew in the heap of the process. Bodies that grow side by side leave gaps there, which no later body fits into and which are not returned.

The size from which a block has its own pages is 32 KiB now; the free memory that is kept at the end of the heap stays at 128 KiB.

The test of a thousand bodies also runs with 88 MB now; that case fails on the code before.

--- a/src/gypsumfield/adapters/allocator.py
+++ b/src/gypsumfield/adapters/allocator.py
@@ -5,7 +5,11 @@
 # Numbers of the options in malloc.h.
 _M_TRIM_THRESHOLD = -1
 _M_MMAP_THRESHOLD = -3
-LARGE_BLOCK_BYTES = 131_072
+# With 128 KiB, bodies that grow side by side left more of the heap unused: 1,000 of
+# 4 MB took 87 to 93 MB, and 82 to 84 with this size.
+LARGE_BLOCK_BYTES = 32_768
+# Free memory at the end of the heap that is kept.
+TRIM_BYTES = 131_072
 
 
 def return_large_blocks() -> bool:
@@ -21,8 +25,7 @@
     mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
     if mallopt is None:
         return False
-    results = [
-        mallopt(option, LARGE_BLOCK_BYTES)
-        for option in (_M_MMAP_THRESHOLD, _M_TRIM_THRESHOLD)
-    ]
-    return all(results)
+    return bool(
+        mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+        and mallopt(_M_TRIM_THRESHOLD, TRIM_BYTES)
+    )
--- a/tests/test_door_buffers.py
+++ b/tests/test_door_buffers.py
@@ -70,15 +70,17 @@
         host.end()
 
 
-# The same with twice the crowd, which leaves less room beside the bodies.
-def test_a_thousand_whole_bodies_stay_within_the_memory(tmp_path):
-    host = EdgeProcess(tmp_path, MEMORY_MB)
+# The same with twice the crowd, which leaves less room beside the bodies; the smallest
+# machines have 88 MB.
+@pytest.mark.parametrize("memory_mb", [88.0, MEMORY_MB])
+def test_a_thousand_whole_bodies_stay_within_the_memory(tmp_path, memory_mb):
+    host = EdgeProcess(tmp_path, memory_mb)
     try:
         watch = gevent.spawn(host.watch_memory)
         send_crowd(host, "front", 2 * CLIENT_COUNT, sending_whole, 2 * SECONDS)
         watch.kill()
         assert host.is_alive()
-        assert host.peak_with_buffers_mb <= MEMORY_MB
+        assert host.peak_with_buffers_mb <= memory_mb
         assert host.serves_soon()
     finally:
         host.end()
