Wait for an address that is still in use when a host starts

A host whose address was in use for a moment, because its last process had not ended or an outgoing connection had the port, ended with a traceback, and stayed away until something started it again.

The same holds for the port of the peers.

--- a/src/gypsumfield/commands/edge.py
+++ b/src/gypsumfield/commands/edge.py
@@ -12,6 +12,7 @@
 from gypsumfield.adapters.logs import open_event_stream
 from gypsumfield.clock import Clock
 from gypsumfield.clock import system_clock
+from gypsumfield.exceptions import ListenError
 from gypsumfield.exceptions import SettingsError
 from gypsumfield.gateway.composition import build_edge_host
 from gypsumfield.gateway.edge_host import EdgeHost
@@ -24,6 +25,7 @@
 EXIT_CLEAN = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_ANSWERS_CUT = 3
+EXIT_ADDRESS_UNUSABLE = 4
 # A changed settings file must take effect within the same time as a changed
 # configuration.
 SETTINGS_CHECK_INTERVAL_S = 1.0
@@ -44,7 +46,11 @@
     stop = Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(signal_number, stop.set)
-    host.start()
+    try:
+        host.start()
+    except ListenError as error:
+        sys.stderr.write(f"gypsumfield-edge: {error}\n")
+        return EXIT_ADDRESS_UNUSABLE
     SettingsWatch(path, host, path.read_bytes()).start()
     stop.wait()
     return EXIT_ANSWERS_CUT if host.drain() else EXIT_CLEAN
--- a/src/gypsumfield/connection_events.py
+++ b/src/gypsumfield/connection_events.py
@@ -14,6 +14,12 @@
     reason: str
 
 
+class AddressInUse(Event, frozen=True, kw_only=True, tag="address_in_use"):
+    """A starting host waits until another process has left one of its addresses."""
+
+    address: str
+
+
 class ConnectionsClosed(Event, frozen=True, kw_only=True, tag="connections_closed"):
     """Callers' connections were closed to keep the limits of the host.
 
--- a/src/gypsumfield/exceptions.py
+++ b/src/gypsumfield/exceptions.py
@@ -13,6 +13,10 @@
     """A settings file cannot be used; the message names file and field."""
 
 
+class ListenError(GypsumfieldError):
+    """The host cannot listen on one of its addresses; the message names it."""
+
+
 class ConfigurationError(GypsumfieldError):
     """A published value cannot be used; the message names key and field."""
 
--- a/src/gypsumfield/gateway/edge_host.py
+++ b/src/gypsumfield/gateway/edge_host.py
@@ -7,6 +7,7 @@
 from gypsumfield.adapters.caller_server import CallerServer
 from gypsumfield.adapters.caller_server import RequestTracker
 from gypsumfield.adapters.connections import ConnectionPool
+from gypsumfield.adapters.listening import start_listening
 from gypsumfield.adapters.loop_lag import LoopLag
 from gypsumfield.clock import Clock
 from gypsumfield.clock import MS_PER_S
@@ -104,13 +105,19 @@
         self._maintained_ms = clock.monotonic_ms()
 
     def start(self) -> None:
-        """Start the servers, then follow the store and find the peers."""
+        """Start the servers, then follow the store and find the peers.
+
+        Raises:
+            ListenError: One of the addresses cannot be used.
+        """
         components = self.components
         components.loop_lag.start()
         for server in components.servers:
-            server.start()
+            ip, port = server.address
+            start_listening(server.start, f"{ip}:{port}", self._clock, self._emit)
         components.follower.start()
-        components.peers.start()
+        news_address = f"{self._settings.ip}:{self._settings.news_port}"
+        start_listening(components.peers.start, news_address, self._clock, self._emit)
         components.paths.start()
         components.protector.start()
         components.report_poller.start()
--- a/tests/door_host.py
+++ b/tests/door_host.py
@@ -116,8 +116,8 @@
             "ready": f"{ip}:{ready}",
             "metrics": f"{ip}:9464",
         }
-        path = folder / "node.toml"
-        path.write_text(
+        self.settings_path = folder / "node.toml"
+        self.settings_path.write_text(
             SETTINGS.format(
                 ip=ip,
                 front=front,
@@ -141,7 +141,7 @@
                 [sys.executable, str(source)],
                 stdout=log,
                 stderr=errors,
-                env=os.environ | {"GYPSUMFIELD_NODE_FILE": str(path)},
+                env=os.environ | {"GYPSUMFIELD_NODE_FILE": str(self.settings_path)},
             )
         super().__init__(process, addresses)
         with gevent.Timeout(START_LIMIT_S):
