Record a failed resumption before its error loses its cause

The failure is recorded with the error itself; the copy is only kept for the refusal. The other two places that look at the cause of an error (`record_failure` for the first attempt and for plain calls, and the questions about the end of a run) get the original.

The new test fails on the code before.

--- a/src/gypsumfield/gateway/streams.py
+++ b/src/gypsumfield/gateway/streams.py
@@ -269,14 +269,13 @@
     def _resume_elsewhere(self, error: BackendError) -> None:
         """Resume on another engine after a failure, or raise the last error."""
         self.version.record_failure(self.server)
+        self._record_failure(error)
         while True:
-            self._record_failure(error)
             self._futile_resume_count += 1
             is_futile = self._futile_resume_count > MAX_FUTILE_RESUMES
-            if self.job.abort.reason or self._remaining_ms() <= 0.0 or is_futile:
-                raise error.without_traceback()
-            if error.code == NOT_ENDED_CODE:
-                # The caller may take the stream up once the run has ended.
+            # The caller may take the stream up once a run that goes on has ended.
+            is_final = is_futile or error.code == NOT_ENDED_CODE
+            if is_final or self.job.abort.reason or self._remaining_ms() <= 0.0:
                 raise error.without_traceback()
             copies = self.copies.resume_points()
             if copies:
@@ -292,6 +291,7 @@
                 self._resume_on(placement.server, resume, placement.reservation)
                 return
             except BackendError as failure:
+                self._record_failure(failure)
                 error = failure.without_traceback()
 
     def _resume_at_other_host(self) -> bool:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -10,6 +10,7 @@
 from fake_platform import STREAM_END
 from fake_platform import stream_head
 from fake_platform import unframed_head
+from gypsumfield.adapters.backends import Exchange
 
 KINDS = {"engine": "streaming"}
 PROMPT = "X-Token-Counts: 1000,800\r\nX-Length-Hint: 800\r\nX-Model: m\r\n"
@@ -247,3 +248,33 @@
     assert bool(fleet.resumptions) == is_moved
     assert bool(fleet.events_named("engine_unreachable")) == is_moved
     assert not fleet.events_named("part_evidence")
+
+
+# Guards against a time-out of the path that is counted as a failure of the engine.
+def test_a_connect_timeout_of_a_resumption_is_recorded_as_one(
+    resumable_fleet, monkeypatch
+):
+    open_connection = Exchange._open_connection
+
+    def time_out(exchange):
+        if exchange._request.target == "/engine/":
+            raise TimeoutError
+        return open_connection(exchange)
+
+    def break_stream(request, sock):
+        if "x-attempt-id" not in request["headers"]:
+            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return None
+        sock.sendall(stream_head(request) + event(1))
+        gevent.sleep(0.02)
+        monkeypatch.setattr(Exchange, "_open_connection", time_out)
+        return "close"
+
+    for number in range(3):
+        resumable_fleet.add_server("engine", f"e{number}", break_stream)
+    resumable_fleet.start()
+    placer = resumable_fleet.host.components.placer
+    servers = []
+    monkeypatch.setattr(placer, "record_connect_timeout", servers.append)
+    resumable_fleet.call("/engine/", headers=PROMPT)
+    assert servers
