--- a/src/gypsumfield/adapters/listening.py
+++ b/src/gypsumfield/adapters/listening.py
@@ -21,7 +21,7 @@
 
     Args:
         start: Opens the address, or raises `OSError`.
-        address: ``IP:PORT``.
+        address: What is opened, as ``IP:PORT``, for the log and the error.
         clock: Clock of the host.
         emit: Logs that the address is in use, once.
 
