Continue a listing after the last key as the store wrote it

Callers of hosts that were started while entries with odd names stood in the list of servers got no answer but refusals: the hosts had no view of the store.

Cause: StoreClient took the position of the next page from the last entry that it could use. A page on which no key was a name (blanks, control characters, characters outside of ASCII) had no position, so that each listing failed at the same page. The check that positions rise compared characters, which is not the order of every store.

Now the position is the last key of the page as it was written, whether or not its entry can be used; what a position may not do is come back. Hosts that run were not affected: they watch.

Evidence: the fake store lists in pages.

--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import json
 import re
 from collections.abc import Callable
 from typing import Annotated
@@ -37,6 +38,8 @@
 ANSWER_LIMIT_BYTES = 16 * 1_048_576
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
+# Keys are bytes; in text, a lone surrogate stands for a byte that is no character.
+_KEY_ERRORS = "surrogateescape"
 # The store does not use request ids and ignores this header.
 _ID_HEADER = "X-Call-Id"
 # Rises by one each time the store has been restored from a copy.
@@ -117,25 +120,21 @@
         items: list[StoreItem] = []
         first_revision = None
         first_era = 0
-        after = ""
+        positions: list[str] = []
         while True:
             target = f"/-/kv-range?path_prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&after={quote(after, safe='')}"
+            if positions:
+                target += f"&after={quote(positions[-1], safe='', errors=_KEY_ERRORS)}"
             page = _decode(_PAGE_DECODER, self._call(target, CALL_TIMEOUT_MS))
             if first_revision is None:
                 first_era = self.era
                 first_revision = combine_revision(first_era, page.at)
             if self.era != first_era:
                 raise PlatformError("store: it was restored during a listing")
-            page_items = self._valid_items(page.entries)
-            items.extend(page_items)
+            items.extend(self._valid_items(page.entries))
             if not page.has_more or not page.entries:
                 return Listing(items, first_revision)
-            last_key = page_items[-1].key if page_items else ""
-            if last_key <= after:
-                raise PlatformError("store: a page of the listing has no next one")
-            after = last_key
+            positions.append(_next_position(page.entries, positions))
 
     def watch(
         self, prefix: str, after_revision: int, wait_ms: int
@@ -213,6 +212,31 @@
         return body
 
 
+def _next_position(entries: list[msgspec.Raw], used: list[str]) -> str:
+    """Return the key after which the next page of a listing begins.
+
+    It is the last key as the store wrote it, whether or not its entry can be used.
+
+    Raises:
+        PlatformError: No entry has a key after which no page began yet.
+    """
+    for entry in reversed(entries):
+        key = _written_key(entry)
+        if key and key not in used:
+            return key
+    raise PlatformError("store: a page of the listing has no next one")
+
+
+def _written_key(entry: msgspec.Raw) -> str:
+    """Return the key of an entry of an answer, or empty if it has none."""
+    try:
+        fields = json.loads(bytes(entry).decode("utf-8", _KEY_ERRORS))
+    except (ValueError, RecursionError):
+        return ""
+    key = fields.get("key") if isinstance(fields, dict) else None
+    return key if isinstance(key, str) else ""
+
+
 def _decode_era(headers: list[tuple[str, str]]) -> int:
     values = {name.lower(): value.strip() for name, value in headers}
     text = values.get(ERA_HEADER.lower(), "")
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -13,6 +13,8 @@
 # Longer than any test waits.
 LOST_ANSWER_S = 60.0
 SEAL_HEADER = "X-Response-Seal: s\r\n"
+# Keys are bytes; in text, a lone surrogate stands for a byte that is no character.
+KEY_ERRORS = "surrogateescape"
 
 
 class FakeStore:
@@ -21,6 +23,9 @@
     Attributes:
         era: Number that each answer names; rises with each restoration.
         odd_events: Entries that are sent with each answer to a watch.
+        page_size: Entries of a page of a listing; None for all.
+        order: Returns the position of a key in a listing.
+        writes_ascii: Whether answers escape all characters but ASCII.
         forgets_positions: Whether a watch from a revision that a restored store does
             not have gets 410.
         is_losing_answers: Whether answers to watches never come.
@@ -33,6 +38,9 @@
         self.items = {}
         self.history = []
         self.odd_events = []
+        self.page_size = None
+        self.order = key_bytes
+        self.writes_ascii = True
         self.revision = 1
         self.is_down = False
         self.is_losing_answers = False
@@ -84,16 +92,14 @@
         self.change_event = Event()
 
     def serve(self, environ, start_response):
-        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        fields = parse_qs(environ["QUERY_STRING"], errors=KEY_ERRORS)
+        query = {name: values[0] for name, values in fields.items()}
         self.calls.append(environ["PATH_INFO"])
         if self.is_down:
             start_response("503 Service Unavailable", [])
             return [b""]
         if environ["PATH_INFO"] == "/-/kv-range":
-            return self._send_json(
-                start_response,
-                {"entries": list(self.items.values()), "at": self.revision},
-            )
+            return self._send_json(start_response, self._page(query))
         after = int(query["after"])
         is_unknown = self.forgets_positions and after > self.revision
         if after < self.oldest_revision or is_unknown:
@@ -112,6 +118,18 @@
             start_response, {"events": self._changes_after(after), "at": self.revision}
         )
 
+    def _page(self, query):
+        """Return the page of a listing that begins after a key."""
+        after = query.get("after")
+        keys = [
+            key
+            for key in sorted(self.items, key=self.order)
+            if after is None or self.order(key) > self.order(after)
+        ]
+        entries = [self.items[key] for key in keys[: self.page_size]]
+        has_more = len(entries) < len(keys)
+        return {"entries": entries, "has_more": has_more, "at": self.revision}
+
     def _changes_after(self, revision):
         changes = [item for item in self.history if item["revision"] > revision]
         return changes and [*self.odd_events, *changes]
@@ -119,7 +137,12 @@
     def _send_json(self, start_response, body):
         headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
         start_response("200 OK", headers)
-        return [json.dumps(body).encode()]
+        return [key_bytes(json.dumps(body, ensure_ascii=self.writes_ascii))]
+
+
+def key_bytes(text):
+    """Return the bytes of text that may stand for bytes of no character."""
+    return text.encode("utf-8", KEY_ERRORS)
 
 
 class FakeBackendServer:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,12 +5,16 @@
 import pytest
 
 from edge_fleet import EdgeFleet
+from edge_fleet import HostGroup
 from fake_platform import complete_answer
 from fake_platform import registration
 from fake_platform import wait_until
 from gypsumfield.exceptions import ConfigurationError
+from gypsumfield.gateway.composition import build_edge_host
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
+from odd_keys import odd_keys
+from odd_keys import ODD_NAMES
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
 SOUND = {
@@ -184,3 +188,90 @@
         fleet.store.put("servers/s2", data)
     assert is_following(fleet)
     assert fleet.host.components.catalogue.servers_of("plain") == records
+
+
+UNREADABLE = b"\xff\x00"
+PAGE_SIZE = 2
+
+
+def put_keys(fleet, names, value):
+    """Write entries under odd names, in each place of a listing and whole pages."""
+    for name in names:
+        for key in odd_keys(name, PAGE_SIZE):
+            fleet.store.put(key, value)
+
+
+@pytest.fixture
+def group():
+    host_group = HostGroup("plain", "idempotent", host_count=3)
+    host_group.store.page_size = PAGE_SIZE
+    host_group.publish()
+    for server_id in ("b1", "f1"):
+        add_answering_server(host_group, server_id)
+    yield host_group
+    host_group.stop()
+
+
+def add_answering_server(fleet, server_id):
+    fleet.add_server(
+        "plain", server_id, lambda request, sock: sock.sendall(complete_answer(request))
+    )
+
+
+def call_each_host(group):
+    """Return the status of a call to each host."""
+    statuses = []
+    for settings, _ in group.hosts:
+        group.settings = settings
+        statuses.append(group.call("/plain/")[0])
+    return statuses
+
+
+def restart_together(group):
+    """End all hosts at once and start them again."""
+    for _, host in group.hosts:
+        host.stop()
+    group.hosts = [
+        (settings, build_edge_host(settings, group.clock, group.events.append))
+        for settings, _ in group.hosts
+    ]
+    for _, host in group.hosts:
+        host.start()
+    for _, host in group.hosts:
+        wait_until(lambda host=host: group.knows_all(host))
+
+
+@pytest.mark.parametrize("name", ODD_NAMES.values(), ids=ODD_NAMES)
+def test_a_host_that_starts_while_an_entry_has_an_odd_name_serves(fleet, name):
+    fleet.store.page_size = 1
+    put_keys(fleet, [name], UNREADABLE)
+    fleet.start()
+    assert is_following(fleet)
+
+
+@pytest.mark.parametrize("writes_ascii", [True, False], ids=["escaped", "plain"])
+def test_hosts_that_start_together_among_entries_with_odd_names_serve(
+    group, writes_ascii
+):
+    group.store.writes_ascii = writes_ascii
+    group.start_hosts()
+    put_keys(group, ODD_NAMES.values(), UNREADABLE)
+    assert call_each_host(group) == [200] * 3
+    restart_together(group)
+    assert call_each_host(group) == [200] * 3
+
+
+def test_servers_that_come_and_leave_among_entries_with_odd_names_are_noticed(group):
+    put_keys(group, ODD_NAMES.values(), UNREADABLE)
+    group.start_hosts()
+    restart_together(group)
+    add_answering_server(group, "h1")
+    for _, host in group.hosts:
+        wait_until(lambda host=host: group.knows_all(host), 2.0)
+    group.servers.pop("b1").crash()
+    group.store.delete("servers/b1")
+    for _, host in group.hosts:
+        catalogue = host.components.catalogue
+        wait_until(lambda c=catalogue: c.is_leaving(c.find_server("b1")), 2.0)
+    put_keys(group, ODD_NAMES.values(), UNREADABLE)
+    assert call_each_host(group) == [200] * 3
