Read an answer of the store in which a key is no Unicode

Callers of hosts that had just started got no answer, and running hosts learned of no change: their listings and watches failed again and again while one entry had a key with bytes that are no UTF-8.

Cause: a store that writes ASCII escapes such bytes as lone surrogates, which makes the whole page, or the whole answer to a watch, malformed JSON for the decoder. Each entry was decoded on its own, but only after that.

An answer that can't be decoded is now read once more with the bytes for which its escapes stand; the entry is then left out like each one that is no item.

Keys that are written as plain bytes held.

--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -245,11 +245,32 @@
 
 def _decode(decoder: Decoder[_AnswerT], body: bytes) -> _AnswerT:
     try:
-        return decode(decoder, body)
+        try:
+            return decode(decoder, body)
+        except InvalidDataError:
+            # A key with an escaped lone surrogate makes the whole answer malformed.
+            return decode(decoder, _unescape(body))
     except InvalidDataError as error:
         raise PlatformError(f"store: the answer is invalid: {error}") from error
 
 
+def _unescape(body: bytes) -> bytes:
+    """Return JSON with the bytes for which its escaped lone surrogates stand.
+
+    Raises:
+        InvalidDataError: It is no JSON.
+    """
+    try:
+        document = json.loads(body.decode("utf-8", _KEY_ERRORS))
+        text = json.dumps(document, ensure_ascii=False)
+    except (ValueError, RecursionError) as error:
+        raise InvalidDataError(str(error) or type(error).__name__) from error
+    try:
+        return text.encode("utf-8", _KEY_ERRORS)
+    except UnicodeEncodeError:
+        return text.encode("utf-8", "surrogatepass")
+
+
 def _convert_item(wire: _WireItem, era: int) -> StoreItem:
     revision = combine_revision(era, wire.revision)
     if wire.deleted:
--- a/tests/odd_keys.py
+++ b/tests/odd_keys.py
@@ -36,6 +36,7 @@
     "byte-order-mark": "\ufeffa",
     "last-of-the-plane": "\uffff",
     "emoji": "\U0001f600",
+    "no-utf-8": "a\udcff\udcfe",
     "long": "&" * 190,
     "empty": "",
 }
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -249,6 +249,17 @@
     assert is_following(fleet)
 
 
+@pytest.mark.parametrize("name", ODD_NAMES.values(), ids=ODD_NAMES)
+def test_a_host_that_watches_an_entry_with_an_odd_name_serves(fleet, name):
+    fleet.start()
+    put_keys(fleet, [name], UNREADABLE)
+    assert is_following(fleet)
+    for key in odd_keys(name, PAGE_SIZE):
+        fleet.store.delete(key)
+    assert is_following(fleet)
+    assert fleet.store.calls.count("/-/kv-range") == 1
+
+
 @pytest.mark.parametrize("writes_ascii", [True, False], ids=["escaped", "plain"])
 def test_hosts_that_start_together_among_entries_with_odd_names_serve(
     group, writes_ascii
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -89,3 +89,12 @@
     store.order = lambda key: [-byte for byte in key_bytes(key)]
     keys, _ = list_keys(store)
     assert keys == SOUND_KEYS[::-1]
+
+
+def test_a_listing_goes_on_after_a_key_that_is_no_text(store):
+    for key in ["servers/a", "servers/e", "servers/z"]:
+        store.put(key, b"{}")
+    store.items["servers/e"]["key"] = "servers/e\ud800"
+    store.page_size = 1
+    keys, _ = list_keys(store)
+    assert keys == ["servers/a", "servers/z"]
