End the use of a server only with the deletion of its own key

A sound server got no more requests when an entry such as servers/x/s1, which names no server, was removed while a server s1 existed.

Cause: the deletion was matched by the end of the key. The catalogue now asks the adapter for the id in a key and looks up that server.

Evidence: the new test fails before for servers/x/s1; other/s1 and op/evacuate/x/s1, which are no keys of servers, held.

--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -371,13 +371,14 @@
         )
 
     def _mark_server_gone(self, item: StoreItem, source: str, now_ms: float) -> None:
-        for record in list(self._records.values()):
-            server_id = record.server.server_id
-            if item.key.endswith(f"/{server_id}") and record.gone_since_ms is None:
-                gone_record = record._replace(gone_since_ms=now_ms)
-                self._records[server_id] = gone_record
-                state = "lapsed" if self._may_have_lapsed(now_ms) else "gone"
-                self._emit_backend_seen(gone_record, state, source)
+        server_id = self._decoders.server_id(item.key)
+        record = self._records.get(server_id)
+        if record is None or record.gone_since_ms is not None:
+            return
+        gone_record = record._replace(gone_since_ms=now_ms)
+        self._records[server_id] = gone_record
+        state = "lapsed" if self._may_have_lapsed(now_ms) else "gone"
+        self._emit_backend_seen(gone_record, state, source)
 
     def _emit_backend_seen(self, record: ServerRecord, state: str, source: str) -> None:
         server = record.server
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -77,6 +77,7 @@
         Decoders(
             is_configuration=documents.is_configuration_key,
             is_server=documents.is_server_key,
+            server_id=documents.server_id,
             evacuated_zone=documents.evacuated_zone,
             publication=documents.decode_publication,
             server=documents.decode_server,
--- a/src/gypsumfield/gateway/published_items.py
+++ b/src/gypsumfield/gateway/published_items.py
@@ -38,6 +38,7 @@
     Attributes:
         is_configuration: Whether a key holds the configuration.
         is_server: Whether a key holds the registration of a server.
+        server_id: Returns the id of the server whose registration a key holds.
         evacuated_zone: Returns the zone of an evacuation's key, empty for others.
         publication: Decodes a configuration; raises `ConfigurationError`.
         server: Decodes a registration from its key, value and revision; raises
@@ -46,6 +47,7 @@
 
     is_configuration: Callable[[str], bool]
     is_server: Callable[[str], bool]
+    server_id: Callable[[str], str]
     evacuated_zone: Callable[[str], str]
     publication: Callable[[bytes], Publication]
     server: Callable[[str, bytes, int], BackendServer]
--- a/src/gypsumfield/platform/documents.py
+++ b/src/gypsumfield/platform/documents.py
@@ -158,14 +158,14 @@
             expected fields; the message names the key.
     """
     try:
-        server_id = check_name(key.removeprefix(SERVER_PREFIX))
+        name = check_name(server_id(key))
         wire = decode(_SERVER_DECODER, data)
         is_leaving = _IS_LEAVING_BY_STATE[wire.state]
         address = check_address(wire.address)
     except (InvalidDataError, KeyError) as error:
         raise ConfigurationError(f"{key}: {error}") from error
     return BackendServer(
-        server_id=server_id,
+        server_id=name,
         service=wire.service,
         address=address,
         availability_zone=wire.zone,
@@ -195,6 +195,11 @@
     return key.startswith(SERVER_PREFIX)
 
 
+def server_id(key: str) -> str:
+    """Return the id of the backend server whose registration a key holds."""
+    return key.removeprefix(SERVER_PREFIX)
+
+
 def _software_version(value: object) -> str:
     if not isinstance(value, str) or len(value) > VERSION_LIMIT_CHARACTERS:
         return ""
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -31,6 +31,7 @@
     decoders = Decoders(
         documents.is_configuration_key,
         documents.is_server_key,
+        documents.server_id,
         documents.evacuated_zone,
         documents.decode_publication,
         documents.decode_server,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -286,3 +286,14 @@
         wait_until(lambda c=catalogue: c.is_leaving(c.find_server("b1")), 2.0)
     put_keys(group, ODD_NAMES.values(), UNREADABLE)
     assert call_each_host(group) == [200] * 3
+
+
+@pytest.mark.parametrize("key", ["servers/x/s1", "other/s1", "op/evacuate/x/s1"])
+def test_the_deletion_of_an_odd_entry_ends_the_use_of_no_server(fleet, key):
+    fleet.start()
+    fleet.store.put(key, UNREADABLE)
+    assert is_following(fleet)
+    fleet.store.delete(key)
+    assert is_following(fleet)
+    catalogue = fleet.host.components.catalogue
+    assert not catalogue.is_leaving(catalogue.find_server("s1"))
