Pause after a watch that only brought entries that are passed over

Cause: after a change the follower waits 60 ms, so that the next watch returns all that changed meanwhile. It did so only when the answer held usable items. Each write of another writer under an odd name thus cost a call at once, of the calls a second that the store permits to all hosts together and that hosts need when they start.

A watch now also returns how many changes its answer had, and the pause follows that.

Evidence: the new test of the follower fails with the pause bound to usable items. Changes of such entries were passed over before, and the watch went on after them.

--- a/src/gypsumfield/gateway/follower.py
+++ b/src/gypsumfield/gateway/follower.py
@@ -16,6 +16,7 @@
 from gypsumfield.gateway.events import StoreReached
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.published_items import WatchedChanges
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.loops import run_forever
 
@@ -49,10 +50,8 @@
     def list_items(self, prefix: str) -> tuple[list[StoreItem], int]:
         """Return all items below a prefix, and the revision to watch from."""
 
-    def watch(
-        self, prefix: str, after_revision: int, wait_ms: int
-    ) -> tuple[list[StoreItem], int]:
-        """Return changes below a prefix, and the revision to continue from."""
+    def watch(self, prefix: str, after_revision: int, wait_ms: int) -> WatchedChanges:
+        """Return changes below a prefix."""
 
 
 class FollowerDependencies(NamedTuple):
@@ -157,10 +156,12 @@
             wait_ms = WATCH_WAIT_MS if self.is_store_reachable else 1
             # Peers may have sent later changes than the last watch.
             after = deps.catalogue.revision
-            items, revision = deps.source.watch(self._prefix, after, wait_ms)
+            items, revision, event_count = deps.source.watch(
+                self._prefix, after, wait_ms
+            )
             self._record_reachable(revision)
             deps.catalogue.apply(items, revision, "store watch", is_fresh=True)
-            if items:
+            if event_count:
                 deps.clock.sleep_ms(CHANGE_BATCH_MS)
 
     def _record_reachable(self, revision: int) -> None:
--- a/src/gypsumfield/gateway/published_items.py
+++ b/src/gypsumfield/gateway/published_items.py
@@ -32,6 +32,20 @@
     value: bytes | None
 
 
+class WatchedChanges(NamedTuple):
+    """Answer of the store to a watch.
+
+    Attributes:
+        items: The changes in order, without those that are no items.
+        revision: Revision from which to continue.
+        event_count: Number of changes, including those that are no items.
+    """
+
+    items: list[StoreItem]
+    revision: int
+    event_count: int
+
+
 class Decoders(NamedTuple):
     """Decoders of published keys and values, from the platform's adapter.
 
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -29,6 +29,7 @@
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import store_revision_of
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.published_items import WatchedChanges
 
 # A listing takes a few round trips; after this time the store counts as unreachable.
 CALL_TIMEOUT_MS = 1_500.0
@@ -136,9 +137,7 @@
                 return Listing(items, first_revision)
             positions.append(_next_position(page.entries, positions))
 
-    def watch(
-        self, prefix: str, after_revision: int, wait_ms: int
-    ) -> tuple[list[StoreItem], int]:
+    def watch(self, prefix: str, after_revision: int, wait_ms: int) -> WatchedChanges:
         """Wait for changes after a revision (long poll).
 
         Args:
@@ -146,9 +145,6 @@
             after_revision: Last revision that was received.
             wait_ms: Maximum time that the store waits for a change.
 
-        Returns:
-            The changes in order, and the revision from which to continue.
-
         Raises:
             HistoryGoneError: The store has discarded the changes after this
                 revision, or it was restored since.
@@ -165,7 +161,11 @@
             # The new history may already have passed the revision, without a 410.
             raise HistoryGoneError("the store was restored from a copy")
         events = _decode(_EVENTS_DECODER, body)
-        return self._valid_items(events.events), combine_revision(self.era, events.at)
+        return WatchedChanges(
+            self._valid_items(events.events),
+            combine_revision(self.era, events.at),
+            len(events.events),
+        )
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -8,11 +8,13 @@
 from fake_platform import publication
 from gypsumfield.clock import ManualClock
 from gypsumfield.exceptions import PlatformError
+from gypsumfield.gateway.follower import CHANGE_BATCH_MS
 from gypsumfield.gateway.follower import FollowerDependencies
 from gypsumfield.gateway.follower import MIN_EXPIRY_OUTAGE_MS
 from gypsumfield.gateway.follower import StoreFollower
 from gypsumfield.gateway.follower import WATCH_WAIT_MS
 from gypsumfield.gateway.published_items import StoreItem
+from gypsumfield.gateway.published_items import WatchedChanges
 from placing_fleet import make_catalogue
 
 SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
@@ -39,16 +41,11 @@
         self.revision += 1
         is_deletion = result == "deletion"
         items = [StoreItem("servers/i-1", self.revision, None)] if is_deletion else []
-        return items, self.revision
+        return WatchedChanges(items, self.revision, len(items) + (result == "odd"))
 
 
-def is_server_used(*script):
-    """Return whether a server whose registration was deleted still gets requests.
-
-    The host has started with the view of a peer.
-    """
-    clock = ManualClock(1_000.0)
-    catalogue = make_catalogue(clock.as_clock())
+def start_follower(clock, catalogue, script):
+    """Return a follower of a scripted store, on a host that has a peer's view."""
     configuration = json.dumps(publication({"s": "idempotent"})).encode()
     server = json.dumps({**SERVER, "born": 1}).encode()
     items = [
@@ -58,7 +55,7 @@
     catalogue.replace(items, 2, "peer")
     store = ScriptedStore(clock)
     store.script = list(script)
-    follower = StoreFollower(
+    return StoreFollower(
         "",
         FollowerDependencies(
             source=store,
@@ -70,7 +67,14 @@
             emit=lambda _event: None,
         ),
     )
-    while store.script:
+
+
+def is_server_used(*script):
+    """Return whether a server whose registration was deleted still gets requests."""
+    clock = ManualClock(1_000.0)
+    catalogue = make_catalogue(clock.as_clock())
+    follower = start_follower(clock, catalogue, script)
+    for _ in script:
         follower._run_round()
     return not catalogue.is_leaving(catalogue.servers_of("s")[0])
 
@@ -108,3 +112,17 @@
 )
 def test_a_deletion_after_an_outage_may_be_a_lapse(script):
     assert is_server_used(*script, (500.0, "deletion"))
+
+
+# Guards against a call for each write of another writer, which uses up the calls that
+# the store permits.
+@pytest.mark.parametrize(
+    ("result", "pause_ms"),
+    [("odd", CHANGE_BATCH_MS), ("deletion", CHANGE_BATCH_MS), ("nothing", 0.0)],
+)
+def test_the_next_watch_waits_for_more_changes(result, pause_ms):
+    clock = ManualClock(1_000.0)
+    catalogue = make_catalogue(clock.as_clock())
+    follower = start_follower(clock, catalogue, [(5.0, result)])
+    follower._run_round()
+    assert clock.now_ms == 1_005.0 + pause_ms
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,6 +9,7 @@
 
 from fake_platform import FakeStore
 from fake_platform import key_bytes
+from gypsumfield.gateway.published_items import combine_revision
 from gypsumfield.platform.store import StoreClient
 from odd_keys import odd_keys
 from odd_keys import ODD_NAMES
@@ -98,3 +99,14 @@
     store.page_size = 1
     keys, _ = list_keys(store)
     assert keys == ["servers/a", "servers/z"]
+
+
+def test_changes_of_odd_keys_are_counted_and_passed_over(store):
+    store.put("servers/a b", b"{}")
+    client = StoreClient(store.address)
+    try:
+        changes = client.watch("", combine_revision(store.era, 1), 1)
+    finally:
+        client.close()
+    assert (changes.items, changes.event_count) == ([], 1)
+    assert changes.revision == combine_revision(store.era, store.revision)
