Name the key of each store entry that is passed over, and bound their log lines

Operators could not tell which entry was left out: the line gave the decoder's message without the key, once for all entries of a kind.

A reason now begins with the key. Configurations are logged apart, so that a flood of odd entries hides none.

--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -56,7 +56,8 @@
         self._decoders = decoders
         self._clock = clock
         self._emit = emit
-        self._rejections = Rejections(emit)
+        self._rejected_servers = Rejections(clock, emit)
+        self._rejected_configurations = Rejections(clock, emit)
         self._items = PublishedItems(decoders.is_configuration)
         self._records: dict[str, ServerRecord] = {}
         # Wall-clock start of the server and monotonic time of the announcement.
@@ -318,7 +319,7 @@
                     f"version {current_version} in force"
                 )
         except ConfigurationError as error:
-            self._rejections.record(
+            self._rejected_configurations.record(
                 item.key, str(error), source, item.revision, current_version
             )
             return None
@@ -348,7 +349,7 @@
         try:
             server = self._decoders.server(item.key, item.value, item.revision)
         except ConfigurationError as error:
-            self._rejections.record(item.key, str(error), source, item.revision)
+            self._rejected_servers.record(item.key, str(error), source, item.revision)
             return
         leaving = self._leaving_starts.get(server.server_id)
         if leaving is not None and leaving[0] == server.started_wall_ms:
--- a/src/gypsumfield/gateway/events.py
+++ b/src/gypsumfield/gateway/events.py
@@ -12,12 +12,17 @@
 
 
 class PublicationRejected(Event, frozen=True, kw_only=True, tag="publication_rejected"):
-    """A published item cannot be used; the previous one stays in force."""
+    """A published item cannot be used; the previous one stays in force.
+
+    Attributes:
+        unlogged_count: Rejections before this one that were not logged.
+    """
 
     revision: int
     kept_version: int
     reason: str
     source: str
+    unlogged_count: int = 0
 
 
 class EvacuationChanged(Event, frozen=True, kw_only=True, tag="evacuation_changed"):
--- a/src/gypsumfield/gateway/fleet_parts.py
+++ b/src/gypsumfield/gateway/fleet_parts.py
@@ -85,7 +85,7 @@
         clock,
         emit,
     )
-    rejections = Rejections(emit)
+    rejections = Rejections(clock, emit)
     ledger = Ledger()
     report_cache = EngineReportCache(catalogue, clock)
     engine_paces = EnginePaces(catalogue, clock)
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -19,6 +19,7 @@
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.decoding import decode
 from gypsumfield.decoding import Decoder
+from gypsumfield.decoding import MAX_NAME_LENGTH
 from gypsumfield.decoding import Name
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import HistoryGoneError
@@ -178,7 +179,8 @@
             try:
                 items.append(_convert_item(decode(_ITEM_DECODER, entry), self.era))
             except InvalidDataError as error:
-                self._record_invalid_item(str(error))
+                key = _written_key(entry)[:MAX_NAME_LENGTH]
+                self._record_invalid_item(f"{key!r}: {error}")
         return items
 
     def _call(self, target: str, timeout_ms: float) -> bytes:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,6 +11,7 @@
 from fake_platform import wait_until
 from gypsumfield.exceptions import ConfigurationError
 from gypsumfield.gateway.composition import build_edge_host
+from gypsumfield.gateway.rejections import MAX_LOGGED_REJECTIONS
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
 from odd_keys import odd_keys
@@ -315,3 +316,14 @@
     assert is_following(fleet)
     catalogue = fleet.host.components.catalogue
     assert not catalogue.is_leaving(catalogue.find_server("s1"))
+
+
+def test_a_configuration_is_named_in_the_log_among_many_odd_entries(fleet):
+    fleet.start()
+    for number in range(2 * MAX_LOGGED_REJECTIONS):
+        fleet.store.put(f"servers/a&{number}", UNREADABLE)
+    fleet.store.put("op/config", UNREADABLE)
+    assert is_following(fleet)
+    reasons = [event.reason for event in fleet.events_named("publication_rejected")]
+    assert len(reasons) == MAX_LOGGED_REJECTIONS + 1
+    assert "op/config" in reasons[-1]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -110,3 +110,10 @@
         client.close()
     assert (changes.items, changes.event_count) == ([], 1)
     assert changes.revision == combine_revision(store.era, store.revision)
+
+
+def test_what_a_listing_leaves_out_is_named(store):
+    store.put("servers/a b", b"{}")
+    store.put("servers/\udcff", b"{}")
+    _, reasons = list_keys(store)
+    assert ["servers/a b" in reasons[0], r"servers/\udcff" in reasons[1]] == [True] * 2
