Read the other values of /v1 when one value or key cannot be decoded

No host of /v1 learned of any change while one published value could not be decoded: the answer was rejected as a whole, and the same one was fetched again. A value with an integer above 64 bits was applied by the host that fetched it but could not be encoded for its peers, which stayed behind.

Cause: the answer was decoded in one piece, values and all, and nothing checked that a value has an encoding for peers.

Each value is now decoded on its own; one that cannot be decoded or passed on is replaced by a text that no type of a value accepts, so that it is rejected and logged like other invalid values and the last valid one stays in force. When one key or a value nested too deeply makes the whole answer malformed, it is read again without that. The store's client shares the code for this.

--- a/src/gypsumfield/adapters/platform.py
+++ b/src/gypsumfield/adapters/platform.py
@@ -1,6 +1,7 @@
 """Client of the platform's read-only HTTP service."""
 
 import uuid
+from typing import Any
 from typing import TypeVar
 
 import msgspec
@@ -9,7 +10,9 @@
 
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.configuration import ConfigurationDelta
+from gypsumfield.decoding import cut_nesting
 from gypsumfield.decoding import decode
+from gypsumfield.decoding import unescape_surrogates
 from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import PlatformError
 from gypsumfield.platform_api import MemberList
@@ -18,9 +21,21 @@
 CONNECT_TIMEOUT_MS = 1_000.0
 STATUS_OK = 200
 
+# Stands for a value that cannot be decoded; no type of a value accepts it.
+UNREADABLE_VALUE = "unreadable"
+
 AnswerT = TypeVar("AnswerT")
 
 
+class _WireDelta(msgspec.Struct):
+    revision: int
+    values: dict[str, msgspec.Raw]
+    key_revisions: dict[str, int] = {}
+
+
+_VALUE_DECODER = msgspec.json.Decoder(Any)
+
+
 class PlatformClient:
     """Client that reads published values and the member list.
 
@@ -35,11 +50,15 @@
     def fetch_values(self, after_revision: int, wait_ms: float) -> ConfigurationDelta:
         """Return the changes after a revision; waits up to ``wait_ms`` for a change.
 
+        A value that cannot be decoded is returned as `UNREADABLE_VALUE`.
+
         Raises:
             PlatformError: The service did not answer, or its answer is invalid.
         """
         target = f"/v1/values?after_revision={after_revision}&wait_ms={wait_ms:.0f}"
-        return self._get(target, ConfigurationDelta, wait_ms)
+        delta = self._get(target, _WireDelta, wait_ms)
+        values = {key: _decode_value(raw) for key, raw in delta.values.items()}
+        return ConfigurationDelta(delta.revision, values, delta.key_revisions)
 
     def fetch_members(self) -> MemberList:
         """Return the member list, which may be out of date.
@@ -74,9 +93,26 @@
 
 
 def _decode(body: bytes, answer_type: type[AnswerT], target: str) -> AnswerT:
+    decoder = msgspec.json.Decoder(answer_type)
     try:
-        return decode(msgspec.json.Decoder(answer_type), body)
+        try:
+            return decode(decoder, body)
+        except InvalidDataError as error:
+            # One key or one value can make the whole answer malformed.
+            is_too_deep = isinstance(error.__cause__, RecursionError)
+            text = cut_nesting(body) if is_too_deep else body
+            return decode(decoder, unescape_surrogates(text, "replace"))
     except InvalidDataError as error:
         raise PlatformError(
             f"invalid answer of the platform to {target}: {error}"
         ) from error
+
+
+def _decode_value(raw: msgspec.Raw) -> Any:
+    try:
+        value = decode(_VALUE_DECODER, raw)
+        # Peers receive it in this encoding, which has no integers above 64 bits.
+        msgspec.msgpack.encode(value)
+    except (InvalidDataError, OverflowError):
+        return UNREADABLE_VALUE
+    return value
--- a/src/gypsumfield/decoding.py
+++ b/src/gypsumfield/decoding.py
@@ -1,6 +1,7 @@
 """Decodes data from outside the process into types with bounded values."""
 
 import ipaddress
+import json
 import re
 from typing import Annotated
 from typing import Protocol
@@ -18,6 +19,12 @@
 MAX_PORT = 65_535
 _PRINTABLE = r"\A[!-~]+\Z"
 _PORT = re.compile(r"[0-9]{1,5}")
+# Deeper than any document of the users; decoders fail some hundred levels later.
+MAX_NESTING = 64
+_STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*+"|[][{}]', re.DOTALL)
+# Some text is bytes at its origin; a lone surrogate stands for a byte that is no
+# character.
+BYTES_AS_SURROGATES = "surrogateescape"
 
 Name = Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=_PRINTABLE)
@@ -49,6 +56,43 @@
         raise InvalidDataError(str(error) or type(error).__name__) from error
 
 
+def unescape_surrogates(data: bytes, errors: str) -> bytes:
+    """Return JSON without escaped lone surrogates, which no decoder accepts.
+
+    Args:
+        data: JSON whose strings may hold them, or bytes that are no UTF-8.
+        errors: What becomes of them: the name of an error handler of the codecs.
+
+    Raises:
+        InvalidDataError: The data are no JSON.
+    """
+    try:
+        document = json.loads(data.decode("utf-8", BYTES_AS_SURROGATES))
+        text = json.dumps(document, ensure_ascii=False)
+    except (ValueError, RecursionError) as error:
+        raise InvalidDataError(str(error) or type(error).__name__) from error
+    try:
+        return text.encode("utf-8", errors)
+    except UnicodeEncodeError:
+        return text.encode("utf-8", "surrogatepass")
+
+
+def cut_nesting(data: bytes) -> bytes:
+    """Return JSON with null for what is nested deeper than `MAX_NESTING`."""
+    kept = bytearray()
+    kept_to = depth = 0
+    for token in _STRING_OR_BRACKET.finditer(data):
+        if token[0] in (b"[", b"{"):
+            depth += 1
+            if depth == MAX_NESTING + 1:
+                kept += data[kept_to : token.start()] + b"null"
+        elif token[0] in (b"]", b"}"):
+            depth -= 1
+            if depth == MAX_NESTING:
+                kept_to = token.end()
+    return bytes(kept + data[kept_to:])
+
+
 def check_name(text: str) -> str:
     """Return a name of printable characters without blanks.
 
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -17,10 +17,12 @@
 from gypsumfield.adapters.backends import ExchangeTimeouts
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
+from gypsumfield.decoding import BYTES_AS_SURROGATES
 from gypsumfield.decoding import decode
 from gypsumfield.decoding import Decoder
 from gypsumfield.decoding import MAX_NAME_LENGTH
 from gypsumfield.decoding import Name
+from gypsumfield.decoding import unescape_surrogates
 from gypsumfield.exceptions import BackendError
 from gypsumfield.exceptions import HistoryGoneError
 from gypsumfield.exceptions import InvalidDataError
@@ -40,8 +42,6 @@
 ANSWER_LIMIT_BYTES = 16 * 1_048_576
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
-# Keys are bytes; in text, a lone surrogate stands for a byte that is no character.
-_KEY_ERRORS = "surrogateescape"
 # The store does not use request ids and ignores this header.
 _ID_HEADER = "X-Call-Id"
 # Rises by one each time the store has been restored from a copy.
@@ -126,7 +126,8 @@
         while True:
             target = f"/-/kv-range?path_prefix={quote(prefix, safe='')}"
             if positions:
-                target += f"&after={quote(positions[-1], safe='', errors=_KEY_ERRORS)}"
+                position = quote(positions[-1], safe="", errors=BYTES_AS_SURROGATES)
+                target += f"&after={position}"
             page = _decode(_PAGE_DECODER, self._call(target, CALL_TIMEOUT_MS))
             if first_revision is None:
                 first_era = self.era
@@ -232,7 +233,7 @@
 def _written_key(entry: msgspec.Raw) -> str:
     """Return the key of an entry of an answer, or empty if it has none."""
     try:
-        fields = json.loads(bytes(entry).decode("utf-8", _KEY_ERRORS))
+        fields = json.loads(bytes(entry).decode("utf-8", BYTES_AS_SURROGATES))
     except (ValueError, RecursionError):
         return ""
     key = fields.get("key") if isinstance(fields, dict) else None
@@ -251,28 +252,11 @@
             return decode(decoder, body)
         except InvalidDataError:
             # A key with an escaped lone surrogate makes the whole answer malformed.
-            return decode(decoder, _unescape(body))
+            return decode(decoder, unescape_surrogates(body, BYTES_AS_SURROGATES))
     except InvalidDataError as error:
         raise PlatformError(f"store: the answer is invalid: {error}") from error
 
 
-def _unescape(body: bytes) -> bytes:
-    """Return JSON with the bytes for which its escaped lone surrogates stand.
-
-    Raises:
-        InvalidDataError: It is no JSON.
-    """
-    try:
-        document = json.loads(body.decode("utf-8", _KEY_ERRORS))
-        text = json.dumps(document, ensure_ascii=False)
-    except (ValueError, RecursionError) as error:
-        raise InvalidDataError(str(error) or type(error).__name__) from error
-    try:
-        return text.encode("utf-8", _KEY_ERRORS)
-    except UnicodeEncodeError:
-        return text.encode("utf-8", "surrogatepass")
-
-
 def _convert_item(wire: _WireItem, era: int) -> StoreItem:
     revision = combine_revision(era, wire.revision)
     if wire.deleted:
