Use the other hosts of the member list of /v1 when one entry is no host

No host of /v1 learned of a host or backend server that came or left while one entry of the platform's member list had a missing field or a field of another type: the list was rejected as a whole. A host that started then knew no backend server.

Each entry is now decoded on its own. What is no host is left out and logged (member_rejected, with its id), at most 16 entries a list, and only those that the list before did not have.

--- a/src/gypsumfield/adapters/platform.py
+++ b/src/gypsumfield/adapters/platform.py
@@ -1,6 +1,7 @@
 """Client of the platform's read-only HTTP service."""
 
 import uuid
+from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -12,9 +13,11 @@
 from gypsumfield.configuration import ConfigurationDelta
 from gypsumfield.decoding import cut_nesting
 from gypsumfield.decoding import decode
+from gypsumfield.decoding import MAX_NAME_LENGTH
 from gypsumfield.decoding import unescape_surrogates
 from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import PlatformError
+from gypsumfield.platform_api import Member
 from gypsumfield.platform_api import MemberList
 
 ANSWER_MARGIN_MS = 1_000.0
@@ -23,6 +26,8 @@
 
 # Stands for a value that cannot be decoded; no type of a value accepts it.
 UNREADABLE_VALUE = "unreadable"
+# Invalid hosts of one list that are logged.
+_INVALID_HOST_LIMIT = 16
 
 AnswerT = TypeVar("AnswerT")
 
@@ -33,19 +38,44 @@
     key_revisions: dict[str, int] = {}
 
 
+class _WireMemberList(msgspec.Struct):
+    version: int
+    hosts: tuple[msgspec.Raw, ...]
+
+
+class _WireHostId(msgspec.Struct):
+    host_id: str = ""
+
+
+_HOST_ID_DECODER = msgspec.json.Decoder(_WireHostId)
+_MEMBER_DECODER = msgspec.json.Decoder(Member)
 _VALUE_DECODER = msgspec.json.Decoder(Any)
 
 
 class PlatformClient:
     """Client that reads published values and the member list.
 
+    Args:
+        url: URL of the service.
+        record_invalid_host: Called with the id, if it can be read, and the reason for
+            each entry of the member list that is no host; again only after a list
+            without it.
+
     Attributes:
         call_count: Calls since the process started.
     """
 
-    def __init__(self, url: str) -> None:
+    def __init__(
+        self,
+        url: str,
+        record_invalid_host: Callable[[str, str], None] = lambda _host_id, _reason: (
+            None
+        ),
+    ) -> None:
         self.call_count = 0
         self._url = url
+        self._record_invalid_host = record_invalid_host
+        self._invalid_hosts: list[tuple[str, str]] = []
 
     def fetch_values(self, after_revision: int, wait_ms: float) -> ConfigurationDelta:
         """Return the changes after a revision; waits up to ``wait_ms`` for a change.
@@ -61,12 +91,24 @@
         return ConfigurationDelta(delta.revision, values, delta.key_revisions)
 
     def fetch_members(self) -> MemberList:
-        """Return the member list, which may be out of date.
+        """Return the member list, which may be out of date, with its valid entries.
 
         Raises:
             PlatformError: The service did not answer, or its answer is invalid.
         """
-        return self._get("/v1/members", MemberList, 0.0)
+        listed = self._get("/v1/members", _WireMemberList, 0.0)
+        hosts = []
+        invalid_hosts = []
+        for raw in listed.hosts:
+            try:
+                hosts.append(decode(_MEMBER_DECODER, raw))
+            except InvalidDataError as error:
+                invalid_hosts.append((_host_id(raw), str(error)))
+        for invalid_host in invalid_hosts[:_INVALID_HOST_LIMIT]:
+            if invalid_host not in self._invalid_hosts:
+                self._record_invalid_host(*invalid_host)
+        self._invalid_hosts = invalid_hosts
+        return MemberList(listed.version, tuple(hosts))
 
     def _get(self, target: str, answer_type: type[AnswerT], wait_ms: float) -> AnswerT:
         self.call_count += 1
@@ -116,3 +158,11 @@
     except (InvalidDataError, OverflowError):
         return UNREADABLE_VALUE
     return value
+
+
+def _host_id(raw: msgspec.Raw) -> str:
+    """Return the id in an entry of the member list, or empty if it has none."""
+    try:
+        return decode(_HOST_ID_DECODER, raw).host_id[:MAX_NAME_LENGTH]
+    except InvalidDataError:
+        return ""
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -43,6 +43,7 @@
 from gypsumfield.entry_host import HostIdentity
 from gypsumfield.entry_host import PeerNotifications
 from gypsumfield.events import Event
+from gypsumfield.events import MemberRejected
 from gypsumfield.generations import GenerationDependencies
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.jobs import Job
@@ -146,7 +147,12 @@
     plane = build_control_plane(
         core.settings,
         core.store,
-        PlatformClient(core.settings.platform_url),
+        PlatformClient(
+            core.settings.platform_url,
+            lambda host_id, reason: core.emit(
+                MemberRejected(host_id=host_id, reason=reason)
+            ),
+        ),
         admission,
         core.clock,
         core.emit,
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -262,6 +262,13 @@
     reason: str
 
 
+class MemberRejected(Event, frozen=True, kw_only=True, tag="member_rejected"):
+    """An entry of the platform's member list is no host; the others are used."""
+
+    host_id: str
+    reason: str
+
+
 class PlatformUnreachable(Event, frozen=True, kw_only=True, tag="platform_unreachable"):
     """The service of the platform did not answer."""
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -11,6 +11,12 @@
 from gypsumfield.envelopes import encode_message
 from gypsumfield.messages import ValuesDelta
 
+SOUND_HOST = {
+    "host_id": "engine-1",
+    "role": "backend",
+    "availability_zone": "manta",
+    "address": "127.0.0.1:80",
+}
 SOUND_VALUE = {"status": "in"}
 NESTED = b"[" * 100_000 + b"]" * 100_000
 ODD_VALUES = {
@@ -23,6 +29,12 @@
     "no-utf-8": b'{"status":"\xff"}',
     "nested": NESTED,
 }
+ODD_HOSTS = {
+    **ODD_VALUES,
+    "no-fields": b"{}",
+    "unknown-role": json.dumps({**SOUND_HOST, "role": "odd"}).encode(),
+    "services-number": json.dumps({**SOUND_HOST, "services": 7}).encode(),
+}
 
 
 class FakePlatform:
@@ -46,6 +58,28 @@
     fake_platform.server.stop(timeout=0)
 
 
+# Guards against a fleet that learns of no host and no value, because of one odd entry.
+@pytest.mark.parametrize("odd", ODD_HOSTS.values(), ids=ODD_HOSTS)
+def test_an_odd_host_is_left_out_and_logged_once(platform, odd):
+    logged = []
+    client = PlatformClient(platform.url, lambda *rejected: logged.append(rejected))
+    sound = json.dumps(SOUND_HOST).encode()
+    platform.body = b'{"version":1,"hosts":[%s,%s]}' % (odd, sound)
+    for _ in range(3):
+        assert [host.host_id for host in client.fetch_members().hosts] == ["engine-1"]
+    assert len(logged) == 1
+
+
+def test_many_odd_hosts_are_logged_in_part(platform):
+    logged = []
+    client = PlatformClient(platform.url, lambda *rejected: logged.append(rejected))
+    hosts = [{**SOUND_HOST, "host_id": f"a b{n}", "role": "odd"} for n in range(300)]
+    platform.body = json.dumps({"version": 1, "hosts": hosts}).encode()
+    assert client.fetch_members().hosts == ()
+    assert 0 < len(logged) < 30
+    assert logged[0][0] == "a b0"
+
+
 @pytest.mark.parametrize("odd", ODD_VALUES.values(), ids=ODD_VALUES)
 def test_an_odd_value_is_rejected_and_the_others_reach_all_hosts(platform, odd):
     sound = json.dumps(SOUND_VALUE).encode()
