Keep sending to all peers of /v1 when the address of one is invalid

A host of /v1 sent no frame from its queues any more, and skipped the rest of a round of heartbeats, after one entry of the member list had a control address such as 127.0.0.1:x&y: the other hosts took it for silent.

Cause: opening the connection raised in the greenlet that sends queued frames of all peers, which ended, and in the tick that sends heartbeats.

A peer whose address or key opens no connection is now recorded as invalid and logged once (member_rejected); its frames are dropped, as those to unknown hosts.

--- a/src/gypsumfield/adapters/peers.py
+++ b/src/gypsumfield/adapters/peers.py
@@ -39,17 +39,27 @@
 class _Peer:
     """Connection to one peer, with the frames that are queued for it."""
 
-    def __init__(self, address: str, public_key: str) -> None:
+    def __init__(self, host_id: str, address: str, public_key: str) -> None:
+        self.host_id = host_id
         self.address = address
         self.public_key = public_key
         self.socket: Any = None
         self.queue: deque[bytes] = deque(maxlen=QUEUE_LIMIT)
         self.idle_ms = 0.0
+        # Whether no connection can be opened with its address and key.
+        self.is_invalid = False
 
 
 class PeerTransport:
     """Sends frames to peers and receives theirs; `send` never blocks.
 
+    Args:
+        listen_address: IP address to listen on.
+        listen_port: Port to listen on; 0 lets the operating system choose one.
+        credentials: Key pair of this host.
+        record_invalid_peer: Called once with the host id and the reason for an
+            announced address or key with which no connection can be opened.
+
     Attributes:
         address: ``IP:PORT`` at which this host receives.
         dropped_count: Frames dropped because a queue was full or the peer
@@ -57,7 +67,13 @@
     """
 
     def __init__(
-        self, listen_address: str, listen_port: int, credentials: PeerCredentials
+        self,
+        listen_address: str,
+        listen_port: int,
+        credentials: PeerCredentials,
+        record_invalid_peer: Callable[[str, str], None] = lambda _host_id, _reason: (
+            None
+        ),
     ) -> None:
         """Bind the receiving socket.
 
@@ -67,6 +83,7 @@
         """
         _check_credentials(listen_address, credentials)
         self._credentials = credentials
+        self._record_invalid_peer = record_invalid_peer
         self._context = zmq.Context()
         self._peers: dict[str, _Peer] = {}
         self._greenlets: list[gevent.Greenlet] = []
@@ -110,7 +127,7 @@
         if peer and (peer.address, peer.public_key) == (address, public_key):
             return True
         self.remove_peer(host_id)
-        self._peers[host_id] = _Peer(address, public_key)
+        self._peers[host_id] = _Peer(host_id, address, public_key)
         return True
 
     def remove_peer(self, host_id: str) -> None:
@@ -130,10 +147,11 @@
         """Queue a frame; the oldest one is dropped when the queue is full.
 
         Returns:
-            Whether the host is a known peer. Frames to other hosts are dropped.
+            Whether the host is a known peer with a valid address. Frames to other hosts
+            are dropped.
         """
         peer = self._peers.get(host_id)
-        if peer is None:
+        if peer is None or peer.is_invalid:
             self.dropped_count += 1
             return False
         if len(peer.queue) == QUEUE_LIMIT:
@@ -141,7 +159,7 @@
         peer.queue.append(frame)
         peer.idle_ms = 0.0
         self._flush(peer)
-        return True
+        return not peer.is_invalid
 
     def stop(self) -> None:
         """Close all sockets; frames that have not been sent are dropped."""
@@ -164,18 +182,22 @@
         return socket
 
     def _connect(self, peer: _Peer) -> None:
-        socket = self._new_socket(zmq.DEALER)
+        socket = peer.socket = self._new_socket(zmq.DEALER)
         # Frames wait in the queue of `_Peer`, where the oldest can be dropped, and not
         # in the socket's queue while the connection is not established.
         socket.immediate = 1
         if self._credentials.public_key and peer.public_key:
             socket.curve_serverkey = peer.public_key.encode()
         socket.connect(f"tcp://{peer.address}")
-        peer.socket = socket
 
     def _flush(self, peer: _Peer) -> None:
         if peer.socket is None:
-            self._connect(peer)
+            try:
+                self._connect(peer)
+            except (zmq.ZMQError, ValueError) as error:
+                # An error here would end the sending to all other peers.
+                self._close(peer)
+                self._drop_invalid(peer, str(error))
         while peer.queue:
             try:
                 peer.socket.send(peer.queue[0], zmq.NOBLOCK)
@@ -183,6 +205,12 @@
                 return
             peer.queue.popleft()
 
+    def _drop_invalid(self, peer: _Peer, reason: str) -> None:
+        peer.is_invalid = True
+        self.dropped_count += len(peer.queue)
+        peer.queue.clear()
+        self._record_invalid_peer(peer.host_id, reason)
+
     def _flush_all(self) -> None:
         while True:
             gevent.sleep(FLUSH_INTERVAL_MS / MS_PER_S)
@@ -196,8 +224,11 @@
         """Close a connection that is idle; the next frame opens it again."""
         peer.idle_ms += FLUSH_INTERVAL_MS
         if peer.idle_ms >= IDLE_LIMIT_MS:
-            peer.socket.close(linger=0)
-            peer.socket = None
+            self._close(peer)
+
+    def _close(self, peer: _Peer) -> None:
+        peer.socket.close(linger=0)
+        peer.socket = None
 
     def _receive_all(self, receive: Callable[[bytes, str], None]) -> None:
         turn = ReadTurn()
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -21,6 +21,7 @@
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import CanAdmit
 from gypsumfield.decisions.slots import ReadTarget
+from gypsumfield.events import MemberRejected
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.limit_views import hosts_by_zone
 from gypsumfield.limit_views import owner_zone
@@ -138,6 +139,7 @@
         settings.control_address,
         settings.control_port,
         PeerCredentials(settings.control_public_key, settings.control_secret_key),
+        lambda host_id, reason: emit(MemberRejected(host_id=host_id, reason=reason)),
     )
     loop = ControlLoop(
         settings.host_id, boot_id, transport, clock, emit, settings.lease_ms
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -263,7 +263,10 @@
 
 
 class MemberRejected(Event, frozen=True, kw_only=True, tag="member_rejected"):
-    """An entry of the platform's member list is no host; the others are used."""
+    """An announced host cannot be used; the others are.
+
+    Its entry in the platform's member list is invalid, or its control address or key.
+    """
 
     host_id: str
     reason: str
--- a/tests/test_control_loop.py
+++ b/tests/test_control_loop.py
@@ -169,3 +169,31 @@
     assert pauses == [501]
     assert log == [events.HostPaused(pause_ms=501)]
     transport.stop()
+
+
+# Guards against hosts that send to no peer any more, because one entry of the member
+# list has an odd address.
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:x&y", "127.0.0.1", "127.0.0.1: 80", "127.0.0.1:http#", "::1:é"],
+)
+def test_a_peer_with_an_odd_address_keeps_no_frame_from_the_others(address):
+    rejected = []
+    transport = PeerTransport(
+        "127.0.0.1", 0, PeerCredentials(), lambda *peer: rejected.append(peer)
+    )
+    receiver = PeerTransport("127.0.0.1", 0, PeerCredentials())
+    received = []
+    transport.start(lambda _frame, _key: None)
+    receiver.start(lambda frame, _key: received.append(frame))
+    try:
+        transport.set_peer("odd", address)
+        transport.set_peer("sound", receiver.address)
+        for _ in range(3):
+            assert not transport.send("odd", b"lost")
+        assert transport.send("sound", b"frame")
+        wait_for(lambda: received == [b"frame"])
+        assert [host_id for host_id, _ in rejected] == ["odd"]
+    finally:
+        transport.stop()
+        receiver.stop()
