List the store again when changes exceed what an answer to a watch may hold

Running hosts learned of no server that came or left, and of no configuration, after 17 entries of the size that the store takes (1 MB) had been written at once: the answer to the watch was above the limit of 16 MB, and the next watch asked for the same.

Such an answer now has the effect of a history that is gone: the host lists the store, page by page, and watches from there.

Evidence: three hosts do not notice a new server within 5 s before.

--- a/src/gypsumfield/adapters/backends.py
+++ b/src/gypsumfield/adapters/backends.py
@@ -35,6 +35,7 @@
 from gypsumfield.verdicts import verdict_of_stage
 
 DROPPED_CODE = "answer_dropped"
+TOO_LARGE_CODE = "answer_too_large"
 # The kernel keeps twice as much, or several MB without a bound. Enough for 200 Mbit/s
 # over 2 ms.
 RECEIVE_BUFFER_BYTES = 32_768
@@ -221,9 +222,7 @@
             raise self._error(str(error), DROPPED_CODE) from error
 
     def _too_large(self, limit_bytes: int) -> BackendError:
-        return self._error(
-            f"the answer is above {limit_bytes} bytes", "answer_too_large"
-        )
+        return self._error(f"the answer is above {limit_bytes} bytes", TOO_LARGE_CODE)
 
     def _take_body(self) -> bytes:
         body = bytes(self._body)
--- a/src/gypsumfield/platform/store.py
+++ b/src/gypsumfield/platform/store.py
@@ -15,6 +15,7 @@
 from gypsumfield.aborts import AbortHandle
 from gypsumfield.adapters.backends import Exchange
 from gypsumfield.adapters.backends import ExchangeTimeouts
+from gypsumfield.adapters.backends import TOO_LARGE_CODE
 from gypsumfield.adapters.connections import ConnectionPool
 from gypsumfield.adapters.outgoing_requests import OutgoingRequest
 from gypsumfield.decoding import BYTES_AS_SURROGATES
@@ -149,7 +150,7 @@
 
         Raises:
             HistoryGoneError: The store has discarded the changes after this
-                revision, or it was restored since.
+                revision, it was restored since, or they exceed the limit of an answer.
             PlatformError: The store did not answer, or its answer is invalid or of
                 an earlier era.
         """
@@ -158,7 +159,14 @@
             f"&after={store_revision_of(after_revision)}&wait_ms={wait_ms}"
         )
         self.era = max(self.era, era_of(after_revision))
-        body = self._call(target, wait_ms + CALL_TIMEOUT_MS)
+        try:
+            body = self._call(target, wait_ms + CALL_TIMEOUT_MS)
+        except PlatformError as error:
+            cause = error.__cause__
+            if isinstance(cause, BackendError) and cause.code == TOO_LARGE_CODE:
+                # The same watch would fail again; a listing has pages.
+                raise HistoryGoneError(str(error)) from cause
+            raise
         if self.era > era_of(after_revision):
             # The new history may already have passed the revision, without a 410.
             raise HistoryGoneError("the store was restored from a copy")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Odd entries of another writer among those of the servers."""
 
 import json
+import random
 
 import pytest
 
@@ -14,6 +15,7 @@
 from gypsumfield.gateway.rejections import MAX_LOGGED_REJECTIONS
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
+from gypsumfield.platform.store import ANSWER_LIMIT_BYTES
 from odd_keys import odd_keys
 from odd_keys import ODD_NAMES
 
@@ -203,6 +205,7 @@
     "value", [UNREADABLE, entry()], ids=["unreadable", "readable"]
 )
 PAGE_SIZE = 2
+LARGE_VALUE_BYTES = 1_048_576
 
 
 def put_keys(fleet, names, value):
@@ -327,3 +330,18 @@
     reasons = [event.reason for event in fleet.events_named("publication_rejected")]
     assert len(reasons) == MAX_LOGGED_REJECTIONS + 1
     assert "op/config" in reasons[-1]
+
+
+def put_large_entries(fleet):
+    """Write more than fits into an answer, in entries of the size that a store takes."""
+    rng = random.Random(0)
+    for number in range(ANSWER_LIMIT_BYTES // LARGE_VALUE_BYTES + 1):
+        fleet.store.put(f"servers/c&{number}", rng.randbytes(LARGE_VALUE_BYTES))
+
+
+def test_a_server_is_noticed_after_more_changes_than_fit_into_an_answer(group):
+    group.start_hosts()
+    put_large_entries(group)
+    add_answering_server(group, "h1")
+    for _, host in group.hosts:
+        wait_until(lambda host=host: group.knows_all(host), 5.0)
