Keep no values of published items that no host uses

A host could not pull the view of a peer while 17 entries of 1 MB that name no server stood in the store: the view was above the limit of 16 MB, and each update of the peer started another pull of it.

The values of rejected registrations, and of keys that hold neither a server nor the configuration, are now dropped once they are judged; key and revision stay, so that views remain complete.

--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -22,6 +22,7 @@
 from gypsumfield.gateway.model import ServerRecord
 from gypsumfield.gateway.model import ServiceSpec
 from gypsumfield.gateway.published_items import Decoders
+from gypsumfield.gateway.published_items import DISCARDED_VALUE
 from gypsumfield.gateway.published_items import era_of
 from gypsumfield.gateway.published_items import keys_of
 from gypsumfield.gateway.published_items import Outcome
@@ -271,7 +272,7 @@
 
     def _log_ignored(self, item: StoreItem, source: str) -> None:
         current = self._items.find(item.key)
-        if current is not None and current.value != item.value:
+        if current and current.value not in (item.value, DISCARDED_VALUE):
             self._emit(
                 ItemIgnored(
                     key=item.key,
@@ -289,6 +290,7 @@
                 self._update_server(item, source)
             else:
                 self._update_evacuation(item, source)
+                self._items.discard_value(item)
         self._notify_listeners()
 
     def _notify_listeners(self) -> None:
@@ -350,6 +352,7 @@
             server = self._decoders.server(item.key, item.value, item.revision)
         except ConfigurationError as error:
             self._rejected_servers.record(item.key, str(error), source, item.revision)
+            self._items.discard_value(item)
             return
         leaving = self._leaving_starts.get(server.server_id)
         if leaving is not None and leaving[0] == server.started_wall_ms:
@@ -367,9 +370,8 @@
             server = server._replace(is_leaving=is_leaving)
         record = ServerRecord(server, first_seen_ms, cold_until_ms)
         self._records[server.server_id] = record
-        self._emit_backend_seen(
-            record, "leaving" if server.is_leaving else "ready", source
-        )
+        state = "leaving" if server.is_leaving else "ready"
+        self._emit_backend_seen(record, state, source)
 
     def _mark_server_gone(self, item: StoreItem, source: str, now_ms: float) -> None:
         server_id = self._decoders.server_id(item.key)
--- a/src/gypsumfield/gateway/published_items.py
+++ b/src/gypsumfield/gateway/published_items.py
@@ -22,6 +22,9 @@
 TOMBSTONE_LIFETIME_MS = 60_000.0
 # Operators and servers write again within this time what a restored store has lost.
 RESTORED_GRACE_MS = 5_000.0
+# Stands for a value that no host uses, so that views do not grow with it. It is no
+# registration of a server either.
+DISCARDED_VALUE = b""
 
 
 class StoreItem(NamedTuple):
@@ -173,6 +176,11 @@
         self._put(item, now_ms)
         return Outcome.STORED
 
+    def discard_value(self, item: StoreItem) -> None:
+        """Keep of an item only its key, its revision and whether it was deleted."""
+        if item.value is not None:
+            self._items[item.key] = item._replace(value=DISCARDED_VALUE)
+
     def release_held(self, now_ms: float) -> list[StoreItem]:
         """Store the held items whose time has come, and return them."""
         due = [item for item, due_ms in self._held.values() if due_ms <= now_ms]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import gevent
 import pytest
 
 from edge_fleet import EdgeFleet
@@ -12,6 +13,7 @@
 from fake_platform import wait_until
 from gypsumfield.exceptions import ConfigurationError
 from gypsumfield.gateway.composition import build_edge_host
+from gypsumfield.gateway.peers import HEARTBEAT_INTERVAL_MS
 from gypsumfield.gateway.rejections import MAX_LOGGED_REJECTIONS
 from gypsumfield.platform.documents import decode_publication
 from gypsumfield.platform.documents import decode_server
@@ -332,11 +334,11 @@
     assert "op/config" in reasons[-1]
 
 
-def put_large_entries(fleet):
-    """Write more than fits into an answer, in entries of the size that a store takes."""
+def put_large_entries(fleet, prefix="servers/c&"):
+    """Write more than fits into an answer, in the largest entries of a store."""
     rng = random.Random(0)
     for number in range(ANSWER_LIMIT_BYTES // LARGE_VALUE_BYTES + 1):
-        fleet.store.put(f"servers/c&{number}", rng.randbytes(LARGE_VALUE_BYTES))
+        fleet.store.put(f"{prefix}{number}", rng.randbytes(LARGE_VALUE_BYTES))
 
 
 def test_a_server_is_noticed_after_more_changes_than_fit_into_an_answer(group):
@@ -345,3 +347,15 @@
     add_answering_server(group, "h1")
     for _, host in group.hosts:
         wait_until(lambda host=host: group.knows_all(host), 5.0)
+
+
+@pytest.mark.parametrize("prefix", ["servers/c&", "op/evacuate/", "other/"])
+def test_views_of_hosts_among_large_odd_entries_reach_their_peers(group, prefix):
+    put_large_entries(group, prefix)
+    group.start_hosts()
+    restart_together(group)
+    gevent.sleep(2 * HEARTBEAT_INTERVAL_MS / 1_000.0)
+    assert not group.events_named("pull_failed")
+    for _, host in group.hosts:
+        items = host.components.catalogue.items_after(0)
+        assert sum(len(item.value or b"") for item in items) < LARGE_VALUE_BYTES
