Test that a stream goes on after an event with odd characters in its id

Held before: the id is sent on as the server wrote it. The test of ids with gaps gets three more ids (& + # %, a blank, 30 digits); nothing else is changed.

--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -168,15 +168,19 @@
     assert len(fleet.resumptions) == 2
 
 
-def test_a_stream_whose_ids_have_gaps_is_resumed(fleet):
+@pytest.mark.parametrize(
+    "last_id", [20, "a&b+#%", "a b", "9" * 30], ids=["gap", "signs", "blank", "long"]
+)
+def test_a_stream_whose_ids_do_not_count_events_is_resumed(fleet, last_id):
     def respond(request, sock):
         if "x-attempt-id" not in request["headers"]:
             sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             return None
         if is_resumption(request):
+            assert request["headers"]["last-event-id"] == str(last_id)
             sock.sendall(stream_head(request) + event(30) + STREAM_END)
             return None
-        sock.sendall(stream_head(request) + event(10) + event(20))
+        sock.sendall(stream_head(request) + event(10) + event(last_id))
         gevent.sleep(0.02)
         return "close"
 
