Keep the logging host's id in lines of member_rejected

The new event had a field host_id, which replaced the id of the host that wrote the line. The rejected host is now in the field member. The callback has one type and one default.

--- a/src/gypsumfield/adapters/peers.py
+++ b/src/gypsumfield/adapters/peers.py
@@ -18,6 +18,8 @@
 from gypsumfield.adapters.fair_reads import ReadTurn
 from gypsumfield.clock import MS_PER_S
 from gypsumfield.exceptions import SettingsError
+from gypsumfield.interfaces import ignore_invalid_host
+from gypsumfield.interfaces import RecordInvalidHost
 
 QUEUE_LIMIT = 256
 SOCKET_QUEUE_LIMIT = 64
@@ -71,9 +73,7 @@
         listen_address: str,
         listen_port: int,
         credentials: PeerCredentials,
-        record_invalid_peer: Callable[[str, str], None] = lambda _host_id, _reason: (
-            None
-        ),
+        record_invalid_peer: RecordInvalidHost = ignore_invalid_host,
     ) -> None:
         """Bind the receiving socket.
 
--- a/src/gypsumfield/adapters/platform.py
+++ b/src/gypsumfield/adapters/platform.py
@@ -1,7 +1,6 @@
 """Client of the platform's read-only HTTP service."""
 
 import uuid
-from collections.abc import Callable
 from typing import Any
 from typing import TypeVar
 
@@ -17,6 +16,8 @@
 from gypsumfield.decoding import unescape_surrogates
 from gypsumfield.exceptions import InvalidDataError
 from gypsumfield.exceptions import PlatformError
+from gypsumfield.interfaces import ignore_invalid_host
+from gypsumfield.interfaces import RecordInvalidHost
 from gypsumfield.platform_api import Member
 from gypsumfield.platform_api import MemberList
 
@@ -68,9 +69,7 @@
     def __init__(
         self,
         url: str,
-        record_invalid_host: Callable[[str, str], None] = lambda _host_id, _reason: (
-            None
-        ),
+        record_invalid_host: RecordInvalidHost = ignore_invalid_host,
     ) -> None:
         self.call_count = 0
         self._url = url
--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -150,7 +150,7 @@
         PlatformClient(
             core.settings.platform_url,
             lambda host_id, reason: core.emit(
-                MemberRejected(host_id=host_id, reason=reason)
+                MemberRejected(member=host_id, reason=reason)
             ),
         ),
         admission,
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -139,7 +139,7 @@
         settings.control_address,
         settings.control_port,
         PeerCredentials(settings.control_public_key, settings.control_secret_key),
-        lambda host_id, reason: emit(MemberRejected(host_id=host_id, reason=reason)),
+        lambda host_id, reason: emit(MemberRejected(member=host_id, reason=reason)),
     )
     loop = ControlLoop(
         settings.host_id, boot_id, transport, clock, emit, settings.lease_ms
--- a/src/gypsumfield/events.py
+++ b/src/gypsumfield/events.py
@@ -266,9 +266,12 @@
     """An announced host cannot be used; the others are.
 
     Its entry in the platform's member list is invalid, or its control address or key.
+
+    Attributes:
+        member: Id of that host, where it can be read.
     """
 
-    host_id: str
+    member: str
     reason: str
 
 
--- a/src/gypsumfield/interfaces.py
+++ b/src/gypsumfield/interfaces.py
@@ -11,10 +11,18 @@
 EmitEvent = Callable[[Event], None]
 
 
+# Takes the id of a host, which may be empty, and why it cannot be used.
+RecordInvalidHost = Callable[[str, str], None]
+
+
 def discard_event(_event: Event) -> None:
     """Drop an event. Used by tests and tools that write no log."""
 
 
+def ignore_invalid_host(_host_id: str, _reason: str) -> None:
+    """Record nothing. Used by tests."""
+
+
 class QuotaDecision(NamedTuple):
     """Decision of the account limit on one request.
 
