Keep short unused values for peers of another program version

A registration that this version rejects may be sound for a newer one, which can get it from this host's view while a release is under way. Only values above 4 KiB are dropped; registrations have some 300 bytes.

Evidence: the tests of views among large odd entries pass as before.

--- a/src/gypsumfield/gateway/catalogue.py
+++ b/src/gypsumfield/gateway/catalogue.py
@@ -290,7 +290,7 @@
                 self._update_server(item, source)
             else:
                 self._update_evacuation(item, source)
-                self._items.discard_value(item)
+                self._items.discard_unused_value(item)
         self._notify_listeners()
 
     def _notify_listeners(self) -> None:
@@ -352,7 +352,7 @@
             server = self._decoders.server(item.key, item.value, item.revision)
         except ConfigurationError as error:
             self._rejected_servers.record(item.key, str(error), source, item.revision)
-            self._items.discard_value(item)
+            self._items.discard_unused_value(item)
             return
         leaving = self._leaving_starts.get(server.server_id)
         if leaving is not None and leaving[0] == server.started_wall_ms:
--- a/src/gypsumfield/gateway/published_items.py
+++ b/src/gypsumfield/gateway/published_items.py
@@ -22,8 +22,10 @@
 TOMBSTONE_LIFETIME_MS = 60_000.0
 # Operators and servers write again within this time what a restored store has lost.
 RESTORED_GRACE_MS = 5_000.0
-# Stands for a value that no host uses, so that views do not grow with it. It is no
-# registration of a server either.
+# Values that no host uses are kept up to this size: a newer program version of a peer
+# may use them. Longer ones would make views too large; what stands for them is no
+# registration of a server.
+MAX_UNUSED_VALUE_BYTES = 4_096
 DISCARDED_VALUE = b""
 
 
@@ -176,9 +178,9 @@
         self._put(item, now_ms)
         return Outcome.STORED
 
-    def discard_value(self, item: StoreItem) -> None:
-        """Keep of an item only its key, its revision and whether it was deleted."""
-        if item.value is not None:
+    def discard_unused_value(self, item: StoreItem) -> None:
+        """Drop the value of an item that no host uses, unless it is short."""
+        if item.value is not None and len(item.value) > MAX_UNUSED_VALUE_BYTES:
             self._items[item.key] = item._replace(value=DISCARDED_VALUE)
 
     def release_held(self, now_ms: float) -> list[StoreItem]:
