--- a/src/gypsumfield/composition.py
+++ b/src/gypsumfield/composition.py
@@ -24,6 +24,7 @@
 from gypsumfield.caller_limits import build_caller_limits
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.configuration_events import log_invalid_hosts
 from gypsumfield.control_plane import AdmissionDependencies
 from gypsumfield.control_plane import build_control_plane
 from gypsumfield.control_plane import ControlPlane
@@ -43,7 +44,6 @@
 from gypsumfield.entry_host import HostIdentity
 from gypsumfield.entry_host import PeerNotifications
 from gypsumfield.events import Event
-from gypsumfield.events import MemberRejected
 from gypsumfield.generations import GenerationDependencies
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.jobs import Job
@@ -147,12 +147,7 @@
     plane = build_control_plane(
         core.settings,
         core.store,
-        PlatformClient(
-            core.settings.platform_url,
-            lambda host_id, reason: core.emit(
-                MemberRejected(member=host_id, reason=reason)
-            ),
-        ),
+        PlatformClient(core.settings.platform_url, log_invalid_hosts(core.emit)),
         admission,
         core.clock,
         core.emit,
--- a/src/gypsumfield/configuration_events.py
+++ b/src/gypsumfield/configuration_events.py
@@ -1,12 +1,15 @@
-"""Events to log when a configuration change takes effect."""
+"""Events to log when a configuration change takes effect, or a host is invalid."""
 
 from gypsumfield.configuration import ConfigurationDelta
 from gypsumfield.configuration import ConfigurationStore
 from gypsumfield.events import ConfigurationInForce
 from gypsumfield.events import ConfigurationRejected
 from gypsumfield.events import Event
+from gypsumfield.events import MemberRejected
 from gypsumfield.events import ZoneBack
 from gypsumfield.events import ZoneOut
+from gypsumfield.interfaces import EmitEvent
+from gypsumfield.interfaces import RecordInvalidHost
 
 
 def configuration_events(
@@ -37,3 +40,8 @@
             event_type = ZoneOut if zone.status == "out" else ZoneBack
             events.append(event_type(availability_zone=name))
     return events
+
+
+def log_invalid_hosts(emit: EmitEvent) -> RecordInvalidHost:
+    """Return a function that logs a host that cannot be used."""
+    return lambda host_id, reason: emit(MemberRejected(member=host_id, reason=reason))
--- a/src/gypsumfield/control_plane.py
+++ b/src/gypsumfield/control_plane.py
@@ -12,6 +12,7 @@
 from gypsumfield.clock import Clock
 from gypsumfield.configuration import Configuration
 from gypsumfield.configuration import ConfigurationStore
+from gypsumfield.configuration_events import log_invalid_hosts
 from gypsumfield.configuration_spread import ConfigurationSpread
 from gypsumfield.configuration_spread import MemberListSpread
 from gypsumfield.control_loop import ControlLoop
@@ -21,7 +22,6 @@
 from gypsumfield.decisions.ownership import ZoneView
 from gypsumfield.decisions.slots import CanAdmit
 from gypsumfield.decisions.slots import ReadTarget
-from gypsumfield.events import MemberRejected
 from gypsumfield.interfaces import EmitEvent
 from gypsumfield.limit_views import hosts_by_zone
 from gypsumfield.limit_views import owner_zone
@@ -139,7 +139,7 @@
         settings.control_address,
         settings.control_port,
         PeerCredentials(settings.control_public_key, settings.control_secret_key),
-        lambda host_id, reason: emit(MemberRejected(member=host_id, reason=reason)),
+        log_invalid_hosts(emit),
     )
     loop = ControlLoop(
         settings.host_id, boot_id, transport, clock, emit, settings.lease_ms
