--- a/review/6/run.py
+++ b/review/6/run.py
@@ -21,12 +21,14 @@
 from plain import plain_service  # noqa: E402
 
 ENGINES = 4
-TRAFFIC_S = 85.0
+TRAFFIC_S = 88.0
 # Requests a second of each kind, over all hosts.
-RATES = {"write-up": 3.0, "tag": 4.0, "log": 10.0, "check": 4.0}
+RATES = {"write-up": 2.5, "tag": 4.0, "log": 10.0, "check": 4.0}
 DRAIN_S = 2.0
 EXIT_AFTER_DRAIN_S = 0.2
-RESTART_S = 0.7
+RESTART_S = 0.5
+# Time for which the runners take streams before the first release.
+CALM_S = 6.0
 GAP_S = 1.0
 STARVED_SHARE = 0.25
 
@@ -53,7 +55,7 @@
         for kind, rate in RATES.items()
     ]
     if has_trouble:
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(CALM_S)
         # Two releases, of half of the runners each, one runner at a time.
         for engine in engines:
             engine.drain()
@@ -103,7 +105,7 @@
     method = "GET" if kind == "check" else "POST"
     if kind in ("write-up", "tag"):
         is_long = kind == "write-up"
-        events = rng.randint(100, 200) if is_long else rng.randint(2, 8)
+        events = rng.randint(220, 300) if is_long else rng.randint(2, 8)
         prompt = rng.randint(1500, 3000)
         headers += [
             ("X-Model", "m"),
